Serve a request from the caller to a settled bill

Cause: there was no code; the whole path was wanted first, as separate processes. Change: routers and agents over sealed pynng messages, a pipeline of filters, budgets as escrow per steward session, claims for calls that may not be repeated, recovery of dead sessions by fences, the operators' table, stand-ins, the command line and a demonstration. Before: nothing ran. Conclusion: the path stands; the tests, the write rate and the refusals come next.

--- /dev/null
+++ b/src/aspengate/budgets/__init__.py
@@ -0,0 +1,61 @@
+"""Prepaid budgets: escrow from the store to a region's steward to the routers' blocks.
+
+The modules here decide and hold state; they send nothing, and take the time as a parameter.
+"""
+
+from aspengate.budgets._ledger import Block, BlockLedger, LedgerOutput, Reservation
+from aspengate.budgets._rates import RateEstimate
+from aspengate.budgets._recovery import RecoveredBlock, Recovery, billed_item
+from aspengate.budgets._shard import (
+    Account,
+    BilledItem,
+    Budget,
+    ClosedBlocks,
+    CloseSession,
+    Command,
+    DropBudget,
+    OpenSession,
+    Report,
+    Session,
+    SetLimit,
+    SettleBlocks,
+    Shard,
+    apply_commands,
+    block_number,
+    owner_key,
+    shard_of,
+)
+from aspengate.budgets._sizing import SizingPolicy
+from aspengate.budgets._steward import PlannedWrite, ShardSteward, Shortage
+
+__all__ = [
+    "Account",
+    "BilledItem",
+    "Block",
+    "BlockLedger",
+    "Budget",
+    "CloseSession",
+    "ClosedBlocks",
+    "Command",
+    "DropBudget",
+    "LedgerOutput",
+    "OpenSession",
+    "PlannedWrite",
+    "RateEstimate",
+    "RecoveredBlock",
+    "Recovery",
+    "Report",
+    "Reservation",
+    "Session",
+    "SetLimit",
+    "SettleBlocks",
+    "Shard",
+    "ShardSteward",
+    "Shortage",
+    "SizingPolicy",
+    "apply_commands",
+    "billed_item",
+    "block_number",
+    "owner_key",
+    "shard_of",
+]
--- /dev/null
+++ b/src/aspengate/budgets/_steward.py
@@ -0,0 +1,295 @@
+"""A steward's tenure over one budget shard in one region."""
+
+import uuid
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from aspengate.budgets._ledger import Block
+from aspengate.budgets._rates import RateEstimate
+from aspengate.budgets._shard import (
+    Account,
+    BilledItem,
+    CloseSession,
+    Command,
+    OpenSession,
+    Report,
+    SettleBlocks,
+    Shard,
+)
+from aspengate.budgets._sizing import SizingPolicy
+from aspengate.errors import ErrorKind
+
+_DEFAULT_HONOUR_MS = 2 * 60 * 60 * 1_000
+_ACTIVE_ROUTER_MS = 60_000.0
+
+
+@dataclass(frozen=True)
+class Shortage:
+    """A block can't be had now; ``kind`` is what the caller is told."""
+
+    kind: ErrorKind
+
+
+@dataclass
+class _Holding:
+    granted: int = 0
+    returned: int = 0
+    spent: int = 0
+    lent: int = 0
+    needed: int = 0
+    recalled: int = 0
+    rate: RateEstimate = field(default_factory=RateEstimate)
+    routers: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def free(self) -> int:
+        return self.granted - self.returned - self.spent - self.lent
+
+    def active_routers(self, now_ms: float) -> int:
+        self.routers = {
+            router: seen
+            for router, seen in self.routers.items()
+            if now_ms - seen < _ACTIVE_ROUTER_MS
+        }
+        return len(self.routers)
+
+
+@dataclass(frozen=True)
+class _OpenBlock:
+    budget: str
+    amount: int
+    router_session: str
+
+
+@dataclass(frozen=True)
+class PlannedWrite:
+    """One write to the store that a steward wants; repeat it under the same id until known."""
+
+    operation_id: str
+    commands: tuple[Command, ...]
+    block_ids: tuple[str, ...]
+    item_ids: tuple[str, ...]
+
+
+class ShardSteward:
+    """Holds one session's money of a shard and lends it to routers in blocks.
+
+    The money belongs to the session and not to a lease: two stewards of one region hold two
+    accounts, so a paused steward that goes on does no harm. Call ``observe`` with each version
+    of the document that was read or written, ``plan`` for the next write, ``draw`` for a block.
+    """
+
+    def __init__(
+        self,
+        session: str,
+        region: str,
+        address: str,
+        policy: SizingPolicy,
+        honour_ms: int = _DEFAULT_HONOUR_MS,
+    ) -> None:
+        self.session = session
+        self.region = region
+        self.address = address
+        self.policy = policy
+        self.honour_ms = honour_ms
+        self.shard = Shard()
+        self.open_blocks: dict[str, _OpenBlock] = {}
+        self._holdings: dict[str, _Holding] = {}
+        self._unsettled: dict[str, tuple[str, dict[str, int]]] = {}
+        self._items: dict[str, BilledItem] = {}
+        self._numbers: dict[str, int] = {}
+
+    @property
+    def honour_until_ms(self) -> int:
+        """The end of the tenure that the store has confirmed; 0 where it has none yet."""
+        session = self.shard.sessions.get(self.session)
+        return session.honour_until_ms if session else 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is lent and nothing waits for a settlement."""
+        return not self.open_blocks and not self._unsettled
+
+    @property
+    def unsettled_count(self) -> int:
+        """How many closed blocks wait for a write."""
+        return len(self._unsettled)
+
+    @property
+    def needs_write(self) -> bool:
+        """Whether a caller waits for a write."""
+        return any(holding.needed or holding.recalled for holding in self._holdings.values())
+
+    def free(self, budget: str) -> int:
+        """Return how much of a budget this session could lend now."""
+        holding = self._holdings.get(budget)
+        return holding.free if holding else 0
+
+    def routers_of(self, budget: str) -> tuple[str, ...]:
+        """Return the sessions of the routers that hold open blocks of a budget."""
+        blocks = self.open_blocks.values()
+        return tuple({block.router_session for block in blocks if block.budget == budget})
+
+    def observe(self, shard: Shard) -> None:
+        """Take over what the store has confirmed."""
+        self.shard = shard
+        for name, budget in shard.budgets.items():
+            account = budget.accounts.get(self.session)
+            if account is not None:
+                self._holding(name).granted = account.granted
+
+    def draw(
+        self, budget: str, router_session: str, needed: int, wanted: int, now_ms: int
+    ) -> Block | None:
+        """Lend a block of at least ``needed`` credits; ``None`` where a write has to come first."""
+        holding = self._holding(budget)
+        holding.routers[router_session] = now_ms
+        if now_ms >= self.honour_until_ms or holding.free < needed:
+            holding.needed = max(holding.needed, needed)
+            return None
+        routers = holding.active_routers(now_ms)
+        amount = self.policy.block(needed=needed, wanted=wanted, free=holding.free, routers=routers)
+        holding.lent += amount
+        number = self._numbers.get(router_session, 0) + 1
+        self._numbers[router_session] = number
+        block_id = f"{self.session}#{router_session}#{number}"
+        self.open_blocks[block_id] = _OpenBlock(budget, amount, router_session)
+        return Block(block_id, self.session, budget, amount, self.honour_until_ms)
+
+    def shortage(self, budget: str, needed: int) -> Shortage:
+        """Return why a draw of ``needed`` credits can't be met after a write."""
+        known = self.shard.budgets.get(budget)
+        if known is None:
+            return Shortage(ErrorKind.NOT_FOUND)
+        elsewhere = sum(
+            account.held - account.spent
+            for holder, account in known.accounts.items()
+            if holder != self.session
+        )
+        lent = self._holding(budget).lent
+        reachable = max(0, known.unallocated) + elsewhere + lent + self.free(budget)
+        enough = reachable >= needed
+        return Shortage(ErrorKind.BUDGET_UNAVAILABLE if enough else ErrorKind.BUDGET_EXHAUSTED)
+
+    def other_holders(self, budget: str) -> dict[str, str]:
+        """Return session and address of each other holder with unspent money of a budget."""
+        known = self.shard.budgets.get(budget)
+        accounts: dict[str, Account] = known.accounts if known else {}
+        return {
+            holder: self.shard.sessions[holder].address
+            for holder, account in accounts.items()
+            if holder != self.session
+            and holder in self.shard.sessions
+            and account.held > account.spent
+        }
+
+    def forget_need(self, budget: str) -> None:
+        """Note that no caller waits for this budget any more."""
+        self._holding(budget).needed = 0
+
+    def recall(self, budget: str, needed: int) -> None:
+        """Note that another holder needs money of a budget; the next write returns some."""
+        holding = self._holding(budget)
+        holding.recalled = max(holding.recalled, needed)
+
+    def trim(self, block_id: str, amount: int) -> None:
+        """Take back the part of an open block above ``amount``, as its router promised."""
+        block = self.open_blocks.get(block_id)
+        if block is None or amount >= block.amount:
+            return
+        self._holding(block.budget).lent -= block.amount - amount
+        self.open_blocks[block_id] = _OpenBlock(block.budget, amount, block.router_session)
+
+    def close_block(
+        self,
+        block_id: str,
+        bills: dict[str, int],
+        items: Iterable[BilledItem],
+        now_ms: int,
+    ) -> None:
+        """Take the final account of a block; a repeated one changes nothing."""
+        block = self.open_blocks.pop(block_id, None)
+        if block is None:
+            return
+        holding = self._holding(block.budget)
+        holding.lent -= block.amount
+        spent = sum(bills.values())
+        holding.spent += spent
+        holding.rate.add(spent, now_ms)
+        self._unsettled[block_id] = (block.budget, bills)
+        self._items.update({item.request_id: item for item in items})
+
+    def plan(self, now_ms: int) -> PlannedWrite:
+        """Return the next write, made for the document that was observed last."""
+        commands: list[Command] = [
+            OpenSession(self.session, self.region, self.address, now_ms + self.honour_ms)
+        ]
+        for budget in sorted(self._holdings):
+            commands.extend(self._plan_budget(budget, now_ms))
+        blocks = dict(self._unsettled)
+        items = tuple(self._items.values())
+        if blocks:
+            commands.append(SettleBlocks(self.session, blocks, items))
+        return PlannedWrite(
+            operation_id=uuid.uuid4().hex,
+            commands=tuple(commands),
+            block_ids=tuple(blocks),
+            item_ids=tuple(item.request_id for item in items),
+        )
+
+    def plan_close(self, now_ms: int) -> PlannedWrite:
+        """Return the write that settles everything and ends the tenure.
+
+        Call it only when ``idle`` but for unsettled blocks; nothing may be lent afterwards.
+        """
+        write = self.plan(now_ms)
+        return PlannedWrite(
+            write.operation_id,
+            (*write.commands, CloseSession(self.session)),
+            write.block_ids,
+            write.item_ids,
+        )
+
+    def applied(self, write: PlannedWrite, shard: Shard) -> tuple[str, ...]:
+        """Note that a write took effect; return the ids of the blocks it settled."""
+        self.observe(shard)
+        for block_id in write.block_ids:
+            self._unsettled.pop(block_id, None)
+        for item_id in write.item_ids:
+            self._items.pop(item_id, None)
+        return write.block_ids
+
+    def _plan_budget(self, name: str, now_ms: int) -> list[Command]:
+        known = self.shard.budgets.get(name)
+        if known is None:
+            return []
+        holding = self._holding(name)
+        rate = holding.rate.per_second(now_ms)
+        returning = self._returning(holding, rate, known.unallocated)
+        holding.returned += returning
+        extra = 0
+        if not returning:
+            extra = self.policy.grant(
+                needed=holding.needed,
+                free=holding.free,
+                rate=rate,
+                unallocated=known.unallocated,
+                holders=len({*known.accounts, self.session}),
+            )
+        account = known.accounts.get(self.session, Account())
+        changed = extra > 0 or holding.returned > account.returned
+        granted = account.granted + extra
+        return [Report(self.session, name, granted, holding.returned)] if changed else []
+
+    def _returning(self, holding: _Holding, rate: float, unallocated: int) -> int:
+        recalled, holding.recalled = holding.recalled, 0
+        if unallocated < 0:
+            return holding.free
+        if recalled:
+            return self.policy.spare(free=holding.free, rate=rate, needed=recalled)
+        if holding.needed:
+            return 0
+        return self.policy.surplus(free=holding.free, rate=rate)
+
+    def _holding(self, budget: str) -> _Holding:
+        return self._holdings.setdefault(budget, _Holding())
--- /dev/null
+++ b/src/aspengate/cli/_daemons.py
@@ -0,0 +1,138 @@
+"""The subcommands that run one process of the fleet or one stand-in."""
+
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+
+from aspengate.clock import SystemClock
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.settings import load_settings, read_sections
+from aspengate.telemetry import Counters, NullCounters, StatsdCounters, log_to_stream
+
+_SettingsFile = Annotated[Path, cappa.Arg(long="--settings", help="INI file of this process")]
+_DRAIN_MS = 600_000.0
+_STAND_IN_THREADS = 128
+_MAX_BODY = 16 * 1024 * 1024
+
+
+@cappa.command(description="Run the router of an entry instance.")
+@dataclass
+class Router:
+    """Run until SIGTERM, then finish what is in progress."""
+
+    settings: _SettingsFile
+
+    def __call__(self) -> None:
+        """Run the router."""
+        from aspengate.platform import EtcdStore, HttpInstanceList
+        from aspengate.router import Router as RouterProcess
+        from aspengate.router import RouterSettings
+
+        settings = load_settings(RouterSettings, self.settings)
+        router = RouterProcess(
+            settings,
+            EtcdStore(settings.store),
+            HttpInstanceList(settings.instances),
+            SystemClock(),
+            _counters(settings.statsd, "aspengate.router"),
+        )
+        _run(router)
+
+
+@cappa.command(description="Run the agent beside an upstream.")
+@dataclass
+class Agent:
+    """Run until SIGTERM, then finish what is in progress."""
+
+    settings: _SettingsFile
+
+    def __call__(self) -> None:
+        """Run the agent."""
+        from aspengate.agent import Agent as AgentProcess
+        from aspengate.agent import AgentSettings
+        from aspengate.platform import EtcdStore
+
+        settings = load_settings(AgentSettings, self.settings)
+        agent = AgentProcess(
+            settings,
+            EtcdStore(settings.store),
+            SystemClock(),
+            _counters(settings.statsd, "aspengate.agent"),
+        )
+        _run(agent)
+
+
+@cappa.command(name="stand-in", description="Run a stand-in of the platform, for trials by hand.")
+@dataclass
+class StandIn:
+    """Run one stand-in until SIGTERM."""
+
+    kind: Annotated[str, cappa.Arg(help="store, instances, engine or service")]
+    settings: _SettingsFile
+
+    def __call__(self) -> None:
+        """Run the stand-in."""
+        from aspengate.serving import WsgiServer
+        from aspengate.standins import StandInSettings, make_stand_in
+
+        settings = load_settings(StandInSettings, self.settings)
+        application = make_stand_in(self.kind, settings)
+        server = WsgiServer(application, settings.listen, _STAND_IN_THREADS, _MAX_BODY)
+        server.start()
+        sys.stderr.write(f"{self.kind} at {server.address}\n")
+        _wait_for_signal()
+        server.close()
+
+
+@cappa.command(description="Check a settings file of a router, agent or stand-in.")
+@dataclass
+class Check:
+    """Read a file as its daemon would, and say what is wrong with it."""
+
+    file: Annotated[Path, cappa.Arg(help="INI file")]
+
+    def __call__(self) -> None:
+        """Check the file."""
+        load_settings(_settings_type(self.file), self.file)
+        sys.stdout.write(f"{self.file}: accepted\n")
+
+
+def _settings_type(path: Path) -> type[Any]:
+    from aspengate.agent import AgentSettings
+    from aspengate.router import RouterSettings
+    from aspengate.standins import StandInSettings
+
+    sections = read_sections(path)
+    if "stand-in" in sections:
+        return StandInSettings
+    return AgentSettings if "upstream" in sections else RouterSettings
+
+
+def _counters(statsd: str, prefix: str) -> Counters:
+    if not statsd:
+        return NullCounters()
+    host, _, port = statsd.rpartition(":")
+    return StatsdCounters(host, int(port), prefix)
+
+
+def _run(process: Any) -> None:
+    log_to_stream(sys.stderr)
+    process.start()
+    _wait_for_signal(lambda: bool(getattr(process, "fenced", False)))
+    if not process.leave(_DRAIN_MS):
+        raise AspengateError(ErrorKind.INTERNAL, "stopped before everything was finished")
+
+
+def _wait_for_signal(ended: Callable[[], bool] = lambda: False) -> None:
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    while not stop.wait(0.2):
+        if ended():
+            return
--- /dev/null
+++ b/src/aspengate/cli/_main.py
@@ -0,0 +1,37 @@
+"""The command ``aspengate`` and its subcommands."""
+
+import sys
+from dataclasses import dataclass
+
+import cappa
+
+from aspengate import __version__
+from aspengate.cli._daemons import Agent, Check, Router, StandIn
+from aspengate.cli._demo import Demo
+from aspengate.cli._experiments import Bench, Verify
+from aspengate.cli._invoice import Invoice
+from aspengate.cli._table import Table
+from aspengate.errors import AspengateError, ErrorKind
+
+_USAGE_EXIT = 2
+_FAILURE_EXIT = 1
+
+
+@cappa.command(name="aspengate", description="Routes requests of tiny services, within budgets.")
+@dataclass
+class Aspengate:
+    """The whole command."""
+
+    command: cappa.Subcommands[
+        Router | Agent | StandIn | Check | Table | Invoice | Demo | Bench | Verify
+    ]
+
+
+def main() -> None:
+    """Run the command line; exit 2 on bad input or settings, 1 on other failures."""
+    try:
+        cappa.invoke(Aspengate, version=__version__)
+    except AspengateError as error:
+        sys.stderr.write(f"aspengate: {error.kind.value}: {error}\n")
+        bad = error.kind in {ErrorKind.BAD_REQUEST, ErrorKind.TOO_LARGE}
+        sys.exit(_USAGE_EXIT if bad else _FAILURE_EXIT)
--- /dev/null
+++ b/src/aspengate/errors/_error.py
@@ -0,0 +1,44 @@
+"""The exception that carries an error kind, and its form towards callers."""
+
+import msgspec
+
+from aspengate.errors._kinds import ANSWERS, ErrorAnswer, ErrorKind
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """The JSON object under ``error`` in an answer to a caller."""
+
+    code: str
+    message: str
+    run_state: str
+    request_id: str = ""
+
+
+class AspengateError(Exception):
+    """A failure with a code; raise it wherever a request or an edit can't go on.
+
+    ``where`` names the position of the cause, such as a file, a row or a setting.
+    """
+
+    def __init__(self, kind: ErrorKind, message: str, *, where: str = "") -> None:
+        super().__init__(message)
+        self.kind = kind
+        self.message = message
+        self.where = where
+
+    @property
+    def answer(self) -> ErrorAnswer:
+        """The HTTP answer to this error's kind."""
+        return ANSWERS[self.kind]
+
+    def body(self, request_id: str = "") -> ErrorBody:
+        """Return what a caller is told about this error."""
+        return ErrorBody(
+            code=self.kind.value,
+            message=str(self),
+            run_state=self.answer.run_state.value,
+            request_id=request_id,
+        )
+
+    def __str__(self) -> str:
+        return f"{self.where}: {self.message}" if self.where else self.message
--- /dev/null
+++ b/src/aspengate/limits/__init__.py
@@ -0,0 +1,7 @@
+"""Limits on requests and concurrency, kept by each router for its share."""
+
+from aspengate.limits._bucket import TokenBucket
+from aspengate.limits._limiter import Limiter
+from aspengate.limits._retries import RetryBudget
+
+__all__ = ["Limiter", "RetryBudget", "TokenBucket"]
--- /dev/null
+++ b/src/aspengate/limits/_bucket.py
@@ -0,0 +1,27 @@
+"""A token bucket."""
+
+
+class TokenBucket:
+    """Allows ``rate`` events a second on average and ``burst`` at once."""
+
+    def __init__(self, rate: float, burst: float, now_ms: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.tokens = burst
+        self._updated_ms = now_ms
+
+    def configure(self, rate: float, burst: float) -> None:
+        """Change the rate and the burst; what was used stays used."""
+        self.rate = rate
+        self.burst = burst
+        self.tokens = min(self.tokens, burst)
+
+    def take(self, now_ms: float, amount: float = 1.0) -> bool:
+        """Take ``amount`` tokens if there are that many."""
+        elapsed = max(0.0, now_ms - self._updated_ms)
+        self._updated_ms = max(self._updated_ms, now_ms)
+        self.tokens = min(self.burst, self.tokens + elapsed * self.rate / 1_000)
+        if self.tokens < amount:
+            return False
+        self.tokens -= amount
+        return True
--- /dev/null
+++ b/src/aspengate/limits/_limiter.py
@@ -0,0 +1,76 @@
+"""Requests a second and concurrency for each client account and service."""
+
+import threading
+from collections import Counter
+
+from aspengate.clock import Clock
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.limits._bucket import TokenBucket
+from aspengate.table import ClientAccountRow, ServiceRow
+
+_BURST_SECONDS = 2.0
+
+
+class Limiter:
+    """Admits requests within this router's share of the limits in the table.
+
+    The limits hold for a region; each of its ``routers`` routers takes an equal share, since
+    the balancer spreads the requests, so that no message is needed.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.routers = 1
+        self._buckets: dict[str, TokenBucket] = {}
+        self._running: Counter[str] = Counter()
+        self._lock = threading.Lock()
+
+    def enter(self, account: ClientAccountRow, service: ServiceRow) -> None:
+        """Count a request in; raises AspengateError of kind RATE_LIMITED."""
+        with self._lock:
+            for identity, most in _concurrency(account, service):
+                if most and self._running[identity] >= self._share(most):
+                    raise AspengateError(
+                        ErrorKind.RATE_LIMITED, "too many requests at once", where=identity
+                    )
+            if account.requests_per_second and not self._bucket(account).take(
+                self.clock.monotonic_ms()
+            ):
+                raise AspengateError(
+                    ErrorKind.RATE_LIMITED,
+                    "too many requests a second",
+                    where=f"client_account {account.name}",
+                )
+            for identity, _ in _concurrency(account, service):
+                self._running[identity] += 1
+
+    def leave(self, account: ClientAccountRow, service: ServiceRow) -> None:
+        """Count a request out."""
+        with self._lock:
+            for identity, _ in _concurrency(account, service):
+                self._running[identity] -= 1
+                if not self._running[identity]:
+                    del self._running[identity]
+
+    def _share(self, most: int) -> int:
+        return max(1, -(-most // max(1, self.routers)))
+
+    def _bucket(self, account: ClientAccountRow) -> TokenBucket:
+        rate = account.requests_per_second / max(1, self.routers)
+        burst = max(1.0, rate * _BURST_SECONDS)
+        bucket = self._buckets.get(account.name)
+        if bucket is None:
+            bucket = TokenBucket(rate, burst, self.clock.monotonic_ms())
+            self._buckets[account.name] = bucket
+        elif (bucket.rate, bucket.burst) != (rate, burst):
+            bucket.configure(rate, burst)
+        return bucket
+
+
+def _concurrency(
+    account: ClientAccountRow, service: ServiceRow
+) -> tuple[tuple[str, int], tuple[str, int]]:
+    return (
+        (f"client_account {account.name}", account.max_concurrency),
+        (f"service {service.name}", service.max_concurrency),
+    )
--- /dev/null
+++ b/src/aspengate/membership/__init__.py
@@ -0,0 +1,13 @@
+"""Who is part of the fleet, and which sessions no longer count."""
+
+from aspengate.membership._fences import FENCES_KEY, FenceDocument, FencedSession, fences_document
+from aspengate.membership._ranking import owner_of, rank_owners
+
+__all__ = [
+    "FENCES_KEY",
+    "FenceDocument",
+    "FencedSession",
+    "fences_document",
+    "owner_of",
+    "rank_owners",
+]
--- /dev/null
+++ b/src/aspengate/platform/_etcd.py
@@ -0,0 +1,129 @@
+"""The store adapter for the JSON gateway of etcd v3."""
+
+import base64
+import http.client
+import json
+import socket
+import time
+from typing import Any
+
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.platform._store import Entry
+
+_CALL_TIMEOUT_S = 3.0
+
+
+class EtcdStore:
+    """Talks to one address of the store over HTTP.
+
+    ``address`` is ``host:port``. Connections are opened for each call, since the fleet makes few.
+    """
+
+    def __init__(self, address: str, call_timeout_s: float = _CALL_TIMEOUT_S) -> None:
+        self.address = address
+        self.call_timeout_s = call_timeout_s
+
+    def get(self, key: str) -> Entry | None:
+        """Return the value under ``key``, if any."""
+        reply = self._call("/v3/kv/range", {"key": _encode(key.encode())})
+        pairs = reply.get("kvs", [])
+        if not pairs:
+            return None
+        return Entry(base64.b64decode(pairs[0]["value"]), int(pairs[0]["mod_revision"]))
+
+    def compare_and_swap(self, key: str, revision: int, value: bytes) -> int | None:
+        """Write ``value`` if the key is still at ``revision``; return the new revision."""
+        encoded = _encode(key.encode())
+        reply = self._call(
+            "/v3/kv/txn",
+            {
+                "compare": [
+                    {
+                        "key": encoded,
+                        "target": "MOD",
+                        "result": "EQUAL",
+                        "mod_revision": str(revision),
+                    }
+                ],
+                "success": [{"request_put": {"key": encoded, "value": _encode(value)}}],
+            },
+            writes=True,
+        )
+        if not reply.get("succeeded", False):
+            return None
+        return int(reply["header"]["revision"])
+
+    def watch(self, key: str, after_revision: int, timeout_ms: float) -> Entry | None:
+        """Wait for a revision of ``key`` above ``after_revision``."""
+        body = {
+            "create_request": {
+                "key": _encode(key.encode()),
+                "start_revision": str(after_revision + 1),
+            }
+        }
+        connection = http.client.HTTPConnection(self.address, timeout=timeout_ms / 1_000)
+        deadline = time.monotonic() + timeout_ms / 1_000
+        try:
+            connection.request("POST", "/v3/watch", json.dumps(body))
+            response = connection.getresponse()
+            if response.status != http.HTTPStatus.OK:
+                raise AspengateError(
+                    ErrorKind.STORE_UNAVAILABLE, f"watch answered {response.status}", where=key
+                )
+            return _first_event(response, deadline)
+        except TimeoutError:
+            return None
+        except (OSError, http.client.HTTPException) as error:
+            raise AspengateError(ErrorKind.STORE_UNAVAILABLE, repr(error), where=key) from error
+        finally:
+            connection.close()
+
+    def _call(self, path: str, body: dict[str, Any], *, writes: bool = False) -> dict[str, Any]:
+        connection = http.client.HTTPConnection(self.address, timeout=self.call_timeout_s)
+        sent = False
+        try:
+            connection.connect()
+            if connection.sock is not None:
+                connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sent = True
+            connection.request("POST", path, json.dumps(body))
+            response = connection.getresponse()
+            data = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            kind = ErrorKind.OUTCOME_UNKNOWN if sent and writes else ErrorKind.STORE_UNAVAILABLE
+            raise AspengateError(kind, repr(error), where=f"store {self.address}") from error
+        finally:
+            connection.close()
+        if response.status != http.HTTPStatus.OK:
+            raise AspengateError(
+                ErrorKind.STORE_UNAVAILABLE,
+                f"answered {response.status}",
+                where=f"store {self.address}",
+            )
+        return _decode_reply(data)
+
+
+def _first_event(response: http.client.HTTPResponse, deadline: float) -> Entry | None:
+    while time.monotonic() < deadline:
+        line = response.readline()
+        if not line:
+            return None
+        events = _decode_reply(line).get("result", {}).get("events", [])
+        if events:
+            pair = events[-1]["kv"]
+            return Entry(base64.b64decode(pair["value"]), int(pair["mod_revision"]))
+    return None
+
+
+def _decode_reply(data: bytes) -> dict[str, Any]:
+    try:
+        reply = json.loads(data)
+    except ValueError as error:
+        raise AspengateError(ErrorKind.STORE_UNAVAILABLE, "unreadable answer") from error
+    if not isinstance(reply, dict):
+        raise AspengateError(ErrorKind.STORE_UNAVAILABLE, "unreadable answer")
+    return reply
+
+
+def _encode(data: bytes) -> str:
+    return base64.b64encode(data).decode("ascii")
--- /dev/null
+++ b/src/aspengate/platform/_instances.py
@@ -0,0 +1,64 @@
+"""The platform's list of live and leaving instances."""
+
+import enum
+import http.client
+from typing import Protocol
+
+import msgspec
+
+from aspengate.errors import AspengateError, ErrorKind
+
+_CALL_TIMEOUT_S = 3.0
+
+
+class InstanceState(enum.Enum):
+    """What the platform says of an instance."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """One process of the fleet as the platform lists it.
+
+    ``role`` is ``router`` or ``agent``; ``service`` names what an agent's upstream serves;
+    ``upstream`` is the upstream's name in the operators' table.
+    """
+
+    name: str
+    role: str
+    address: str
+    region: str
+    failure_domain: str
+    service: str = ""
+    upstream: str = ""
+    state: InstanceState = InstanceState.LIVE
+
+
+class InstanceList(Protocol):
+    """Where a router learns which instances there are; the list lags."""
+
+    def instances(self) -> tuple[Instance, ...]:
+        """Return all listed instances; raises AspengateError of kind STORE_UNAVAILABLE."""
+
+
+class HttpInstanceList:
+    """Reads the list as JSON from ``http://address/instances``."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._decoder = msgspec.json.Decoder(tuple[Instance, ...])
+
+    def instances(self) -> tuple[Instance, ...]:
+        """Return all listed instances."""
+        connection = http.client.HTTPConnection(self.address, timeout=_CALL_TIMEOUT_S)
+        try:
+            connection.request("GET", "/instances")
+            response = connection.getresponse()
+            return self._decoder.decode(response.read())
+        except (OSError, http.client.HTTPException, msgspec.MsgspecError) as error:
+            raise AspengateError(
+                ErrorKind.STORE_UNAVAILABLE, repr(error), where=f"instance list {self.address}"
+            ) from error
+        finally:
+            connection.close()
--- /dev/null
+++ b/src/aspengate/router/__init__.py
@@ -0,0 +1,15 @@
+"""The process on an entry instance: admits, reserves, chooses, relays and settles."""
+
+from aspengate.router._daemon import Router
+from aspengate.router._settings import RouterSettings
+from aspengate.router._stewards import budget_document
+from aspengate.router._table import TableEditor, TableFollower, table_document
+
+__all__ = [
+    "Router",
+    "RouterSettings",
+    "TableEditor",
+    "TableFollower",
+    "budget_document",
+    "table_document",
+]
--- /dev/null
+++ b/src/aspengate/router/_pipeline.py
@@ -0,0 +1,207 @@
+"""The row of filters that every request passes, and the relay of its answer."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+
+from aspengate.clock import Clock
+from aspengate.errors import AspengateError, ErrorKind, RunState
+from aspengate.limits import RetryBudget
+from aspengate.router._exchange import Answer, CallerRequest, Exchange, Filter, Outcome
+from aspengate.router._streams import AnswerStream
+from aspengate.router.filters import FilterParts, make_filters
+from aspengate.table import TableView
+from aspengate.telemetry import Counters
+from aspengate.transport import Cancel, Chunk, Done, Header, Refused, Started, UsageRecord
+
+ADMISSION = ("authenticate", "limit")
+ATTEMPT = ("choose", "claim", "reserve", "dispatch")
+_MAX_ATTEMPTS = 4
+_RETRYABLE = frozenset(
+    {ErrorKind.LEAVING, ErrorKind.OVERLOADED, ErrorKind.NO_UPSTREAM, ErrorKind.FENCED}
+)
+_ANSWER_MARGIN_MS = 1_000
+_WHOLE_ANSWER_BYTES = 64 * 1024
+
+Cancellation = Callable[[AnswerStream], None]
+
+
+class Pipeline:
+    """Takes a request through admission, then through attempts until one agent has started it.
+
+    An attempt is repeated, on another upstream, only where the agent truly refused it.
+    """
+
+    def __init__(self, parts: FilterParts, retries: RetryBudget) -> None:
+        self.parts = parts
+        self.retries = retries
+        self.admission = make_filters(ADMISSION, parts)
+        self.attempt = make_filters(ATTEMPT, parts)
+
+    def handle(self, request: CallerRequest, table: TableView) -> Answer:
+        """Return the answer to a request, whose body is still to come.
+
+        Raises AspengateError where the request is refused or failed before its first byte.
+        """
+        self.retries.first_try()
+        exchange = Exchange(request, table)
+        try:
+            exchange = self._pass(self.admission, exchange)
+            return self._attempts(exchange)
+        except _PassError as failure:
+            _finish(failure.exchange, _outcome_of(failure.cause))
+            raise failure.cause from None
+
+    def _attempts(self, admitted: Exchange) -> Answer:
+        exchange = admitted
+        for number in range(1, _MAX_ATTEMPTS + 1):
+            try:
+                exchange = self._pass(self.attempt, exchange)
+                return self._first_frame(exchange)
+            except _PassError as failure:
+                last = number == _MAX_ATTEMPTS
+                if last or not self._may_retry(failure, admitted):
+                    raise
+                _finish(failure.exchange, _outcome_of(failure.cause), keep=admitted.passed)
+                exchange = replace(admitted, excluded=_excluded(failure.exchange))
+                self.parts.counters.count("router.retries")
+        raise AssertionError("the last attempt returns or raises")
+
+    def _may_retry(self, failure: "_PassError", admitted: Exchange) -> bool:
+        tried = failure.exchange.upstream is not None
+        if not tried or failure.cause.kind not in _RETRYABLE:
+            return False
+        if failure.exchange.joined_agent:
+            return False
+        expired = self.parts.clock.now_ms() >= admitted.request.deadline_ms
+        return not expired and self.retries.take()
+
+    def _pass(self, filters: tuple[Filter, ...], exchange: Exchange) -> Exchange:
+        for each in filters:
+            try:
+                exchange = each.apply(exchange)
+            except AspengateError as error:
+                raise _PassError(exchange, error) from error
+            exchange = replace(exchange, passed=(*exchange.passed, each))
+        return exchange
+
+    def _first_frame(self, exchange: Exchange) -> Answer:
+        stream = _stream(exchange)
+        try:
+            frame = stream.next(self._remaining(exchange))
+        except AspengateError as error:
+            self._cancel(stream)
+            raise _PassError(exchange, error) from error
+        if isinstance(frame, Refused):
+            kind = ErrorKind(frame.kind)
+            raise _PassError(exchange, AspengateError(kind, frame.reason, where=stream.agent))
+        if isinstance(frame, Done):
+            kind = ErrorKind(frame.error) if frame.error else ErrorKind.UPSTREAM_FAILED
+            message = "the upstream failed before its answer began"
+            raise _PassError(exchange, AspengateError(kind, message))
+        if not isinstance(frame, Started):
+            raise _PassError(
+                exchange, AspengateError(ErrorKind.OUTCOME_UNKNOWN, "the answer has no start")
+            )
+        headers = (
+            *frame.headers,
+            Header("X-Request-Id", exchange.request.request_id),
+            Header("X-Aspengate-Budget", exchange.known_account.budget),
+        )
+        return self._answer(exchange, stream, frame.status, headers)
+
+    def _answer(
+        self, exchange: Exchange, stream: AnswerStream, status: int, headers: tuple[Header, ...]
+    ) -> Answer:
+        """Return the answer; a short one is waited for, so that its cost goes in a header."""
+        length = next((each.value for each in headers if each.name.lower() == "content-length"), "")
+        relay = Relay(exchange, stream, self.parts.clock, self.parts.counters, self._cancel)
+        if length.isdigit() and int(length) <= _WHOLE_ANSWER_BYTES:
+            body = b"".join(relay)
+            cost = relay.usage.cost if relay.usage else 0
+            headers = (*headers, Header("X-Aspengate-Cost", str(cost)))
+            return Answer(status, headers, iter([body]))
+        return Answer(status, headers, iter(relay))
+
+    def _remaining(self, exchange: Exchange) -> float:
+        deadline = exchange.request.deadline_ms + _ANSWER_MARGIN_MS
+        return deadline - self.parts.clock.now_ms()
+
+    def _cancel(self, stream: AnswerStream) -> None:
+        self.parts.peer.send(stream.agent, Cancel(stream.number, self.parts.session))
+
+
+class Relay:
+    """The body of an answer as it comes from the agent; iterate over it once.
+
+    However the iteration ends, the request is settled then. A caller that goes away closes the
+    iteration, which cancels the run.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        stream: AnswerStream,
+        clock: Clock,
+        counters: Counters,
+        cancel: Cancellation,
+    ) -> None:
+        self.exchange = exchange
+        self.stream = stream
+        self.clock = clock
+        self.counters = counters
+        self.usage: UsageRecord | None = None
+        self._cancel = cancel
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the body; what has come meanwhile is yielded in one piece."""
+        outcome = Outcome(error=ErrorKind.OUTCOME_UNKNOWN.value)
+        try:
+            while True:
+                remaining = self.exchange.request.deadline_ms - self.clock.now_ms()
+                frames = [self.stream.next(remaining + _ANSWER_MARGIN_MS), *self.stream.ready()]
+                data = b"".join(frame.data for frame in frames if isinstance(frame, Chunk))
+                if data:
+                    yield data
+                done = frames[-1]
+                if isinstance(done, Done):
+                    outcome = Outcome(usage=done.usage, error=done.error)
+                    self.usage = done.usage
+                    if done.error:
+                        raise AspengateError(ErrorKind(done.error), "the answer broke off")
+                    return
+        finally:
+            if outcome.usage is None:
+                self._cancel(self.stream)
+                self.counters.count("router.broken_off")
+            _finish(self.exchange, outcome)
+
+
+class _PassError(Exception):
+    """A filter refused the exchange, which had passed some filters by then."""
+
+    def __init__(self, exchange: Exchange, cause: AspengateError) -> None:
+        super().__init__(str(cause))
+        self.exchange = exchange
+        self.cause = cause
+
+
+def _finish(exchange: Exchange, outcome: Outcome, keep: tuple[Filter, ...] = ()) -> None:
+    for each in reversed(exchange.passed[len(keep) :]):
+        each.finish(exchange, outcome)
+
+
+def _outcome_of(error: AspengateError) -> Outcome:
+    not_run = error.answer.run_state is RunState.NOT_RUN
+    return Outcome(error=error.kind.value, not_run=not_run)
+
+
+def _excluded(exchange: Exchange) -> frozenset[str]:
+    if exchange.upstream is None:
+        return exchange.excluded
+    return exchange.excluded | {exchange.upstream.instance.address}
+
+
+def _stream(exchange: Exchange) -> AnswerStream:
+    if exchange.stream is None:
+        raise AssertionError("the dispatch filter comes first")
+    return exchange.stream
--- /dev/null
+++ b/src/aspengate/router/_streams.py
@@ -0,0 +1,109 @@
+"""The answers that a router is waiting for, each bound to its own request."""
+
+import itertools
+import queue
+import threading
+
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.telemetry import Counters
+from aspengate.transport import Chunk, Chunks, Done, Message, Refused, Started
+
+Frame = Started | Chunk | Done | Refused
+
+
+class AnswerStream:
+    """The frames of one dispatch, in the order in which they came."""
+
+    def __init__(self, number: int, agent: str) -> None:
+        self.number = number
+        self.agent = agent
+        self.position = 0
+        self._frames: queue.SimpleQueue[Frame] = queue.SimpleQueue()
+
+    def put(self, frame: Frame) -> None:
+        """Take a frame from the agent."""
+        self._frames.put(frame)
+
+    def next(self, timeout_ms: float) -> Frame:
+        """Return the next frame; raises OUTCOME_UNKNOWN where none came in time.
+
+        A piece that does not start where the last one ended is an error of the same kind: a
+        caller never gets an answer with a hole.
+        """
+        try:
+            frame = self._frames.get(timeout=max(0.0, timeout_ms) / 1_000)
+        except queue.Empty:
+            raise AspengateError(
+                ErrorKind.OUTCOME_UNKNOWN, "no word from the agent in time", where=self.agent
+            ) from None
+        self._check(frame)
+        return frame
+
+    def ready(self) -> list[Frame]:
+        """Return the frames that are already there."""
+        frames: list[Frame] = []
+        while True:
+            try:
+                frame = self._frames.get_nowait()
+            except queue.Empty:
+                return frames
+            self._check(frame)
+            frames.append(frame)
+
+    def _check(self, frame: Frame) -> None:
+        if isinstance(frame, Chunk):
+            if frame.position != self.position:
+                raise AspengateError(
+                    ErrorKind.OUTCOME_UNKNOWN, "a piece of the answer is missing", where=self.agent
+                )
+            self.position += len(frame.data)
+        elif isinstance(frame, Done) and not frame.error and frame.length != self.position:
+            raise AspengateError(
+                ErrorKind.OUTCOME_UNKNOWN, "the answer's end is missing", where=self.agent
+            )
+
+
+class StreamTable:
+    """Gives each dispatch a number that is never used again, and hands frames to its stream.
+
+    Frames for another session or for a stream that is closed are dropped and counted.
+    """
+
+    def __init__(self, session: str, counters: Counters) -> None:
+        self.session = session
+        self.counters = counters
+        self._numbers = itertools.count(1)
+        self._streams: dict[int, AnswerStream] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def open_count(self) -> int:
+        """How many streams are open."""
+        return len(self._streams)
+
+    def open(self, agent: str) -> AnswerStream:
+        """Return a new stream for a dispatch to an agent."""
+        stream = AnswerStream(next(self._numbers), agent)
+        with self._lock:
+            self._streams[stream.number] = stream
+        return stream
+
+    def close(self, number: int) -> None:
+        """Drop whatever still comes for a stream."""
+        with self._lock:
+            self._streams.pop(number, None)
+
+    def accept(self, message: Message) -> None:
+        """Hand a message from an agent to the stream that it belongs to."""
+        if isinstance(message, Chunks):
+            for chunk in message.chunks:
+                self._put(message.router_session, chunk.stream, chunk)
+        elif isinstance(message, Started | Done | Refused):
+            self._put(message.router_session, message.stream, message)
+
+    def _put(self, session: str, number: int, frame: Frame) -> None:
+        stream = self._streams.get(number) if session == self.session else None
+        if stream is None:
+            self.counters.count("router.late_frame")
+            return
+        stream.put(frame)
--- /dev/null
+++ b/src/aspengate/serving/_server.py
@@ -0,0 +1,63 @@
+"""Runs a WSGI application in a thread of this process."""
+
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from waitress.server import create_server
+
+WsgiEnvironment = dict[str, Any]
+StartResponse = Callable[..., Any]
+WsgiApplication = Callable[[WsgiEnvironment, StartResponse], Iterable[bytes]]
+
+_CHANNEL_TIMEOUT_S = 120
+_CONNECTION_LIMIT = 2_000
+_STOP_SECONDS = 1
+
+
+class WsgiServer:
+    """A waitress server of its own thread; ``address`` is ``host:port`` once it is made."""
+
+    def __init__(
+        self, application: WsgiApplication, listen: str, threads: int, max_body_bytes: int
+    ) -> None:
+        host, _, port = listen.rpartition(":")
+        self._map: dict[int, Any] = {}
+        server: Any = create_server(
+            application,
+            map=self._map,
+            host=host,
+            port=int(port),
+            threads=threads,
+            connection_limit=_CONNECTION_LIMIT,
+            channel_timeout=_CHANNEL_TIMEOUT_S,
+            max_request_body_size=max_body_bytes,
+            ident="aspengate",
+            asyncore_use_poll=True,
+            clear_untrusted_proxy_headers=True,
+        )
+        self._server = server
+        self.address = f"{host}:{server.effective_port}"
+        self._closing = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True, name="http")
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop serving; requests in progress are cut, so drain first."""
+        self._closing.set()
+        self._server.task_dispatcher.shutdown(timeout=_STOP_SECONDS)
+        self._server.close()
+        for channel in list(self._map.values()):
+            channel.close()
+        if self._thread.is_alive() and threading.current_thread() is not self._thread:
+            self._thread.join(2.0)
+
+    def _run(self) -> None:
+        try:
+            self._server.run()
+        except OSError:
+            if not self._closing.is_set():
+                raise
--- /dev/null
+++ b/src/aspengate/table/__init__.py
@@ -0,0 +1,50 @@
+"""The operators' table: its rows, its CSV form, its document in the store, its edits."""
+
+from aspengate.table._csv import rows_from_csv, rows_to_csv
+from aspengate.table._document import (
+    AuditEntry,
+    RowChange,
+    TableDocument,
+    apply_changes,
+    changes_between,
+)
+from aspengate.table._rows import (
+    AnyRow,
+    BudgetRow,
+    ClientAccountRow,
+    OperatorRow,
+    Row,
+    ServiceRow,
+    UpstreamRow,
+    check_rows,
+    column_names,
+    hash_key,
+    row_from_cells,
+    row_kinds,
+    row_to_cells,
+)
+from aspengate.table._view import TableView
+
+__all__ = [
+    "AnyRow",
+    "AuditEntry",
+    "BudgetRow",
+    "ClientAccountRow",
+    "OperatorRow",
+    "Row",
+    "RowChange",
+    "ServiceRow",
+    "TableDocument",
+    "TableView",
+    "UpstreamRow",
+    "apply_changes",
+    "changes_between",
+    "check_rows",
+    "column_names",
+    "hash_key",
+    "row_from_cells",
+    "row_kinds",
+    "row_to_cells",
+    "rows_from_csv",
+    "rows_to_csv",
+]
