Measure budgets against baselines and fix what the figures showed

Cause: 1,288 store writes in a 40 s demonstration: a met need stayed noted, a new budget got grants of one request each, and a spent budget cost a write for each refused request. A store outage of ten minutes outlived grants of five to ten minutes of demand. Change: needs are cleared by a loan; first grants are 1/64 of what is left; a steward decides its next step (read, write, ask others, refuse) from when it last read and asked; grants cover 30 minutes. Ruled out: a static split, which refuses 45% in a cut with local demand. Also fixed: the agent's heartbeat thread died when a router was added during its round (seen in the demonstration).

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,25 @@
+"""Set-up and tear-down of the scenarios."""
+
+import contextlib
+import logging
+
+from hypothesis import HealthCheck, settings
+
+settings.register_profile(
+    "aspengate",
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=100,
+    suppress_health_check=list(HealthCheck),
+)
+settings.load_profile("aspengate")
+logging.getLogger("waitress").setLevel(logging.CRITICAL)
+
+
+def before_scenario(context, scenario):
+    context.cleanup = contextlib.ExitStack()
+
+
+def after_scenario(context, scenario):
+    context.cleanup.close()
--- a/src/aspengate/agent/_daemon.py
+++ b/src/aspengate/agent/_daemon.py
@@ -221,7 +221,7 @@
             load=self.load(),
             table_version=0,
         )
-        for router in self._routers:
+        for router in tuple(self._routers):
             self.peer.send(router, message)
 
     def _learn_fences(self) -> None:
--- a/src/aspengate/budgets/__init__.py
+++ b/src/aspengate/budgets/__init__.py
@@ -26,7 +26,7 @@
     shard_of,
 )
 from aspengate.budgets._sizing import SizingPolicy
-from aspengate.budgets._steward import PlannedWrite, ShardSteward, Shortage
+from aspengate.budgets._steward import DrawStep, PlannedWrite, ShardSteward, Shortage
 
 __all__ = [
     "Account",
@@ -37,6 +37,7 @@
     "CloseSession",
     "ClosedBlocks",
     "Command",
+    "DrawStep",
     "DropBudget",
     "LedgerOutput",
     "OpenSession",
--- a/src/aspengate/budgets/_steward.py
+++ b/src/aspengate/budgets/_steward.py
@@ -1,5 +1,7 @@
 """A steward's tenure over one budget shard in one region."""
 
+import enum
+import math
 import uuid
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -21,6 +23,19 @@
 
 _DEFAULT_HONOUR_MS = 2 * 60 * 60 * 1_000
 _ACTIVE_ROUTER_MS = 60_000.0
+_RATE_HALF_LIFE_MS = 120_000.0
+_REFRESH_MS = 1_000.0
+_RECALL_PAUSE_MS = 2_000.0
+_LONGEST_RECALL_PAUSE_MS = 64_000.0
+
+
+class DrawStep(enum.Enum):
+    """What a steward has to do next for a draw that it can't meet from what it holds."""
+
+    READ = "read"
+    WRITE = "write"
+    RECALL = "recall"
+    REFUSE = "refuse"
 
 
 @dataclass(frozen=True)
@@ -38,7 +53,9 @@
     lent: int = 0
     needed: int = 0
     recalled: int = 0
-    rate: RateEstimate = field(default_factory=RateEstimate)
+    asked_others_ms: float = -math.inf
+    recall_pause_ms: float = _RECALL_PAUSE_MS
+    rate: RateEstimate = field(default_factory=lambda: RateEstimate(_RATE_HALF_LIFE_MS))
     routers: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -93,6 +110,7 @@
         self.policy = policy
         self.honour_ms = honour_ms
         self.shard = Shard()
+        self.observed_ms = -math.inf
         self.open_blocks: dict[str, _OpenBlock] = {}
         self._holdings: dict[str, _Holding] = {}
         self._unsettled: dict[str, tuple[str, dict[str, int]]] = {}
@@ -130,9 +148,10 @@
         blocks = self.open_blocks.values()
         return tuple({block.router_session for block in blocks if block.budget == budget})
 
-    def observe(self, shard: Shard) -> None:
+    def observe(self, shard: Shard, now_ms: float) -> None:
         """Take over what the store has confirmed."""
         self.shard = shard
+        self.observed_ms = now_ms
         for name, budget in shard.budgets.items():
             account = budget.accounts.get(self.session)
             if account is not None:
@@ -148,6 +167,8 @@
             holding.needed = max(holding.needed, needed)
             return None
         routers = holding.active_routers(now_ms)
+        holding.needed = 0
+        holding.recall_pause_ms = _RECALL_PAUSE_MS
         amount = self.policy.block(needed=needed, wanted=wanted, free=holding.free, routers=routers)
         holding.lent += amount
         number = self._numbers.get(router_session, 0) + 1
@@ -156,19 +177,44 @@
         self.open_blocks[block_id] = _OpenBlock(budget, amount, router_session)
         return Block(block_id, self.session, budget, amount, self.honour_until_ms)
 
-    def shortage(self, budget: str, needed: int) -> Shortage:
-        """Return why a draw of ``needed`` credits can't be met after a write."""
+    def next_step(self, budget: str, needed: int, now_ms: float) -> DrawStep:
+        """Return what may still help a draw of ``needed`` credits that ``draw`` did not meet.
+
+        The store is read at most once a second. Other holders are asked only where they hold
+        enough, at most every two seconds, and ever less often while it does not help, so that
+        callers of a budget that is spent cost no writes.
+        """
         known = self.shard.budgets.get(budget)
-        if known is None:
-            return Shortage(ErrorKind.NOT_FOUND)
-        elsewhere = sum(
+        holding = self._holding(budget)
+        lacking = needed - holding.free
+        if known is not None and known.unallocated >= lacking:
+            return DrawStep.WRITE
+        if now_ms - self.observed_ms >= _REFRESH_MS:
+            return DrawStep.READ
+        paused = now_ms - holding.asked_others_ms < holding.recall_pause_ms
+        if known is None or paused or self._elsewhere(budget) < lacking:
+            return DrawStep.REFUSE
+        holding.asked_others_ms = now_ms
+        holding.recall_pause_ms = min(_LONGEST_RECALL_PAUSE_MS, 2 * holding.recall_pause_ms)
+        self.observed_ms = -math.inf
+        return DrawStep.RECALL
+
+    def _elsewhere(self, budget: str) -> int:
+        """Return what might come back: unspent money of others, and our open blocks."""
+        known = self.shard.budgets[budget]
+        others = sum(
             account.held - account.spent
             for holder, account in known.accounts.items()
             if holder != self.session
         )
-        lent = self._holding(budget).lent
-        reachable = max(0, known.unallocated) + elsewhere + lent + self.free(budget)
-        enough = reachable >= needed
+        return max(0, known.unallocated) + others + self._holding(budget).lent
+
+    def shortage(self, budget: str, needed: int) -> Shortage:
+        """Return why a draw of ``needed`` credits can't be met after a write."""
+        known = self.shard.budgets.get(budget)
+        if known is None:
+            return Shortage(ErrorKind.NOT_FOUND)
+        enough = self._elsewhere(budget) + self.free(budget) >= needed
         return Shortage(ErrorKind.BUDGET_UNAVAILABLE if enough else ErrorKind.BUDGET_EXHAUSTED)
 
     def other_holders(self, budget: str) -> dict[str, str]:
@@ -187,10 +233,17 @@
         """Note that no caller waits for this budget any more."""
         self._holding(budget).needed = 0
 
-    def recall(self, budget: str, needed: int) -> None:
-        """Note that another holder needs money of a budget; the next write returns some."""
+    def recall(self, budget: str, needed: int, now_ms: float) -> bool:
+        """Note that another holder needs money of a budget; the next write returns some.
+
+        Return whether there is anything to return, so that a write is worth its cost.
+        """
         holding = self._holding(budget)
+        rate = holding.rate.per_second(now_ms)
+        if not self.policy.spare(free=holding.free, rate=rate, needed=needed):
+            return False
         holding.recalled = max(holding.recalled, needed)
+        return True
 
     def trim(self, block_id: str, amount: int) -> None:
         """Take back the part of an open block above ``amount``, as its router promised."""
@@ -250,9 +303,9 @@
             write.item_ids,
         )
 
-    def applied(self, write: PlannedWrite, shard: Shard) -> tuple[str, ...]:
+    def applied(self, write: PlannedWrite, shard: Shard, now_ms: float) -> tuple[str, ...]:
         """Note that a write took effect; return the ids of the blocks it settled."""
-        self.observe(shard)
+        self.observe(shard, now_ms)
         for block_id in write.block_ids:
             self._unsettled.pop(block_id, None)
         for item_id in write.item_ids:
@@ -265,7 +318,8 @@
             return []
         holding = self._holding(name)
         rate = holding.rate.per_second(now_ms)
-        returning = self._returning(holding, rate, known.unallocated)
+        holders = len({*known.accounts, self.session})
+        returning = self._returning(holding, rate, known.unallocated, holders)
         holding.returned += returning
         extra = 0
         if not returning:
@@ -274,14 +328,14 @@
                 free=holding.free,
                 rate=rate,
                 unallocated=known.unallocated,
-                holders=len({*known.accounts, self.session}),
+                holders=holders,
             )
         account = known.accounts.get(self.session, Account())
         changed = extra > 0 or holding.returned > account.returned
         granted = account.granted + extra
         return [Report(self.session, name, granted, holding.returned)] if changed else []
 
-    def _returning(self, holding: _Holding, rate: float, unallocated: int) -> int:
+    def _returning(self, holding: _Holding, rate: float, unallocated: int, holders: int) -> int:
         recalled, holding.recalled = holding.recalled, 0
         if unallocated < 0:
             return holding.free
@@ -289,7 +343,9 @@
             return self.policy.spare(free=holding.free, rate=rate, needed=recalled)
         if holding.needed:
             return 0
-        return self.policy.surplus(free=holding.free, rate=rate)
+        return self.policy.surplus(
+            free=holding.free, rate=rate, unallocated=unallocated, holders=holders
+        )
 
     def _holding(self, budget: str) -> _Holding:
         return self._holdings.setdefault(budget, _Holding())
--- a/src/aspengate/cli/_experiments.py
+++ b/src/aspengate/cli/_experiments.py
@@ -1,14 +1,51 @@
 """``aspengate bench`` and ``aspengate verify``."""
 
+import sys
 from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
 
 import cappa
 
+_Seed = Annotated[int, cappa.Arg(long="--seed", help="seed of the workload")]
+_Json = Annotated[bool, cappa.Arg(long="--json", help="print JSON")]
+_Plot = Annotated[Path | None, cappa.Arg(long="--plot", help="write a plot to this file")]
+
+
+@cappa.command(description="Overspend and false refusals, ours and the baselines'.")
+@dataclass
+class Budgets:
+    """Run the budget experiments."""
+
+    seed: _Seed = 1
+    seconds: Annotated[
+        int | None, cappa.Arg(long="--seconds", help="length of each run, instead of 20 minutes")
+    ] = None
+    as_json: _Json = False
+    plot: _Plot = None
+    scenario: Annotated[
+        str, cappa.Arg(long="--scenario", help="only these, separated by commas")
+    ] = ""
+
+    def __call__(self) -> None:
+        """Run and report."""
+        from aspengate import experiments
+
+        results = experiments.run_budget_experiments(
+            self.seed, self.seconds, [name for name in self.scenario.split(",") if name]
+        )
+        write = experiments.budget_json if self.as_json else experiments.budget_text
+        sys.stdout.write(write(results))
+        if self.plot is not None:
+            experiments.plot_budgets(results, self.plot)
+
 
 @cappa.command(description="Measure the decisions on seeded workloads.")
 @dataclass
 class Bench:
-    """Not made yet."""
+    """The experiments."""
+
+    command: cappa.Subcommands[Budgets]
 
 
 @cappa.command(description="Check the core protocol on a small specification.")
--- a/src/aspengate/demo/_tables.py
+++ b/src/aspengate/demo/_tables.py
@@ -14,7 +14,7 @@
 FOUNDRIES = ("foundry-a", "foundry-b", "foundry-c")
 BOARDS = ("board-north", "board-south")
 SMALL_LIMIT = 3_000
-SHARED_LIMIT = 40_000
+SHARED_LIMIT = 12_000
 BOARD_LIMIT = 10_000_000
 
 
--- /dev/null
+++ b/src/aspengate/experiments/__init__.py
@@ -0,0 +1,31 @@
+"""Experiments on the decisions: seeded, on an injected clock, against baselines."""
+
+from aspengate.experiments._budget_report import (
+    budget_json,
+    budget_rows,
+    budget_text,
+    plot_budgets,
+    run_budget_experiments,
+    scaled,
+)
+from aspengate.experiments._budget_run import (
+    BudgetResult,
+    BudgetScenario,
+    budget_scenarios,
+    run_budget_scenario,
+)
+from aspengate.experiments._designs import design_names
+
+__all__ = [
+    "BudgetResult",
+    "BudgetScenario",
+    "budget_json",
+    "budget_rows",
+    "budget_scenarios",
+    "budget_text",
+    "design_names",
+    "plot_budgets",
+    "run_budget_experiments",
+    "run_budget_scenario",
+    "scaled",
+]
--- a/src/aspengate/router/_daemon.py
+++ b/src/aspengate/router/_daemon.py
@@ -72,7 +72,7 @@
         self.peer = peer or Peer(settings.peer_listen, Sealer(settings.secrets), counters)
         self.session = f"{settings.name}.{uuid.uuid4().hex[:8]}@{self.peer.address}"
         self.streams = StreamTable(self.session, counters)
-        self.table = TableFollower(store, clock, counters)
+        self.table = TableFollower(store, clock, counters, self._on_budgets_changed)
         self.editor = TableEditor(store, clock, settings.budget_shards)
         self.limiter = Limiter(clock)
         self.registry = UpstreamRegistry(
@@ -199,6 +199,9 @@
     def _tick_recovery(self) -> None:
         self.recovery.tick(self.table.view)
 
+    def _on_budgets_changed(self, budgets: frozenset[str]) -> None:
+        self.peer.background.submit(self.stewards.budgets_changed, budgets)
+
     def _on_tenure_closed(self) -> None:
         self.fenced = True
         self.leaving = True
--- a/src/aspengate/router/_settings.py
+++ b/src/aspengate/router/_settings.py
@@ -85,7 +85,7 @@
     honour_ms: int = _milliseconds(
         "budgets", "how long money in a region outlives the store", 7_200_000
     )
-    grant_horizon_ms: int = _milliseconds("budgets", "demand that a grant covers", 600_000)
+    grant_horizon_ms: int = _milliseconds("budgets", "demand that a grant covers", 1_800_000)
     block_horizon_ms: int = _milliseconds("budgets", "demand that a block covers", 10_000)
     rotate_ms: int = _milliseconds("budgets", "age at which a block is closed", 60_000)
     idle_ms: int = _milliseconds("budgets", "idle time after which a block goes back", 15_000)
--- a/src/aspengate/router/_stewards.py
+++ b/src/aspengate/router/_stewards.py
@@ -6,6 +6,7 @@
 
 from aspengate.budgets import (
     Block,
+    DrawStep,
     PlannedWrite,
     RecoveredBlock,
     Shard,
@@ -31,7 +32,7 @@
 )
 
 _RECALL_WAIT_MS = 150.0
-_RECALL_ROUNDS = 4
+_DRAW_STEPS = 6
 _RENEW_FRACTION = 4
 _WRITE_TRIES = 10
 
@@ -92,14 +93,11 @@
     def draw(self, request: DrawRequest) -> DrawReply:
         """Return a block for a router, or why there is none; may wait for the store."""
         state = self._state(shard_of(request.budget, self.shard_count))
-        block = self._lend(state, request)
-        if block is None:
-            try:
-                self._write(state)
-                block = self._lend(state, request) or self._lend_after_recall(state, request)
-            except AspengateError as error:
-                self.counters.count(f"steward.write_failed.{error.kind.value}")
-                return self._refuse(state, request, ErrorKind.BUDGET_UNAVAILABLE)
+        try:
+            block = self._lend_in_steps(state, request)
+        except AspengateError as error:
+            self.counters.count(f"steward.write_failed.{error.kind.value}")
+            return self._refuse(state, request, ErrorKind.BUDGET_UNAVAILABLE)
         if block is None:
             with state.lock:
                 kind = state.steward.shortage(request.budget, request.needed).kind
@@ -148,12 +146,31 @@
         """Give back what another region's steward needs; may wait for the store."""
         state = self._state(shard_of(recall.budget, self.shard_count))
         with state.lock:
-            state.steward.recall(recall.budget, recall.needed)
+            spare = state.steward.recall(recall.budget, recall.needed, self.clock.now_ms())
+        if not spare:
+            return
         try:
             self._write(state)
         except AspengateError as error:
             self.counters.count(f"steward.write_failed.{error.kind.value}")
 
+    def budgets_changed(self, budgets: frozenset[str]) -> None:
+        """Take over limits that an operator changed; gives back what is above a lowered one."""
+        numbers = {shard_of(budget, self.shard_count) for budget in budgets}
+        for number, state in tuple(self._shards.items()):
+            if number not in numbers:
+                continue
+            try:
+                self.refresh(state)
+                over = any(
+                    each.unallocated < 0 and self.session in each.accounts
+                    for each in state.steward.shard.budgets.values()
+                )
+                if over:
+                    self._write(state)
+            except AspengateError as error:
+                self.counters.count(f"steward.write_failed.{error.kind.value}")
+
     def settle(self) -> None:
         """Write every shard that has something to settle or whose tenure wants renewal."""
         for state in tuple(self._shards.values()):
@@ -222,26 +239,45 @@
                 self.clock.now_ms(),
             )
 
-    def _lend_after_recall(self, state: _ShardState, request: DrawRequest) -> Block | None:
-        for _ in range(_RECALL_ROUNDS):
-            with state.lock:
-                holders = state.steward.other_holders(request.budget)
-                borrowers = state.steward.routers_of(request.budget)
-            if not holders and not borrowers:
-                return None
-            recall = Recall(request.budget, request.needed)
-            for address in holders.values():
-                self._send(address, recall)
-            for router_session in borrowers:
-                self._send(router_session.partition("@")[2], recall)
-            self.counters.count("steward.recalled", len(holders) + len(borrowers))
-            self.clock.sleep_ms(_RECALL_WAIT_MS)
-            state.current = None
-            self._write(state)
+    def _lend_in_steps(self, state: _ShardState, request: DrawRequest) -> Block | None:
+        for _ in range(_DRAW_STEPS):
             block = self._lend(state, request)
             if block is not None:
                 return block
-        return None
+            with state.lock:
+                step = state.steward.next_step(request.budget, request.needed, self.clock.now_ms())
+            if step is DrawStep.REFUSE:
+                return None
+            self._take_step(step, state, request)
+        return self._lend(state, request)
+
+    def _take_step(self, step: DrawStep, state: _ShardState, request: DrawRequest) -> None:
+        self.counters.count(f"steward.draw_step.{step.value}")
+        if step is DrawStep.WRITE:
+            self._write(state)
+        elif step is DrawStep.READ:
+            self.refresh(state)
+        else:
+            self._recall_others(state, request)
+            self.clock.sleep_ms(_RECALL_WAIT_MS)
+
+    def _recall_others(self, state: _ShardState, request: DrawRequest) -> None:
+        with state.lock:
+            holders = state.steward.other_holders(request.budget)
+            borrowers = state.steward.routers_of(request.budget)
+        recall = Recall(request.budget, request.needed)
+        for address in holders.values():
+            self._send(address, recall)
+        for router_session in borrowers:
+            self._send(router_session.partition("@")[2], recall)
+
+    def refresh(self, state: _ShardState) -> None:
+        """Read a shard anew."""
+        with state.writing:
+            state.current = state.document.read()
+            with state.lock:
+                self._check_tenure(state, state.current.value)
+                state.steward.observe(state.current.value, self.clock.now_ms())
 
     def _write(self, state: _ShardState, *, closing: bool = False) -> None:
         with state.writing:
@@ -276,8 +312,8 @@
         """
         with state.lock:
             self._check_tenure(state, base.value)
-            state.steward.observe(base.value)
             now = self.clock.now_ms()
+            state.steward.observe(base.value, now)
             return state.steward.plan_close(now) if closing else state.steward.plan(now)
 
     def _written(
@@ -285,7 +321,7 @@
     ) -> None:
         state.current = written
         with state.lock:
-            settled = state.steward.applied(write, written.value)
+            settled = state.steward.applied(write, written.value, self.clock.now_ms())
             told = self._addresses_of(state, settled)
         self.counters.count("steward.writes")
         for address, block_ids in told.items():
--- a/src/aspengate/router/_table.py
+++ b/src/aspengate/router/_table.py
@@ -2,6 +2,7 @@
 
 import threading
 import uuid
+from collections.abc import Callable
 
 from aspengate.budgets import (
     Command,
@@ -41,8 +42,15 @@
 class TableFollower:
     """Keeps the newest table that this process has heard of; it never goes back."""
 
-    def __init__(self, store: Store, clock: Clock, counters: Counters) -> None:
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        counters: Counters,
+        on_budgets: Callable[[frozenset[str]], None] = lambda budgets: None,
+    ) -> None:
         self.view = TableView()
+        self._on_budgets = on_budgets
         self.changed_ms = 0
         self._document = table_document(store)
         self._clock = clock
@@ -65,9 +73,12 @@
         with self._lock:
             if document.version <= self.view.version:
                 return False
+            budgets = document.budgets_changed_since(self.view.version)
             self.view = TableView.of(document)
             self.changed_ms = self._clock.now_ms()
         log_change("table.in_force", version=document.version)
+        if budgets:
+            self._on_budgets(budgets)
         return True
 
     def refresh(self) -> None:
@@ -139,11 +150,10 @@
         operation = operation_id or uuid.uuid4().hex
         now = self._clock.now_ms()
         money = [change for change in changes if change.identity[0] == BudgetRow.kind]
-        other = tuple(change for change in changes if change.identity[0] != BudgetRow.kind)
         for change in money:
             if change.after is not None:
                 self._change_budget(change, actor, operation, now)
-        version = self._change_rows(other, actor, operation, now)
+        version = self._change_rows(changes, actor, operation, now)
         for change in money:
             if change.after is None:
                 self._change_budget(change, actor, operation, now)
--- a/src/aspengate/serving/_server.py
+++ b/src/aspengate/serving/_server.py
@@ -1,5 +1,7 @@
 """Runs a WSGI application in a thread of this process."""
 
+import contextlib
+import socket
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -46,8 +48,11 @@
         self._thread.start()
 
     def close(self) -> None:
-        """Stop serving; requests in progress are cut, so drain first."""
+        """Stop serving and cut the connections that are open; drain first to cut none."""
         self._closing.set()
+        for channel in list(self._map.values()):
+            with contextlib.suppress(OSError):
+                channel.socket.shutdown(socket.SHUT_RDWR)
         self._server.task_dispatcher.shutdown(timeout=_STOP_SECONDS)
         self._server.close()
         for channel in list(self._map.values()):
--- a/src/aspengate/table/_document.py
+++ b/src/aspengate/table/_document.py
@@ -11,6 +11,7 @@
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.table._rows import (
     AnyRow,
+    BudgetRow,
     Row,
     row_to_cells,
 )
@@ -51,6 +52,16 @@
     history: tuple[AuditEntry, ...] = ()
     operations: tuple[str, ...] = ()
 
+    def budgets_changed_since(self, version: int) -> frozenset[str]:
+        """Return the budgets whose rows were changed after ``version``."""
+        return frozenset(
+            change.identity[1]
+            for entry in self.history
+            if entry.version > version
+            for change in entry.changes
+            if change.identity[0] == BudgetRow.kind
+        )
+
     def has_applied(self, operation_id: str) -> bool:
         """Return whether the edit with this id is among the latest that were accepted."""
         return operation_id in self.operations
@@ -63,13 +74,15 @@
     actor: str,
     now_ms: int,
 ) -> TableDocument:
-    """Return the document after an edit.
+    """Return the document after an edit; changes of budgets only enter its history.
 
     Raises AspengateError of kind CONFLICT, which shows the row as it is now, where a row is not
     as the operator saw it.
     """
     rows: dict[tuple[str, str], AnyRow] = {row.identity: row for row in document.rows}
     for change in changes:
+        if change.identity[0] == BudgetRow.kind:
+            continue
         present = rows.get(change.identity)
         if present != change.before:
             raise _conflict(change, present, document)
