Check the core protocol by model, and lead the code through its counterexamples

Cause: the money, claim and configuration rules were argued but not proved. Change: three small specifications for z3; 'aspengate verify' proves every property by induction and searches each weakened protocol (one rule removed) up to 12 steps. Ruled out as protective: the claims owner stopping before its lease ends, and the handover of claims by agents; removing either finds nothing, since the ticket's time at the agent and the rule of births cover them. They stay for service, not for safety. Before: no proof.

--- a/src/aspengate/cli/_experiments.py
+++ b/src/aspengate/cli/_experiments.py
@@ -6,6 +6,7 @@
 from typing import Annotated
 
 import cappa
+import msgspec
 
 _Seed = Annotated[int, cappa.Arg(long="--seed", help="seed of the workload")]
 _Json = Annotated[bool, cappa.Arg(long="--json", help="print JSON")]
@@ -51,4 +52,21 @@
 @cappa.command(description="Check the core protocol on a small specification.")
 @dataclass
 class Verify:
-    """Not made yet."""
+    """Prove every property, and show what breaks without each protective rule."""
+
+    as_json: _Json = False
+    traces: Annotated[bool, cappa.Arg(long="--traces", help="print the counterexamples")] = False
+
+    def __call__(self) -> None:
+        """Check every model; exit 1 where a property fails or a rule protects from nothing."""
+        from aspengate import verification
+
+        findings = [
+            finding for make in verification.MODELS for finding in verification.check_model(make)
+        ]
+        if self.as_json:
+            sys.stdout.write(msgspec.json.encode(findings).decode() + "\n")
+        else:
+            sys.stdout.write(verification.findings_text(findings, traces=self.traces))
+        if not all(finding.as_expected for finding in findings):
+            raise cappa.Exit("a property fails, or a rule protects from nothing", code=1)
