Prove the fleet under kills, stops, outages and bad input; run it as processes

Cause: the first end-to-end tests found four faults. A planned stop closed connections whose last bytes were not written out (2 of 50 streams cut); a draw ahead of demand made the steward ask others and the real request behind it was refused as 'budget_unavailable'; a draw that met others being asked was refused instead of waiting; a killed router's server let its streams finish. Change: the stop waits until the server has written everything; draws ahead never ask others; a draw waits while others are asked; closing a server cuts what is open.

--- /dev/null
+++ b/features/steps/claims_steps.py
@@ -0,0 +1,195 @@
+"""Steps of claims.feature."""
+
+import uuid6
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from aspengate.agent import AnswerStore, DispatchGate, KeptAnswer, Subscriber
+from aspengate.claims import (
+    ClaimOwner,
+    ClaimTenure,
+    KeyTimes,
+    birth_time_ms,
+    claim_key,
+    take_tenure,
+)
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.transport import ClaimTicket, SeenClaim
+from budget_world import make_dispatch
+
+TIMES = KeyTimes()
+NOW = 1_800_000_000_000
+LEASE = 600_000
+
+
+def key_born(time_ms):
+    value = (time_ms << 80) | (7 << 76) | (2 << 62) | 12345
+    return claim_key("account", str(uuid6.UUID(int=value)))
+
+
+def owner(started_ms, inherited=()):
+    return ClaimOwner(0, "owner", started_ms, NOW + LEASE, TIMES, inherited)
+
+
+def decide(context, born_ms, digest="digest", request_id="one", agent="A"):
+    key = key_born(born_ms)
+    assert birth_time_ms(key.partition("/")[2]) == born_ms
+    decision = context.owner.decide(key, digest, born_ms, request_id, agent, NOW)
+    context.decisions = [*getattr(context, "decisions", []), decision]
+    return decision
+
+
+@given("the first owner of a claim shard")
+def first_owner(context):
+    context.owner = owner(None)
+
+
+@given("an owner that took the shard over")
+def new_owner(context):
+    context.owner = owner(NOW - 10_000)
+
+
+@given("an owner that took the shard over with a claim that agent A had started")
+def inheriting_owner(context):
+    context.owner = owner(NOW - 10_000, [SeenClaim(key_born(NOW - 20_000), 0, "one", "A")])
+
+
+@when("a key is claimed for agent A and then again through another router")
+def claim_twice(context):
+    decide(context, NOW - 100)
+    decide(context, NOW - 100, request_id="two", agent="B")
+
+
+@then("the first claim is granted and the second one joins agent A")
+def joined(context):
+    first, second = context.decisions
+    assert first.ticket is not None and first.ticket.owner == "owner"
+    assert second.ticket is None and second.joined_agent == "A"
+
+
+@when("a key is claimed for agent A and then for another body")
+def other_body(context):
+    decide(context, NOW - 100)
+    decide(context, NOW - 100, digest="other", request_id="two")
+
+
+@then("the second claim is refused as {kind}")
+@then("the claim is refused as {kind}")
+def refused(context, kind):
+    assert context.decisions[-1].refusal is ErrorKind(kind)
+
+
+@when("a key born before the takeover is claimed")
+def born_before(context):
+    decide(context, NOW - 20_000)
+
+
+@when("that claim is made again")
+def claim_again(context):
+    decide(context, NOW - 20_000, request_id="two", agent="B")
+
+
+@then("it joins agent A")
+def joins(context):
+    assert context.decisions[-1].joined_agent == "A"
+
+
+@when("a key born after the guard is claimed")
+def born_after(context):
+    decide(context, NOW - 10_000 + TIMES.guard_ms + 1)
+
+
+@then("the claim is granted")
+def granted(context):
+    assert context.decisions[-1].ticket is not None
+
+
+@when("a key born {seconds:d} s from now is claimed")
+def future(context, seconds):
+    decide(context, NOW + seconds * 1_000)
+
+
+@when("a key is claimed, released as not run, and claimed again")
+def release(context):
+    decide(context, NOW - 100)
+    context.owner.release(key_born(NOW - 100), "one")
+    decide(context, NOW - 100, request_id="two")
+
+
+@then("both claims are granted")
+def both(context):
+    assert all(decision.ticket is not None for decision in context.decisions)
+
+
+@when("any owners try to take a shard at any time")
+def any_owners(context):
+    attempts = st.lists(
+        st.tuples(st.sampled_from("abc"), st.integers(0, 5_000), st.sets(st.sampled_from("abc")))
+    )
+
+    @for_all(attempts)
+    def check(steps):
+        tenure, now = ClaimTenure(), 0
+        for number, (session, wait, fenced) in enumerate(steps):
+            now += wait
+            before = tenure
+            try:
+                tenure = take_tenure(
+                    tenure,
+                    str(number),
+                    session=session,
+                    address="",
+                    now_ms=now,
+                    lease_ms=2_000,
+                    clock_error_ms=100,
+                    fenced=frozenset(fenced),
+                )
+            except AspengateError as error:
+                assert error.kind is ErrorKind.CONFLICT
+                assert before.owner not in fenced and now <= before.valid_until_ms + 100
+                continue
+            if before.owner and tenure.owner != before.owner:
+                assert now > before.valid_until_ms + 100 or before.owner in fenced
+                assert tenure.epoch == before.epoch + 1
+            assert tenure.valid_until_ms >= before.valid_until_ms or before.owner != session
+
+    context.check = check
+
+
+@then("a tenure is taken only after the one before has lapsed or is fenced")
+def tenures(context):
+    context.check()
+
+
+@when("an agent gets a ticket after its time, and one of a fenced owner")
+def late_ticket(context):
+    gate = DispatchGate()
+    late = make_dispatch(claim=ClaimTicket("k", 0, "owner", 50))
+    context.refusals = [gate.check(late, 100, 0)]
+    gate.fence("owner")
+    fresh = make_dispatch(claim=ClaimTicket("k", 0, "owner", 10_000))
+    context.refusals.append(gate.check(fresh, 100, 0))
+    assert gate.check(make_dispatch(claim=ClaimTicket("k", 0, "next", 10_000)), 100, 0) is None
+
+
+@then("both are refused as fenced")
+def both_fenced(context):
+    assert [refusal.kind for refusal in context.refusals] == [ErrorKind.FENCED] * 2
+
+
+@when("an agent gets two dispatches with the same key")
+def same_key(context):
+    store = AnswerStore()
+    context.opened = [
+        store.open(
+            Subscriber("address", session, 1),
+            KeptAnswer("key", session, lambda subscriber, item: None),
+        )
+        for session in ("router-1", "router-2")
+    ]
+
+
+@then("it opens one answer")
+def one_answer(context):
+    assert context.opened == [True, False]
--- /dev/null
+++ b/src/aspengate/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m aspengate``."""
+
+from aspengate.cli import main
+
+main()
--- a/src/aspengate/agent/__init__.py
+++ b/src/aspengate/agent/__init__.py
@@ -1,6 +1,6 @@
 """The process beside each upstream: the only door to it."""
 
-from aspengate.agent._answers import AnswerStore, KeptAnswer
+from aspengate.agent._answers import AnswerStore, KeptAnswer, Subscriber
 from aspengate.agent._daemon import Agent
 from aspengate.agent._gate import DispatchGate
 from aspengate.agent._outbox import Outbox
@@ -15,4 +15,5 @@
     "KeptAnswer",
     "Outbox",
     "RecordStore",
+    "Subscriber",
 ]
--- a/src/aspengate/budgets/_steward.py
+++ b/src/aspengate/budgets/_steward.py
@@ -26,6 +26,7 @@
 _RATE_HALF_LIFE_MS = 120_000.0
 _REFRESH_MS = 1_000.0
 _RECALL_PAUSE_MS = 2_000.0
+_RECALL_ANSWER_MS = 400.0
 _LONGEST_RECALL_PAUSE_MS = 64_000.0
 
 
@@ -35,6 +36,7 @@
     READ = "read"
     WRITE = "write"
     RECALL = "recall"
+    WAIT = "wait"
     REFUSE = "refuse"
 
 
@@ -169,6 +171,7 @@
         routers = holding.active_routers(now_ms)
         holding.needed = 0
         holding.recall_pause_ms = _RECALL_PAUSE_MS
+        holding.asked_others_ms = -math.inf
         amount = self.policy.block(needed=needed, wanted=wanted, free=holding.free, routers=routers)
         holding.lent += amount
         number = self._numbers.get(router_session, 0) + 1
@@ -177,12 +180,15 @@
         self.open_blocks[block_id] = _OpenBlock(budget, amount, router_session)
         return Block(block_id, self.session, budget, amount, self.honour_until_ms)
 
-    def next_step(self, budget: str, needed: int, now_ms: float) -> DrawStep:
+    def next_step(
+        self, budget: str, needed: int, now_ms: float, *, ahead: bool = False
+    ) -> DrawStep:
         """Return what may still help a draw of ``needed`` credits that ``draw`` did not meet.
 
         The store is read at most once a second. Other holders are asked only where they hold
         enough, at most every two seconds, and ever less often while it does not help, so that
-        callers of a budget that is spent cost no writes.
+        callers of a budget that is spent cost no writes. While others are being asked, every
+        draw waits for their answer; one ``ahead`` of demand does not make the steward ask.
         """
         known = self.shard.budgets.get(budget)
         holding = self._holding(budget)
@@ -191,8 +197,12 @@
             return DrawStep.WRITE
         if now_ms - self.observed_ms >= _REFRESH_MS:
             return DrawStep.READ
-        paused = now_ms - holding.asked_others_ms < holding.recall_pause_ms
-        if known is None or paused or self._elsewhere(budget) < lacking:
+        if known is None or self._elsewhere(budget) < lacking:
+            return DrawStep.REFUSE
+        asked_since = now_ms - holding.asked_others_ms
+        if asked_since < _RECALL_ANSWER_MS:
+            return DrawStep.WAIT
+        if ahead or asked_since < holding.recall_pause_ms:
             return DrawStep.REFUSE
         holding.asked_others_ms = now_ms
         holding.recall_pause_ms = min(_LONGEST_RECALL_PAUSE_MS, 2 * holding.recall_pause_ms)
--- a/src/aspengate/cli/_main.py
+++ b/src/aspengate/cli/_main.py
@@ -10,6 +10,7 @@
 from aspengate.cli._demo import Demo
 from aspengate.cli._experiments import Bench, Verify
 from aspengate.cli._invoice import Invoice
+from aspengate.cli._pages import Pages
 from aspengate.cli._table import Table
 from aspengate.errors import AspengateError, ErrorKind
 
@@ -23,7 +24,7 @@
     """The whole command."""
 
     command: cappa.Subcommands[
-        Router | Agent | StandIn | Check | Table | Invoice | Demo | Bench | Verify
+        Router | Agent | StandIn | Check | Table | Invoice | Demo | Bench | Verify | Pages
     ]
 
 
--- /dev/null
+++ b/src/aspengate/cli/_pages.py
@@ -0,0 +1,84 @@
+"""Pages of the documentation that are made from the code."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from aspengate.agent import AgentSettings
+from aspengate.errors import ANSWERS, ErrorKind
+from aspengate.router import RouterSettings
+from aspengate.settings import settings_page
+from aspengate.standins import StandInSettings
+
+
+def documentation_pages() -> dict[str, str]:
+    """Return the text of each generated page by file name in ``docs/operate``."""
+    sections = [
+        settings_page("Router", RouterSettings),
+        settings_page("Agent", AgentSettings),
+        settings_page("Stand-ins", StandInSettings),
+    ]
+    settings = (
+        "# Settings\n\nEach process reads one INI file. This page is made by `aspengate docs`.\n\n"
+        + "\n".join(sections)
+    )
+    return {"settings.md": settings, "errors.md": _errors_page()}
+
+
+@cappa.command(name="docs", description="Write the documentation pages made from the code.")
+@dataclass
+class Pages:
+    """Write the pages into a folder."""
+
+    folder: Annotated[Path, cappa.Arg(help="folder, as docs/operate")]
+
+    def __call__(self) -> None:
+        """Write the pages."""
+        for name, text in documentation_pages().items():
+            (self.folder / name).write_text(text, encoding="utf-8")
+
+
+_MEANINGS: dict[ErrorKind, str] = {
+    ErrorKind.BAD_REQUEST: "the request can't be read; the message names the place",
+    ErrorKind.UNAUTHENTICATED: "no key, or one that the table does not know",
+    ErrorKind.FORBIDDEN: "the operator may read but not edit",
+    ErrorKind.NOT_FOUND: "no such service, budget or page",
+    ErrorKind.TOO_LARGE: "the body or the table is above its bound",
+    ErrorKind.CONFLICT: "someone else changed the row or table first",
+    ErrorKind.RATE_LIMITED: "above the account's or the service's limit in the table",
+    ErrorKind.BUDGET_EXHAUSTED: "the budget can't pay the request's upper bound",
+    ErrorKind.BUDGET_UNAVAILABLE: "the budget has money, but it can't be had here now",
+    ErrorKind.NO_UPSTREAM: "no upstream of the service is live",
+    ErrorKind.OVERLOADED: "every upstream of the service is at its limit",
+    ErrorKind.DEADLINE_EXCEEDED: "the deadline passed before the request started",
+    ErrorKind.LEAVING: "this router or agent is being stopped",
+    ErrorKind.FENCED: "the money or claim of the request had lapsed; the router was told to stop",
+    ErrorKind.UPSTREAM_FAILED: "the upstream failed during the run; nothing is billed",
+    ErrorKind.CLAIM_UNAVAILABLE: "nobody can say now whether the key was used; retry with it",
+    ErrorKind.OUTCOME_UNKNOWN: "the request may have run; with a key, a retry tells",
+    ErrorKind.STORE_UNAVAILABLE: "the platform's store does not answer",
+    ErrorKind.INTERNAL: "a fault of the fleet's own",
+}
+
+
+def _errors_page() -> str:
+    lines = [
+        "# What each refusal means",
+        "",
+        'Every error is a JSON object `{"error": {code, message, run_state, request_id}}`. A',
+        "`run_state` of `not_run` is a promise that the request did not run and will not. With an",
+        "`Idempotency-Key`, errors that come before the key's owner has decided say `unknown`,",
+        "since an earlier attempt with it may have run. This page is made by `aspengate docs`.",
+        "",
+        "| code | HTTP status | run_state | Retry-After, s | meaning |",
+        "|---|--:|---|--:|---|",
+    ]
+    for kind, answer in ANSWERS.items():
+        retry = "-" if answer.retry_after_s is None else str(answer.retry_after_s)
+        lines.append(
+            f"| {kind.value} | {answer.status} | {answer.run_state.value} | {retry} "
+            f"| {_MEANINGS[kind]} |"
+        )
+    return "\n".join(lines) + "\n"
--- a/src/aspengate/router/_daemon.py
+++ b/src/aspengate/router/_daemon.py
@@ -134,7 +134,7 @@
         log_change("router.leaving", session=self.session)
         self.members.send_heartbeats()
         deadline = self.clock.monotonic_ms() + timeout_ms
-        done = self._wait(lambda: not self.streams.open_count, deadline)
+        done = self._wait(self._is_drained, deadline)
         done = self._wait(self._hand_over, deadline) and done
         self.close()
         return done
@@ -170,6 +170,9 @@
             for instance in self.members.instances
         )
 
+    def _is_drained(self) -> bool:
+        return not self.streams.open_count and self.server.is_idle
+
     def _hand_over(self) -> bool:
         if not self.money.leave():
             self.stewards.settle()
--- a/src/aspengate/router/_money.py
+++ b/src/aspengate/router/_money.py
@@ -164,7 +164,7 @@
 
     def _fetch_in_background(self, budget: str, wanted: int) -> None:
         try:
-            self._fetch(budget, 1, wanted)
+            self._fetch(budget, 1, wanted, ahead=True)
         except AspengateError:
             self._counters.count("money.fetch_ahead_failed")
         finally:
@@ -174,11 +174,11 @@
     def _wanted(self, budget: str, now: float) -> int:
         return int(self.ledger.rate(budget, now) * self._block_horizon_ms / 1_000)
 
-    def _fetch(self, budget: str, needed: int, wanted: int = 0) -> None:
+    def _fetch(self, budget: str, needed: int, wanted: int = 0, *, ahead: bool = False) -> None:
         now = self._clock.monotonic_ms()
         with self._lock:
             size = max(needed, wanted, self._wanted(budget, now))
-        reply = self._draw(budget, needed, size)
+        reply = self._draw(budget, needed, size, ahead)
         if reply.refusal:
             kind = ErrorKind(reply.refusal)
             raise AspengateError(kind, _REASONS.get(kind, "no money"), where=f"budget {budget}")
@@ -190,18 +190,18 @@
             if block.holder not in self.fenced:
                 self.ledger.add(block, self._clock.monotonic_ms())
 
-    def _draw(self, budget: str, needed: int, wanted: int) -> DrawReply:
+    def _draw(self, budget: str, needed: int, wanted: int, ahead: bool) -> DrawReply:
         work = owner_key(self.region, shard_of(budget, self._shard_count))
         ranked = rank_owners(work, {*self.routers, self.name})[:_STEWARDS_ASKED]
         if self.name not in ranked:
             ranked.append(self.name)
         for steward in ranked:
             if steward == self.name:
-                return self._local_draw(self._request(0, budget, needed, wanted))
+                return self._local_draw(self._request(0, budget, needed, wanted, ahead))
             try:
                 return self._peer.call(
                     self.routers[steward],
-                    lambda call: self._request(call, budget, needed, wanted),
+                    lambda call: self._request(call, budget, needed, wanted, ahead),
                     DrawReply,
                     _DRAW_TIMEOUT_MS,
                 )
@@ -209,7 +209,9 @@
                 self._counters.count("money.steward_silent")
         raise AspengateError(ErrorKind.BUDGET_UNAVAILABLE, "no steward answers", where=budget)
 
-    def _request(self, call: int, budget: str, needed: int, wanted: int) -> DrawRequest:
+    def _request(
+        self, call: int, budget: str, needed: int, wanted: int, ahead: bool
+    ) -> DrawRequest:
         return DrawRequest(
             call=call,
             reply_to=self._peer.address,
@@ -217,6 +219,7 @@
             budget=budget,
             needed=needed,
             wanted=wanted,
+            ahead=ahead,
         )
 
     def _send_closed(self, closed: BlockClosed) -> None:
--- a/src/aspengate/router/_stewards.py
+++ b/src/aspengate/router/_stewards.py
@@ -31,8 +31,8 @@
     Recall,
 )
 
-_RECALL_WAIT_MS = 150.0
-_DRAW_STEPS = 6
+_RECALL_WAIT_MS = 100.0
+_DRAW_STEPS = 10
 _RENEW_FRACTION = 4
 _WRITE_TRIES = 10
 
@@ -245,7 +245,9 @@
             if block is not None:
                 return block
             with state.lock:
-                step = state.steward.next_step(request.budget, request.needed, self.clock.now_ms())
+                step = state.steward.next_step(
+                    request.budget, request.needed, self.clock.now_ms(), ahead=request.ahead
+                )
             if step is DrawStep.REFUSE:
                 return None
             self._take_step(step, state, request)
@@ -258,8 +260,10 @@
         elif step is DrawStep.READ:
             self.refresh(state)
         else:
-            self._recall_others(state, request)
+            if step is DrawStep.RECALL:
+                self._recall_others(state, request)
             self.clock.sleep_ms(_RECALL_WAIT_MS)
+            self.refresh(state)
 
     def _recall_others(self, state: _ShardState, request: DrawRequest) -> None:
         with state.lock:
@@ -272,7 +276,7 @@
             self._send(router_session.partition("@")[2], recall)
 
     def refresh(self, state: _ShardState) -> None:
-        """Read a shard anew."""
+        """Read a shard anew; raises AspengateError where the store can't be read."""
         with state.writing:
             state.current = state.document.read()
             with state.lock:
--- a/src/aspengate/serving/_server.py
+++ b/src/aspengate/serving/_server.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from waitress.channel import HTTPChannel
 from waitress.server import create_server
 
 WsgiEnvironment = dict[str, Any]
@@ -50,15 +51,23 @@
     def close(self) -> None:
         """Stop serving and cut the connections that are open; drain first to cut none."""
         self._closing.set()
-        for channel in list(self._map.values()):
-            with contextlib.suppress(OSError):
+        for channel in self._channels():
+            with contextlib.suppress(OSError, AttributeError):
                 channel.socket.shutdown(socket.SHUT_RDWR)
         self._server.task_dispatcher.shutdown(timeout=_STOP_SECONDS)
         self._server.close()
         for channel in list(self._map.values()):
             channel.close()
-        if self._thread.is_alive() and threading.current_thread() is not self._thread:
-            self._thread.join(2.0)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is in progress and every answer is written out."""
+        return not any(
+            channel.requests or channel.total_outbufs_len for channel in self._channels()
+        )
+
+    def _channels(self) -> list[Any]:
+        return [each for each in list(self._map.values()) if isinstance(each, HTTPChannel)]
 
     def _run(self) -> None:
         try:
--- a/src/aspengate/transport/_messages.py
+++ b/src/aspengate/transport/_messages.py
@@ -161,7 +161,10 @@
 
 
 class DrawRequest(Message, frozen=True):
-    """A router asks its region's steward for a block of ``needed`` credits or more."""
+    """A router asks its region's steward for a block of ``needed`` credits or more.
+
+    One that is ``ahead`` of demand does not make the steward ask others for money.
+    """
 
     call: int
     reply_to: str
@@ -169,6 +172,7 @@
     budget: str
     needed: int
     wanted: int
+    ahead: bool = False
 
 
 class DrawReply(Message, frozen=True):
