--- a/src/aspengate/agent/_daemon.py
+++ b/src/aspengate/agent/_daemon.py
@@ -1,5 +1,6 @@
 """The agent as a process or a set of threads: sockets, threads and the modules that decide."""
 
+import math
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -61,7 +62,7 @@
         self.records = RecordStore()
         self.upstream = open_upstream(settings.protocol, settings.upstream_address)
         self.peer = peer or Peer(settings.listen, Sealer(settings.secrets), counters)
-        self.outbox = Outbox(self.peer.send, settings.linger_ms)
+        self.outbox = Outbox(self.peer.send, clock, settings.linger_ms)
         self._store = store
         self._pool = ThreadPoolExecutor(settings.max_concurrency, thread_name_prefix="run")
         self._routers: dict[str, float] = {}
@@ -221,8 +222,10 @@
             load=self.load(),
             table_version=0,
         )
+        quiet_since = now - self.settings.heartbeat_ms
         for router in tuple(self._routers):
-            self.peer.send(router, message)
+            if self.gate.leaving or self.outbox.sent_ms.get(router, -math.inf) <= quiet_since:
+                self.peer.send(router, message)
 
     def _learn_fences(self) -> None:
         document = fences_document(self._store)
--- a/src/aspengate/agent/_outbox.py
+++ b/src/aspengate/agent/_outbox.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 
+from aspengate.clock import Clock
 from aspengate.transport import Chunk, Chunks, Message
 
 _MAX_BATCH_ITEMS = 2_000
@@ -17,10 +18,13 @@
 
     While one batch is being sent the next one builds up, so that batches grow with the load
     and a lone token is not held back. ``linger_ms`` waits longer for more, to trade delay for
-    fewer messages.
+    fewer messages. ``sent_ms`` says when each router last got something, so that it needs no
+    heartbeat.
     """
 
-    def __init__(self, send: Send, linger_ms: float = 0.0) -> None:
+    def __init__(self, send: Send, clock: Clock, linger_ms: float = 0.0) -> None:
+        self.clock = clock
+        self.sent_ms: dict[str, float] = {}
         self.linger_ms = linger_ms
         self._send = send
         self._queue: queue.SimpleQueue[tuple[str, str, Message | Chunk]] = queue.SimpleQueue()
@@ -63,6 +67,8 @@
         return drained
 
     def _send_batch(self, batch: list[tuple[str, str, Message | Chunk]]) -> None:
+        now = self.clock.monotonic_ms()
+        self.sent_ms |= dict.fromkeys((address for address, _, _ in batch), now)
         pending: dict[tuple[str, str], list[Chunk]] = {}
         for address, session, item in batch:
             target = (address, session)
--- a/src/aspengate/experiments/__init__.py
+++ b/src/aspengate/experiments/__init__.py
@@ -15,6 +15,7 @@
     run_budget_scenario,
 )
 from aspengate.experiments._designs import design_names
+from aspengate.experiments._slopes import measure_slopes
 
 __all__ = [
     "BudgetResult",
@@ -24,6 +25,7 @@
     "budget_scenarios",
     "budget_text",
     "design_names",
+    "measure_slopes",
     "plot_budgets",
     "run_budget_experiments",
     "run_budget_scenario",
--- a/src/aspengate/router/__init__.py
+++ b/src/aspengate/router/__init__.py
@@ -3,11 +3,14 @@
 from aspengate.router._daemon import Router
 from aspengate.router._settings import RouterSettings
 from aspengate.router._stewards import budget_document
+from aspengate.router._streams import AnswerStream, StreamTable
 from aspengate.router._table import TableEditor, TableFollower, table_document
 
 __all__ = [
+    "AnswerStream",
     "Router",
     "RouterSettings",
+    "StreamTable",
     "TableEditor",
     "TableFollower",
     "budget_document",
--- a/src/aspengate/router/_daemon.py
+++ b/src/aspengate/router/_daemon.py
@@ -76,7 +76,12 @@
         self.editor = TableEditor(store, clock, settings.budget_shards)
         self.limiter = Limiter(clock)
         self.registry = UpstreamRegistry(
-            clock, settings.region, settings.failure_domain, settings.silent_after_ms
+            clock,
+            settings.region,
+            settings.failure_domain,
+            name=settings.name,
+            subset=settings.subset,
+            silent_after_ms=settings.silent_after_ms,
         )
         self.stewards = self._make_stewards(store)
         self.money = self._make_money()
@@ -345,7 +350,14 @@
         )
 
 
-def _accept_frame(router: Router, message: Message) -> None:
+def _accept_frame(router: Router, message: Started | Chunks | Done | Refused) -> None:
+    """Hand a frame to its stream; it is a sign of life of its agent too."""
+    number = message.chunks[0].stream if isinstance(message, Chunks) else message.stream
+    agent = router.streams.agent_of(message.router_session, number)
+    if agent is not None and isinstance(message, Done | Refused):
+        router.registry.heard(agent, message.load)
+    elif agent is not None:
+        router.registry.touch(agent)
     router.streams.accept(message)
 
 
--- a/src/aspengate/router/_members.py
+++ b/src/aspengate/router/_members.py
@@ -71,7 +71,7 @@
         self._registry.update(instances, self._table())
 
     def send_heartbeats(self) -> None:
-        """Tell routers of the region, and the agents that we use, that we live."""
+        """Tell the routers of the region, and the agents that this router uses, that it lives."""
         message = Heartbeat(
             sender=self.name,
             reply_to=self._peer.address,
@@ -79,9 +79,13 @@
             load=LoadReport(leaving=self.leaving, reported_ms=self._clock.now_ms()),
             table_version=self._table().version,
         )
-        for instance in self.instances:
-            if instance.name != self.name:
-                self._peer.send(instance.address, message)
+        routers = [
+            each.address
+            for each in self.instances
+            if each.role == "router" and each.region == self.region and each.name != self.name
+        ]
+        for address in (*routers, *self._registry.addresses()):
+            self._peer.send(address, message)
 
     def heard(self, heartbeat: Heartbeat) -> None:
         """Take a heartbeat from a router or an agent."""
@@ -103,7 +107,7 @@
                 and instance.name != self.name
                 and instance.state is InstanceState.LIVE
                 and (instance.region == self.region or not regional)
-                and self._is_heard(instance.name, now)
+                and (instance.region != self.region or self._is_heard(instance.name, now))
             }
 
     def processes(self) -> frozenset[str]:
--- a/src/aspengate/router/_settings.py
+++ b/src/aspengate/router/_settings.py
@@ -76,6 +76,13 @@
         accepts="a policy's name",
         default="weighted_score",
     )
+    subset: int = setting(
+        "routing",
+        whole_number(1, 10_000),
+        "upstreams of a service that one router uses",
+        accepts="1 to 10000",
+        default=24,
+    )
     silent_after_ms: int = _milliseconds(
         "timing", "silence after which an agent gets no new work", 3_000
     )
--- a/src/aspengate/router/_streams.py
+++ b/src/aspengate/router/_streams.py
@@ -88,6 +88,11 @@
             self._streams[stream.number] = stream
         return stream
 
+    def agent_of(self, session: str, number: int) -> str | None:
+        """Return the address of the agent that answers a stream, if it is open."""
+        stream = self._streams.get(number) if session == self.session else None
+        return stream.agent if stream else None
+
     def close(self, number: int) -> None:
         """Drop whatever still comes for a stream."""
         with self._lock:
--- a/src/aspengate/routing/_candidates.py
+++ b/src/aspengate/routing/_candidates.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from aspengate.platform import Instance
 from aspengate.transport import LoadReport
 
@@ -29,8 +31,7 @@
     leaving: bool = False
 
 
-@dataclass(frozen=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """An upstream that may be chosen, with the figures that a policy weighs.
 
     ``expected_wait`` is in requests ahead per unit of weight; ``prefix_hits`` in prompt blocks
--- a/src/aspengate/routing/_prefixes.py
+++ b/src/aspengate/routing/_prefixes.py
@@ -54,12 +54,16 @@
     def hits(self, blocks: tuple[int, ...]) -> dict[str, int]:
         """Return for each upstream how many leading blocks it probably holds."""
         found: dict[str, int] = {}
-        alive: set[str] | None = None
+        previous: tuple[str, ...] | None = None
+        alive: frozenset[str] = frozenset()
         for count, block in enumerate(blocks, start=1):
-            holders = set(self._holders.get(block, ()))
-            alive = holders if alive is None else alive & holders
+            holders = self._holders.get(block, ())
+            if holders != previous:
+                kept = frozenset(holders)
+                kept = kept if previous is None else kept & alive
+                for name in alive - kept:
+                    found[name] = count - 1
+                alive, previous = kept, holders
             if not alive:
-                break
-            for name in alive:
-                found[name] = count
-        return found
+                return found
+        return found | dict.fromkeys(alive, len(blocks))
