--- a/features/input.feature
+++ b/features/input.feature
@@ -46,8 +46,5 @@
       | fleet    | budget_shards=0 | [fleet] budget_shards |
       | instance | region =        | [instance] region    |
 
-  Scenario: Every setting is documented
-    Then the page of settings is the one that the code gives
-
-  Scenario: Every error kind is documented
-    Then the page of errors lists every kind with its answer
+  Scenario: The pages of settings, errors and capacity follow from the code
+    Then every page made from the code is as the code makes it
--- a/features/steps/input_steps.py
+++ b/features/steps/input_steps.py
@@ -210,11 +210,9 @@
     assert context.error.message
 
 
-@then("the page of settings is the one that the code gives")
-def settings_page(context):
-    assert (DOCS / "operate" / "settings.md").read_text() == documentation_pages()["settings.md"]
-
-
-@then("the page of errors lists every kind with its answer")
-def errors_page(context):
-    assert (DOCS / "operate" / "errors.md").read_text() == documentation_pages()["errors.md"]
+@then("every page made from the code is as the code makes it")
+def generated_pages(context):
+    pages = documentation_pages(DOCS)
+    assert len(pages) == 3
+    for path, text in pages.items():
+        assert (DOCS / path).read_text() == text, path
--- a/src/aspengate/cli/_experiments.py
+++ b/src/aspengate/cli/_experiments.py
@@ -41,12 +41,25 @@
             experiments.plot_budgets(results, self.plot)
 
 
+@cappa.command(description="Measure the slopes that docs/CAPACITY.md multiplies.")
+@dataclass
+class Capacity:
+    """Measure and print the slopes as JSON."""
+
+    def __call__(self) -> None:
+        """Measure."""
+        from aspengate import experiments
+
+        slopes = msgspec.json.encode(experiments.measure_slopes())
+        sys.stdout.write(msgspec.json.format(slopes).decode() + "\n")
+
+
 @cappa.command(description="Measure the decisions on seeded workloads.")
 @dataclass
 class Bench:
     """The experiments."""
 
-    command: cappa.Subcommands[Budgets]
+    command: cappa.Subcommands[Budgets | Capacity]
 
 
 @cappa.command(description="Check the core protocol on a small specification.")
--- a/src/aspengate/cli/_pages.py
+++ b/src/aspengate/cli/_pages.py
@@ -5,16 +5,24 @@
 from typing import Annotated
 
 import cappa
+import msgspec
 
 from aspengate.agent import AgentSettings
 from aspengate.errors import ANSWERS, ErrorKind
+from aspengate.experiments import capacity_page
 from aspengate.router import RouterSettings
 from aspengate.settings import settings_page
 from aspengate.standins import StandInSettings
 
+SLOPES_FILE = Path("measurements") / "capacity-slopes.json"
 
-def documentation_pages() -> dict[str, str]:
-    """Return the text of each generated page by file name in ``docs/operate``."""
+
+def documentation_pages(folder: Path) -> dict[Path, str]:
+    """Return the text of each generated page by its path below the documentation's folder.
+
+    The capacity page follows from the slopes that are committed there.
+    """
+    slopes = msgspec.json.decode((folder / SLOPES_FILE).read_bytes(), type=dict[str, float])
     sections = [
         settings_page("Router", RouterSettings),
         settings_page("Agent", AgentSettings),
@@ -24,7 +32,11 @@
         "# Settings\n\nEach process reads one INI file. This page is made by `aspengate docs`.\n\n"
         + "\n".join(sections)
     )
-    return {"settings.md": settings, "errors.md": _errors_page()}
+    return {
+        Path("operate") / "settings.md": settings,
+        Path("operate") / "errors.md": _errors_page(),
+        Path("CAPACITY.md"): capacity_page(slopes),
+    }
 
 
 @cappa.command(name="docs", description="Write the documentation pages made from the code.")
@@ -32,11 +44,11 @@
 class Pages:
     """Write the pages into a folder."""
 
-    folder: Annotated[Path, cappa.Arg(help="folder, as docs/operate")]
+    folder: Annotated[Path, cappa.Arg(help="the documentation's folder, docs")]
 
     def __call__(self) -> None:
         """Write the pages."""
-        for name, text in documentation_pages().items():
+        for name, text in documentation_pages(self.folder).items():
             (self.folder / name).write_text(text, encoding="utf-8")
 
 
--- a/src/aspengate/experiments/__init__.py
+++ b/src/aspengate/experiments/__init__.py
@@ -14,16 +14,21 @@
     budget_scenarios,
     run_budget_scenario,
 )
+from aspengate.experiments._capacity import TARGET, TODAY, capacity_lines, capacity_page
 from aspengate.experiments._designs import design_names
 from aspengate.experiments._slopes import measure_slopes
 
 __all__ = [
+    "TARGET",
+    "TODAY",
     "BudgetResult",
     "BudgetScenario",
     "budget_json",
     "budget_rows",
     "budget_scenarios",
     "budget_text",
+    "capacity_lines",
+    "capacity_page",
     "design_names",
     "measure_slopes",
     "plot_budgets",
