Write tokens to callers on the thread that receives them

Change: an event stream is written with the WSGI write function as its frames arrive; its thread sleeps until the end. Other answers keep their thread.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,7 +1,6 @@
 """Set-up and tear-down of the scenarios."""
 
 import contextlib
-import logging
 
 from hypothesis import HealthCheck, settings
 
@@ -14,7 +13,6 @@
     suppress_health_check=list(HealthCheck),
 )
 settings.load_profile("aspengate")
-logging.getLogger("waitress").setLevel(logging.CRITICAL)
 
 
 def before_scenario(context, scenario):
--- a/src/aspengate/router/_daemon.py
+++ b/src/aspengate/router/_daemon.py
@@ -47,6 +47,7 @@
 
 _TICK_MS = 500.0
 _DRAIN_POLL_MS = 20.0
+_HAND_OVER_MS = 30_000.0
 
 
 class Router:
@@ -131,16 +132,16 @@
     def leave(self, timeout_ms: float) -> bool:
         """Take no new requests, finish those in progress, give the money back, and stop.
 
-        Return whether all of it was done within ``timeout_ms``.
+        Requests get ``timeout_ms``, the money half a minute: what is not given back by then,
+        because the store is away, another router recovers. Return whether all of it was done.
         """
         self.leaving = True
         self.members.leaving = True
         self.claims.leaving = True
         log_change("router.leaving", session=self.session)
         self.members.send_heartbeats()
-        deadline = self.clock.monotonic_ms() + timeout_ms
-        done = self._wait(self._is_drained, deadline)
-        done = self._wait(self._hand_over, deadline) and done
+        done = self._wait(self._is_drained, self.clock.monotonic_ms() + timeout_ms)
+        done = self._wait(self._hand_over, self.clock.monotonic_ms() + _HAND_OVER_MS) and done
         self.close()
         return done
 
--- a/src/aspengate/router/_exchange.py
+++ b/src/aspengate/router/_exchange.py
@@ -1,6 +1,6 @@
 """One request on its way through the filters."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -85,13 +85,21 @@
     not_run: bool = False
 
 
+Write = Callable[[bytes], object]
+
+
 @dataclass
 class Answer:
-    """What goes back to the caller: a status, headers, and the body as it comes."""
+    """What goes back to the caller: a status, headers, and the body as it comes.
+
+    ``pump`` is set for a stream of tokens: called with the server's write function it writes
+    each token as it arrives, without waking a thread for it, and returns at the end.
+    """
 
     status: int
     headers: tuple[Header, ...]
     chunks: Iterator[bytes] = field(repr=False)
+    pump: Callable[[Write], None] | None = field(default=None, repr=False)
 
 
 class Filter(Protocol):
--- a/src/aspengate/router/_http.py
+++ b/src/aspengate/router/_http.py
@@ -11,7 +11,7 @@
 from aspengate.router._exchange import Answer, CallerRequest
 from aspengate.serving import StartResponse, WsgiEnvironment
 from aspengate.table import TableView
-from aspengate.telemetry import Counters
+from aspengate.telemetry import Counters, log_change
 from aspengate.transport import Header
 
 _COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
@@ -69,9 +69,16 @@
         except AspengateError as error:
             self.counters.count(f"router.errors.{error.kind.value}")
             return _answer_error(start_response, error, request_id, keyed=keyed)
+        except Exception as error:
+            log_change("router.request_failed", request_id=request_id, error=repr(error))
+            self.counters.count(f"router.errors.{ErrorKind.INTERNAL.value}")
+            internal = AspengateError(ErrorKind.INTERNAL, "a fault of the router's own")
+            return _answer_error(start_response, internal, request_id, keyed=keyed)
         self.counters.count("router.answers")
         headers = [(header.name, header.value) for header in answer.headers]
-        start_response(_status_line(answer.status), headers)
+        write = start_response(_status_line(answer.status), headers)
+        if answer.pump is not None:
+            answer.pump(write)
         return _Body(answer.chunks)
 
     def _read(self, environ: WsgiEnvironment, request_id: str) -> CallerRequest:
--- a/src/aspengate/router/_pipeline.py
+++ b/src/aspengate/router/_pipeline.py
@@ -1,17 +1,15 @@
 """The row of filters that every request passes, and the relay of its answer."""
 
-from collections.abc import Callable, Iterator
 from dataclasses import replace
 
-from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind, RunState
 from aspengate.limits import RetryBudget
 from aspengate.router._exchange import Answer, CallerRequest, Exchange, Filter, Outcome
+from aspengate.router._relay import ANSWER_MARGIN_MS, Relay, finish_filters
 from aspengate.router._streams import AnswerStream
 from aspengate.router.filters import FilterParts, make_filters
 from aspengate.table import TableView
-from aspengate.telemetry import Counters
-from aspengate.transport import Cancel, Chunk, Done, Header, Refused, Started, UsageRecord
+from aspengate.transport import Cancel, Done, Header, Refused, Started
 
 ADMISSION = ("authenticate", "limit")
 ATTEMPT = ("choose", "claim", "reserve", "dispatch")
@@ -19,11 +17,8 @@
 _RETRYABLE = frozenset(
     {ErrorKind.LEAVING, ErrorKind.OVERLOADED, ErrorKind.NO_UPSTREAM, ErrorKind.FENCED}
 )
-_ANSWER_MARGIN_MS = 1_000
 _WHOLE_ANSWER_BYTES = 64 * 1024
 
-Cancellation = Callable[[AnswerStream], None]
-
 
 class Pipeline:
     """Takes a request through admission, then through attempts until one agent has started it.
@@ -48,7 +43,7 @@
             exchange = self._pass(self.admission, exchange)
             return self._attempts(exchange)
         except _PassError as failure:
-            _finish(failure.exchange, _outcome_of(failure.cause))
+            finish_filters(failure.exchange, _outcome_of(failure.cause))
             raise failure.cause from None
 
     def _attempts(self, admitted: Exchange) -> Answer:
@@ -61,7 +56,7 @@
                 last = number == _MAX_ATTEMPTS
                 if last or not self._may_retry(failure, admitted):
                     raise
-                _finish(failure.exchange, _outcome_of(failure.cause), keep=admitted.passed)
+                finish_filters(failure.exchange, _outcome_of(failure.cause), keep=admitted.passed)
                 exchange = replace(admitted, excluded=_excluded(failure.exchange))
                 self.parts.counters.count("router.retries")
         raise AssertionError("the last attempt returns or raises")
@@ -120,62 +115,18 @@
             cost = relay.usage.cost if relay.usage else 0
             headers = (*headers, Header("X-Aspengate-Cost", str(cost)))
             return Answer(status, headers, iter([body]))
+        if any(_is_event_stream(each) for each in headers):
+            return Answer(status, headers, iter(()), relay.pump)
         return Answer(status, headers, iter(relay))
 
     def _remaining(self, exchange: Exchange) -> float:
-        deadline = exchange.request.deadline_ms + _ANSWER_MARGIN_MS
+        deadline = exchange.request.deadline_ms + ANSWER_MARGIN_MS
         return deadline - self.parts.clock.now_ms()
 
     def _cancel(self, stream: AnswerStream) -> None:
         self.parts.peer.send(stream.agent, Cancel(stream.number, self.parts.session))
 
 
-class Relay:
-    """The body of an answer as it comes from the agent; iterate over it once.
-
-    However the iteration ends, the request is settled then. A caller that goes away closes the
-    iteration, which cancels the run.
-    """
-
-    def __init__(
-        self,
-        exchange: Exchange,
-        stream: AnswerStream,
-        clock: Clock,
-        counters: Counters,
-        cancel: Cancellation,
-    ) -> None:
-        self.exchange = exchange
-        self.stream = stream
-        self.clock = clock
-        self.counters = counters
-        self.usage: UsageRecord | None = None
-        self._cancel = cancel
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yield the body; what has come meanwhile is yielded in one piece."""
-        outcome = Outcome(error=ErrorKind.OUTCOME_UNKNOWN.value)
-        try:
-            while True:
-                remaining = self.exchange.request.deadline_ms - self.clock.now_ms()
-                frames = [self.stream.next(remaining + _ANSWER_MARGIN_MS), *self.stream.ready()]
-                data = b"".join(frame.data for frame in frames if isinstance(frame, Chunk))
-                if data:
-                    yield data
-                done = frames[-1]
-                if isinstance(done, Done):
-                    outcome = Outcome(usage=done.usage, error=done.error)
-                    self.usage = done.usage
-                    if done.error:
-                        raise AspengateError(ErrorKind(done.error), "the answer broke off")
-                    return
-        finally:
-            if outcome.usage is None:
-                self._cancel(self.stream)
-                self.counters.count("router.broken_off")
-            _finish(self.exchange, outcome)
-
-
 class _PassError(Exception):
     """A filter refused the exchange, which had passed some filters by then."""
 
@@ -185,11 +136,6 @@
         self.cause = cause
 
 
-def _finish(exchange: Exchange, outcome: Outcome, keep: tuple[Filter, ...] = ()) -> None:
-    for each in reversed(exchange.passed[len(keep) :]):
-        each.finish(exchange, outcome)
-
-
 def _outcome_of(error: AspengateError) -> Outcome:
     not_run = error.answer.run_state is RunState.NOT_RUN
     return Outcome(error=error.kind.value, not_run=not_run)
@@ -201,6 +147,10 @@
     return exchange.excluded | {exchange.upstream.instance.address}
 
 
+def _is_event_stream(header: Header) -> bool:
+    return header.name.lower() == "content-type" and header.value.startswith("text/event-stream")
+
+
 def _stream(exchange: Exchange) -> AnswerStream:
     if exchange.stream is None:
         raise AssertionError("the dispatch filter comes first")
--- a/src/aspengate/router/_streams.py
+++ b/src/aspengate/router/_streams.py
@@ -3,12 +3,14 @@
 import itertools
 import queue
 import threading
+from collections.abc import Callable
 
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.telemetry import Counters
 from aspengate.transport import Chunk, Chunks, Done, Message, Refused, Started
 
 Frame = Started | Chunk | Done | Refused
+Sink = Callable[[Frame], None]
 
 
 class AnswerStream:
@@ -18,11 +20,28 @@
         self.number = number
         self.agent = agent
         self.position = 0
+        self._sink: Sink | None = None
+        self._lock = threading.Lock()
         self._frames: queue.SimpleQueue[Frame] = queue.SimpleQueue()
 
     def put(self, frame: Frame) -> None:
-        """Take a frame from the agent."""
-        self._frames.put(frame)
+        """Take a frame from the agent; with a sink it is handed on at once."""
+        with self._lock:
+            if self._sink is None:
+                self._frames.put(frame)
+            else:
+                self._sink(frame)
+
+    def attach(self, sink: Sink) -> None:
+        """Hand all frames, those that are here first, to ``sink``, on the receiving thread.
+
+        It must not raise or block: it holds up the frames of all streams. Positions are not
+        checked for it; call ``check``.
+        """
+        with self._lock:
+            while not self._frames.empty():
+                sink(self._frames.get_nowait())
+            self._sink = sink
 
     def next(self, timeout_ms: float) -> Frame:
         """Return the next frame; raises OUTCOME_UNKNOWN where none came in time.
@@ -36,7 +55,7 @@
             raise AspengateError(
                 ErrorKind.OUTCOME_UNKNOWN, "no word from the agent in time", where=self.agent
             ) from None
-        self._check(frame)
+        self.check(frame)
         return frame
 
     def ready(self) -> list[Frame]:
@@ -47,10 +66,11 @@
                 frame = self._frames.get_nowait()
             except queue.Empty:
                 return frames
-            self._check(frame)
+            self.check(frame)
             frames.append(frame)
 
-    def _check(self, frame: Frame) -> None:
+    def check(self, frame: Frame) -> None:
+        """Raise OUTCOME_UNKNOWN where a frame does not follow the one before it."""
         if isinstance(frame, Chunk):
             if frame.position != self.position:
                 raise AspengateError(
--- a/src/aspengate/serving/_server.py
+++ b/src/aspengate/serving/_server.py
@@ -1,6 +1,7 @@
 """Runs a WSGI application in a thread of this process."""
 
 import contextlib
+import logging
 import socket
 import threading
 from collections.abc import Callable, Iterable
@@ -24,6 +25,8 @@
     def __init__(
         self, application: WsgiApplication, listen: str, threads: int, max_body_bytes: int
     ) -> None:
+        # An answer that breaks off after its headers can only be cut by raising; it is counted.
+        logging.getLogger("waitress").setLevel(logging.CRITICAL)
         host, _, port = listen.rpartition(":")
         self._map: dict[int, Any] = {}
         server: Any = create_server(
