--- /dev/null
+++ b/features/steps/routing_steps.py
@@ -0,0 +1,195 @@
+"""Steps of routing.feature."""
+
+import random
+from dataclasses import replace
+
+from behave import given, then, when
+
+from aspengate.clock import ManualClock
+from aspengate.experiments import routing_scenarios, run_routing_scenario
+from aspengate.limits import RetryBudget
+from aspengate.platform import Instance, InstanceState
+from aspengate.routing import (
+    ChoiceContext,
+    PrefixMemory,
+    UpstreamRegistry,
+    _registry,
+    open_policy,
+    policy_names,
+)
+from aspengate.table import TableView, UpstreamRow
+from aspengate.transport import LoadReport
+
+SECONDS = 30
+OURS = "weighted_score"
+
+
+def instance(number, state=InstanceState.LIVE):
+    return Instance(f"agent-{number}", "agent", f"a{number}:1", "north", "hall", "model", "", state)
+
+
+@given("a registry of {count:d} upstreams")
+def registry(context, count):
+    context.clock = ManualClock()
+    context.registry = UpstreamRegistry(context.clock, "north", "hall")
+    context.instances = [instance(number) for number in range(count)]
+    context.registry.update(context.instances, TableView())
+    context.clock.advance(2_000)
+    for each in context.instances:
+        context.registry.heard(each.address, LoadReport(reported_ms=1))
+
+
+def chosen(context, times=200):
+    generator = ChoiceContext(random.Random(1))
+    found = set()
+    for _ in range(times):
+        state = context.registry.choose("model", open_policy("random"), generator, {})
+        context.registry.finished(state, failed=False)
+        found.add(state.instance.address)
+    return found
+
+
+@when("one is silent, one says that it leaves, one is listed as leaving and one is disabled")
+def unusable(context):
+    disabled = {"agent-3": UpstreamRow(name="agent-3", enabled=False)}
+    listed = [*context.instances[:2], instance(2, InstanceState.LEAVING), *context.instances[3:]]
+    context.registry.update(listed, TableView(upstreams=disabled))
+    context.clock.advance(3_500)
+    for each in context.instances[1:]:
+        leaving = each.name == "agent-1"
+        context.registry.heard(each.address, LoadReport(reported_ms=2, leaving=leaving))
+
+
+@then("only the other {count:d} are chosen")
+def only(context, count):
+    assert chosen(context) == {f"a{number}:1" for number in range(4, 4 + count)}
+
+
+def fail(context, addresses):
+    for address in addresses:
+        for _ in range(3):
+            context.registry.finished(context.registry._states[address], failed=True)
+
+
+@when("{count:d} upstreams fail three times in a row")
+def some_fail(context, count):
+    context.failing = {f"a{number}:1" for number in range(count)}
+    fail(context, context.failing)
+
+
+@then("those {count:d} are not chosen")
+def not_chosen(context, count):
+    assert len(context.failing) == count
+    assert not chosen(context) & context.failing
+
+
+@when("all upstreams fail three times in a row")
+def all_fail(context):
+    fail(context, [each.address for each in context.instances])
+
+
+@then("every upstream is chosen again")
+def all_chosen(context):
+    assert chosen(context) == {each.address for each in context.instances}
+
+
+@when("upstream A was sent blocks 1 to 4 and upstream B blocks 1, 2 and 9")
+def sent(context):
+    context.memory = PrefixMemory()
+    context.memory.note((1, 2, 3, 4), "A")
+    context.memory.note((1, 2, 9), "B")
+
+
+@then("a prompt of blocks 1 to 5 has 4 hits at A and 2 at B")
+def hits(context):
+    assert context.memory.hits((1, 2, 3, 4, 5)) == {"A": 4, "B": 2}
+    assert context.memory.hits((7, 1, 2)) == {}
+    context.memory.drop((3,), "A")
+    assert context.memory.hits((1, 2, 3, 4, 5)) == {"A": 2, "B": 2}
+
+
+@when("{routers:d} routers see {upstreams:d} upstreams")
+def subsets(context, routers, upstreams):
+    names = [f"router-{number}" for number in range(routers)]
+    listed = [Instance(name, "router", f"{name}:1", "north", "hall") for name in names]
+    context.upstreams = [instance(number) for number in range(upstreams)]
+    context.subsets = []
+    for name in names:
+        each = UpstreamRegistry(ManualClock(), "north", "hall", name=name)
+        each.update([*listed, *context.upstreams], TableView())
+        context.subsets.append(set(each.addresses()))
+
+
+@then("each uses {least:d} to {most:d} of them and every upstream is used by {users:d} routers")
+def used(context, least, most, users):
+    sizes = sorted(len(each) for each in context.subsets)
+    assert least <= sizes[0] and sizes[-1] <= most, sizes
+    for upstream in context.upstreams:
+        assert sum(upstream.address in each for each in context.subsets) == users
+
+
+@when("{count:d} requests all fail and ask for a retry")
+def retries(context, count):
+    budget = RetryBudget()
+    context.allowed = 0
+    for _ in range(count):
+        budget.first_try()
+        context.allowed += budget.take()
+
+
+@then("at most {count:d} retries are allowed")
+def allowed(context, count):
+    assert 0 < context.allowed <= count, context.allowed
+
+
+@when("the routing experiments run for a short time")
+def experiments(context):
+    context.scenarios = {each.name: replace(each, seconds=SECONDS) for each in routing_scenarios()}
+    names = ("load_90", "load_200", "reports_frozen")
+    context.results = {
+        (name, policy): run_routing_scenario(context.scenarios[name], policy, 1)
+        for name in names
+        for policy in policy_names()
+        if policy == OURS or name != "load_200"
+    }
+
+
+def best_p95(context, name):
+    return min(
+        result.first_p95
+        for (scenario, policy), result in context.results.items()
+        if scenario == name and policy != OURS
+    )
+
+
+@then("ours has a first token p95 at 90% load of at most 0.7 of the best baseline")
+def first_token(context):
+    assert context.results["load_90", OURS].first_p95 <= 0.7 * best_p95(context, "load_90")
+
+
+@then("at twice the load the goodput stays above 0.9 of the capacity")
+def goodput(context):
+    assert context.results["load_200", OURS].goodput >= 0.9
+
+
+@then("what may wait is refused first")
+def may_wait(context):
+    result = context.results["load_200", OURS]
+    assert result.refused_may_wait >= 0.8 * result.refused > 0
+
+
+@then("frozen reports make it no worse than the best baseline")
+def frozen(context):
+    ours = context.results["reports_frozen", OURS].first_p95
+    assert ours <= best_p95(context, "reports_frozen")
+
+
+@then("a raw use of late reports would herd")
+def herding(context):
+    smoothing, weight = _registry._REPORT_SMOOTHING, _registry._OTHERS_WEIGHT
+    _registry._REPORT_SMOOTHING, _registry._OTHERS_WEIGHT = 1.0, 1.0
+    try:
+        raw = run_routing_scenario(context.scenarios["load_90"], OURS, 1)
+    finally:
+        _registry._REPORT_SMOOTHING, _registry._OTHERS_WEIGHT = smoothing, weight
+    assert raw.first_p95 > 1.3 * context.results["load_90", OURS].first_p95
--- a/src/aspengate/agent/_daemon.py
+++ b/src/aspengate/agent/_daemon.py
@@ -215,6 +215,7 @@
             for router, seen in self._routers.copy().items()
             if now - seen < _ROUTER_SILENT_MS
         }
+        self.outbox.forget(self._routers)
         message = Heartbeat(
             sender=self.settings.name,
             reply_to=self.address,
--- a/src/aspengate/agent/_outbox.py
+++ b/src/aspengate/agent/_outbox.py
@@ -2,7 +2,7 @@
 
 import queue
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from aspengate.clock import Clock
 from aspengate.transport import Chunk, Chunks, Message
@@ -39,6 +39,12 @@
         """Queue a message or a piece of a stream for a router."""
         self._queue.put((address, router_session, item))
 
+    def forget(self, kept: Collection[str]) -> None:
+        """Forget when routers got something, but for those ``kept``."""
+        self.sent_ms = {
+            address: sent for address, sent in self.sent_ms.copy().items() if address in kept
+        }
+
     def close(self) -> None:
         """Send what is queued, then stop."""
         self._stopping.set()
--- a/src/aspengate/cli/_experiments.py
+++ b/src/aspengate/cli/_experiments.py
@@ -10,6 +10,7 @@
 
 _Seed = Annotated[int, cappa.Arg(long="--seed", help="seed of the workload")]
 _Json = Annotated[bool, cappa.Arg(long="--json", help="print JSON")]
+_Scenarios = Annotated[str, cappa.Arg(long="--scenario", help="only these, separated by commas")]
 _Plot = Annotated[Path | None, cappa.Arg(long="--plot", help="write a plot to this file")]
 
 
@@ -24,23 +25,40 @@
     ] = None
     as_json: _Json = False
     plot: _Plot = None
-    scenario: Annotated[
-        str, cappa.Arg(long="--scenario", help="only these, separated by commas")
-    ] = ""
+    scenario: _Scenarios = ""
 
     def __call__(self) -> None:
         """Run and report."""
         from aspengate import experiments
 
-        results = experiments.run_budget_experiments(
-            self.seed, self.seconds, [name for name in self.scenario.split(",") if name]
-        )
+        results = experiments.run_budget_experiments(self.seed, self.seconds, _names(self.scenario))
         write = experiments.budget_json if self.as_json else experiments.budget_text
         sys.stdout.write(write(results))
         if self.plot is not None:
             experiments.plot_budgets(results, self.plot)
 
 
+@cappa.command(description="First tokens, goodput and cache hits, ours and the baselines'.")
+@dataclass
+class Routing:
+    """Run the routing experiments."""
+
+    seed: _Seed = 1
+    as_json: _Json = False
+    plot: _Plot = None
+    scenario: _Scenarios = ""
+
+    def __call__(self) -> None:
+        """Run and report."""
+        from aspengate import experiments
+
+        results = experiments.run_routing_experiments(self.seed, _names(self.scenario))
+        write = experiments.routing_json if self.as_json else experiments.routing_text
+        sys.stdout.write(write(results))
+        if self.plot is not None:
+            experiments.plot_routing(results, self.plot)
+
+
 @cappa.command(description="Measure the slopes that docs/CAPACITY.md multiplies.")
 @dataclass
 class Capacity:
@@ -59,7 +77,7 @@
 class Bench:
     """The experiments."""
 
-    command: cappa.Subcommands[Budgets | Capacity]
+    command: cappa.Subcommands[Budgets | Routing | Capacity]
 
 
 @cappa.command(description="Check the core protocol on a small specification.")
@@ -83,3 +101,7 @@
             sys.stdout.write(verification.findings_text(findings, traces=self.traces))
         if not all(finding.as_expected for finding in findings):
             raise cappa.Exit("a property fails, or a rule protects from nothing", code=1)
+
+
+def _names(text: str) -> list[str]:
+    return [name for name in text.split(",") if name]
--- a/src/aspengate/experiments/__init__.py
+++ b/src/aspengate/experiments/__init__.py
@@ -16,6 +16,18 @@
 )
 from aspengate.experiments._capacity import TARGET, TODAY, capacity_lines, capacity_page
 from aspengate.experiments._designs import design_names
+from aspengate.experiments._routing_report import (
+    plot_routing,
+    routing_json,
+    routing_text,
+    run_routing_experiments,
+)
+from aspengate.experiments._routing_run import (
+    RoutingResult,
+    RoutingScenario,
+    routing_scenarios,
+    run_routing_scenario,
+)
 from aspengate.experiments._slopes import measure_slopes
 
 __all__ = [
@@ -23,6 +35,8 @@
     "TODAY",
     "BudgetResult",
     "BudgetScenario",
+    "RoutingResult",
+    "RoutingScenario",
     "budget_json",
     "budget_rows",
     "budget_scenarios",
@@ -32,7 +46,13 @@
     "design_names",
     "measure_slopes",
     "plot_budgets",
+    "plot_routing",
+    "routing_json",
+    "routing_scenarios",
+    "routing_text",
     "run_budget_experiments",
     "run_budget_scenario",
+    "run_routing_experiments",
+    "run_routing_scenario",
     "scaled",
 ]
--- a/src/aspengate/experiments/_budget_report.py
+++ b/src/aspengate/experiments/_budget_report.py
@@ -86,30 +86,15 @@
 
 def plot_budgets(results: list[BudgetResult], path: Path) -> None:
     """Draw the false refusals before 98% spent, by scenario and design."""
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
-    scenarios = list(dict.fromkeys(result.scenario for result in results))
-    designs = list(dict.fromkeys(result.design for result in results))
-    figure, axes = pyplot.subplots(figsize=(10, 5))
-    width = 0.8 / len(designs)
-    for index, design in enumerate(designs):
-        values = [
-            100 * result.early_fraction
-            for scenario in scenarios
-            for result in results
-            if (result.scenario, result.design) == (scenario, design)
-        ]
-        places = [place + index * width for place in range(len(scenarios))]
-        axes.bar(places, values, width, label=design)
-    axes.set_xticks([place + 0.3 for place in range(len(scenarios))], scenarios, rotation=20)
-    axes.set_ylabel("false refusals before 98% spent, %")
-    axes.legend()
-    figure.tight_layout()
-    figure.savefig(path)
-    pyplot.close(figure)
+    from aspengate.experiments._plots import bars
+
+    bars(
+        path,
+        groups=list(dict.fromkeys(result.scenario for result in results)),
+        series=list(dict.fromkeys(result.design for result in results)),
+        value={(each.scenario, each.design): 100 * each.early_fraction for each in results},
+        label="false refusals before 98% spent, %",
+    )
 
 
 def _run_job(job: tuple[BudgetScenario, str, int]) -> BudgetResult:
--- a/src/aspengate/router/_exchange.py
+++ b/src/aspengate/router/_exchange.py
@@ -78,11 +78,13 @@
     """How a request ended: its usage where it ran, or how it failed.
 
     ``not_run`` is true where the request certainly did not run and never will.
+    ``first_answer_ms`` is how long the first token of a stream took.
     """
 
     usage: UsageRecord | None = None
     error: str = ""
     not_run: bool = False
+    first_answer_ms: float | None = None
 
 
 Write = Callable[[bytes], object]
--- a/src/aspengate/router/_relay.py
+++ b/src/aspengate/router/_relay.py
@@ -62,13 +62,15 @@
 
         Raises AspengateError where the answer broke off.
         """
-        pump = _Pump(self.stream, write)
+        pump = _Pump(self.stream, write, self.clock)
         self.stream.attach(pump.take)
         remaining = self.exchange.request.deadline_ms - self.clock.now_ms() + ANSWER_MARGIN_MS
         pump.ended.wait(max(0.0, remaining) / 1_000)
         self.usage = pump.done.usage if pump.done else None
         error = pump.done.error if pump.done else ErrorKind.OUTCOME_UNKNOWN.value
-        self._end(Outcome(usage=self.usage, error=error))
+        first = pump.first_ms
+        delay = None if first is None else first - self.exchange.request.received_ms
+        self._end(Outcome(usage=self.usage, error=error, first_answer_ms=delay))
         if error:
             raise AspengateError(ErrorKind(error), "the answer broke off")
 
@@ -82,8 +84,10 @@
 class _Pump:
     """Writes frames until the end of the answer, or until the caller is gone."""
 
-    def __init__(self, stream: AnswerStream, write: Write) -> None:
+    def __init__(self, stream: AnswerStream, write: Write, clock: Clock) -> None:
         self.stream = stream
+        self.clock = clock
+        self.first_ms: int | None = None
         self.done: Done | None = None
         self.ended = threading.Event()
         self._write = write
@@ -95,6 +99,8 @@
         try:
             self.stream.check(frame)
             if isinstance(frame, Chunk):
+                if self.first_ms is None:
+                    self.first_ms = self.clock.now_ms()
                 self._write(frame.data)
             elif isinstance(frame, Done):
                 self.done = frame
--- a/src/aspengate/router/filters/_choose.py
+++ b/src/aspengate/router/filters/_choose.py
@@ -6,7 +6,10 @@
 from aspengate.router._exchange import Exchange, Outcome
 from aspengate.router.filters._registry import FilterParts, register_filter
 from aspengate.routing import prefix_blocks
+from aspengate.table import ClientAccountRow, ServiceRow
 
+_MAY_WAIT_SHARE = 0.6
+_LOW_PRIORITY_SHARE = 0.8
 _FAILURES = frozenset({ErrorKind.UPSTREAM_FAILED.value, ErrorKind.OUTCOME_UNKNOWN.value})
 
 
@@ -29,10 +32,27 @@
             self.parts.choice,
             self.parts.prefixes.hits(prefix),
             exchange.excluded,
+            share_of(exchange.known_account, service),
         )
         self.parts.prefixes.note(prefix, upstream.instance.address)
         return replace(exchange, upstream=upstream, prefix=prefix)
 
     def finish(self, exchange: Exchange, outcome: Outcome) -> None:
         """Count the request out, and a failure against the upstream."""
-        self.parts.registry.finished(exchange.known_upstream, failed=outcome.error in _FAILURES)
+        self.parts.registry.finished(
+            exchange.known_upstream,
+            failed=outcome.error in _FAILURES,
+            first_answer_ms=outcome.first_answer_ms,
+        )
+
+
+def share_of(account: ClientAccountRow, service: ServiceRow) -> float:
+    """Return what part of an upstream's limit a request may use.
+
+    What may wait is held back first, then what has a priority below 0.
+    """
+    if service.may_wait:
+        return _MAY_WAIT_SHARE
+    if account.priority + service.priority < 0:
+        return _LOW_PRIORITY_SHARE
+    return 1.0
--- a/src/aspengate/routing/_candidates.py
+++ b/src/aspengate/routing/_candidates.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from aspengate.limits import AdaptiveLimit
 from aspengate.platform import Instance
 from aspengate.transport import LoadReport
 
@@ -13,7 +14,8 @@
     """One upstream as this router sees it; it is changed on the request path.
 
     ``in_flight`` counts this router's own requests there and ``in_flight_tokens`` the tokens
-    they may still generate. ``heard_ms`` is when its agent last spoke to us.
+    they may still generate. ``others_in_flight`` is the work of other routers there, smoothed
+    over its reports. ``heard_ms`` is when its agent last spoke to us.
     """
 
     instance: Instance
@@ -23,12 +25,13 @@
     in_flight_tokens: int = 0
     report: LoadReport = field(default_factory=LoadReport)
     report_received_ms: float = 0.0
-    in_flight_at_report: int = 0
+    others_in_flight: float = 0.0
     heard_ms: float = 0.0
     joined_ms: float = 0.0
     failures: int = 0
     ejected_until_ms: float = 0.0
     leaving: bool = False
+    limit: AdaptiveLimit = field(default_factory=AdaptiveLimit)
 
 
 class Candidate(msgspec.Struct, frozen=True):
--- a/src/aspengate/routing/_policies.py
+++ b/src/aspengate/routing/_policies.py
@@ -7,7 +7,7 @@
 
 from aspengate.routing._candidates import Candidate
 
-_PREFIX_HIT_WORTH = 0.15
+_PREFIX_HIT_WORTH = 0.3
 _DISTANCE_COST = (0.0, 0.1, 2.0)
 
 
@@ -91,7 +91,7 @@
     return context.generator.choice(near)
 
 
-_NEAR_TIE = 0.05
+_NEAR_TIE = 0.1
 
 
 def score(candidate: Candidate) -> float:
--- a/src/aspengate/routing/_registry.py
+++ b/src/aspengate/routing/_registry.py
@@ -13,6 +13,8 @@
 from aspengate.transport import LoadReport
 
 _REPORT_HALF_LIFE_MS = 2_000.0
+_REPORT_SMOOTHING = 0.05
+_OTHERS_WEIGHT = 0.25
 _EJECT_AFTER_FAILURES = 3
 _EJECT_MS = 5_000.0
 _MAX_EJECTED_FRACTION = 0.5
@@ -21,14 +23,15 @@
 _SAMPLE = 12
 _DRAWS = range(_SAMPLE)
 _DEFAULT_SUBSET = 24
+_LEAST_USERS = 2
 
 
 class UpstreamRegistry:
     """The upstreams that this router uses, kept up to date from the instance list and agents.
 
-    Of each service it uses at most ``subset`` upstreams, of its own region where there are any,
-    chosen by the router's ``name``: so that the number of pairs that talk to each other grows
-    with the routers and not with routers times agents, and every upstream is used by some.
+    Of each service it uses about ``subset`` upstreams, of its own region where there are any, so
+    that the number of pairs that talk to each other grows with the routers and not with routers
+    times agents. ``name`` is the router's, by which its share is found.
     ``silent_after_ms`` is how long an agent may stay unheard before it gets no new work.
     """
 
@@ -49,13 +52,14 @@
         self.failure_domain = failure_domain
         self.silent_after_ms = silent_after_ms
         self._states: dict[str, UpstreamState] = {}
+        self._subsets: dict[str, tuple[frozenset[str], frozenset[str], frozenset[str]]] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
         self._lock = threading.Lock()
 
     def update(self, instances: Iterable[Instance], table: TableView) -> None:
         """Take over the instance list and the operators' words on upstreams."""
         now = self.clock.monotonic_ms()
-        listed = {instance.address: instance for instance in instances if instance.role == "agent"}
+        listed = {instance.address: instance for instance in self._used(instances)}
         with self._lock:
             for address in set(self._states) - set(listed):
                 self._states.pop(address)
@@ -76,21 +80,41 @@
 
     def _used(self, instances: Iterable[Instance]) -> list[Instance]:
         by_service: dict[str, list[Instance]] = {}
+        routers = {self.name}
         for instance in instances:
             if instance.role == "agent":
                 by_service.setdefault(instance.service, []).append(instance)
+            elif instance.region == self.region:
+                routers.add(instance.name)
         used = []
-        for group in by_service.values():
+        for service, group in by_service.items():
             live = [each for each in group if each.state is InstanceState.LIVE]
             near = [each for each in live if each.region == self.region] or live or group
-            if len(near) <= self.subset:
-                used += near
-                continue
-            by_name = {each.name: each for each in near}
-            ranked = rank_owners(self.name, by_name)[: self.subset]
-            used += [by_name[name] for name in ranked]
+            names = self._subset_of(service, frozenset(routers), near)
+            used += [each for each in near if each.name in names]
         return used
 
+    def _subset_of(
+        self, service: str, routers: frozenset[str], near: list[Instance]
+    ) -> frozenset[str]:
+        """Return the names of the upstreams that this router uses out of those ``near``.
+
+        Each upstream is used by the routers that rank first for it, so that all upstreams are
+        used by equally many, and a router that comes or goes moves few of them.
+        """
+        names = frozenset(each.name for each in near)
+        if len(names) <= self.subset:
+            return names
+        known = self._subsets.get(service)
+        if known is not None and known[:2] == (routers, names):
+            return known[2]
+        users = max(_LEAST_USERS, -(-self.subset * len(routers) // len(names)))
+        chosen = frozenset(
+            name for name in names if self.name in rank_owners(name, routers)[:users]
+        )
+        self._subsets[service] = (routers, names, chosen)
+        return chosen
+
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses of all listed agents."""
         return tuple(self._states)
@@ -111,7 +135,8 @@
         if report.reported_ms >= state.report.reported_ms:
             state.report = report
             state.report_received_ms = now
-            state.in_flight_at_report = state.in_flight
+            others = max(0, report.running + report.waiting - state.in_flight)
+            state.others_in_flight += _REPORT_SMOOTHING * (others - state.others_in_flight)
 
     def choose(
         self,
@@ -120,18 +145,22 @@
         context: ChoiceContext,
         hits: dict[str, int],
         excluded: frozenset[str] = frozenset(),
+        share: float = 1.0,
     ) -> UpstreamState:
         """Return the upstream for a request and count the request there.
 
+        Work that may wait uses only a ``share`` of what upstreams take, so that it is the first
+        to be refused when they are short.
+
         Raises AspengateError of kind NO_UPSTREAM where none may be chosen, and OVERLOADED where
         all that may be are at their limit.
         """
         with self._lock:
             usable = self._usable(self._sample(service, context, hits), excluded)
-            open_ones = [state for state in usable if not _is_full(state)]
+            open_ones = [state for state in usable if not _is_full(state, share)]
             if not open_ones:
                 usable = self._usable(self._by_service.get(service, ()), excluded)
-                open_ones = [state for state in usable if not _is_full(state)]
+                open_ones = [state for state in usable if not _is_full(state, share)]
             if not open_ones:
                 kind = ErrorKind.OVERLOADED if usable else ErrorKind.NO_UPSTREAM
                 raise AspengateError(kind, f"no upstream for {service!r} can take the request")
@@ -141,16 +170,24 @@
             chosen.in_flight += 1
             return chosen
 
-    def finished(self, state: UpstreamState, *, failed: bool) -> None:
-        """Note that a request left an upstream; failures in a row eject it for a while."""
+    def finished(
+        self, state: UpstreamState, *, failed: bool, first_answer_ms: float | None = None
+    ) -> None:
+        """Note that a request left an upstream; failures in a row eject it for a while.
+
+        ``first_answer_ms`` is how long its first token took, where it streamed tokens.
+        """
         with self._lock:
+            now = self.clock.monotonic_ms()
+            if first_answer_ms is not None:
+                state.limit.observe(first_answer_ms, state.in_flight, now)
             state.in_flight = max(0, state.in_flight - 1)
             if not failed:
                 state.failures = 0
                 return
             state.failures += 1
             if state.failures >= _EJECT_AFTER_FAILURES:
-                state.ejected_until_ms = self.clock.monotonic_ms() + _EJECT_MS
+                state.ejected_until_ms = now + _EJECT_MS
                 state.failures = 0
 
     def _sample(
@@ -166,7 +203,7 @@
             return pool
         draw = context.generator.random
         sampled = {id(state): state for state in (pool[int(draw() * len(pool))] for _ in _DRAWS)}
-        for address in hits:
+        for address in sorted(hits):
             state = self._states.get(address)
             if state is not None and state.instance.service == service:
                 sampled[id(state)] = state
@@ -193,8 +230,7 @@
     def _candidate(self, state: UpstreamState, hits: dict[str, int], now: float) -> Candidate:
         age = max(0.0, now - state.report_received_ms)
         trust = 0.5 ** (age / _REPORT_HALF_LIFE_MS)
-        others = max(0, state.report.running + state.report.waiting - state.in_flight_at_report)
-        ahead = state.in_flight + trust * others
+        ahead = state.in_flight + _OTHERS_WEIGHT * trust * state.others_in_flight
         warm = min(1.0, (now - state.joined_ms) / _SLOW_START_MS)
         weight = state.weight * max(_SLOW_START_FLOOR, warm)
         return Candidate(
@@ -210,5 +246,7 @@
         return 0 if instance.failure_domain == self.failure_domain else 1
 
 
-def _is_full(state: UpstreamState) -> bool:
-    return bool(state.max_concurrency) and state.in_flight >= state.max_concurrency
+def _is_full(state: UpstreamState, share: float) -> bool:
+    if state.max_concurrency and state.in_flight >= state.max_concurrency:
+        return True
+    return not state.limit.allows(state.in_flight, share)
