Give up on a silent agent at once, and try what may be repeated elsewhere

Cause: a request sent to an agent that had just died waited for its whole deadline (30 s in the test, two minutes by default); nobody else could have answered it. Change: a router that waits looks every 250 ms whether the agent was heard of within the silence limit; where no byte came and the service's calls may be repeated, another agent is tried. A recovery counts one record for each request id, so that the lost attempt is not billed as well. A lost attempt and a dead router at once can still lose the attempt's bill.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -69,3 +69,14 @@
     When two editors who read the same table send different ones, and a reader sends one
     Then the first is accepted, the second gets a conflict that shows the change, the reader is refused
     And the accepted edit is in force in every router
+
+  Scenario: A region that is cut off spends only what it holds, and all adds up afterwards
+    Given a fleet in two regions that share a small budget
+    When one region is cut off and both spend until they are refused
+    Then together they spent no more than the budget
+    And after the cut the budget's last credits can be spent and the bill is what was delivered
+
+  Scenario: An upstream's agent that dies takes its open answers along, and nothing else
+    Given a fleet with a model and a plain service
+    When an agent dies while it streams to ten callers
+    Then no caller gets a cut answer as a whole one, and later requests run elsewhere
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -399,3 +399,93 @@
             router.table.view.services["files"].priority == 3 for router in routers(context)
         )
     )
+
+
+@given("a fleet in two regions that share a small budget")
+def two_regions(context):
+    rows = tuple(row for row in ROWS if row.name != "small")
+    services = (LocalService("files", "plain", 1),)
+    fleet = LocalFleet(
+        (*rows, BudgetRow(name="small", limit=1_000)),
+        services,
+        regions=("north", "south"),
+        routers_per_region=2,
+    )
+    start(context, fleet)
+    context.delivered = 0
+
+
+def spend(context, router, times):
+    """Ask for files at 10 credits each; return how often it was refused."""
+    refused = 0
+    for number in range(times):
+        status, data = ask(router, "GET", f"/services/files/{number}", key="poor-key")
+        context.delivered += 10 * (status == 200)
+        refused += status != 200
+        if status != 200:
+            assert json.loads(data)["error"]["run_state"] == "not_run", data
+    return refused
+
+
+@when("one region is cut off and both spend until they are refused")
+def cut_and_spend(context):
+    by_region = {router.settings.region: router for router in routers(context)}
+    for router in by_region.values():
+        assert not spend(context, router, 5)
+    context.fleet.network.cut.add("south")
+    refused = [spend(context, router, 120) for router in by_region.values()]
+    assert all(refused), refused
+
+
+@then("together they spent no more than the budget")
+def within_budget(context):
+    assert 100 < context.delivered <= 1_000, context.delivered
+
+
+@then("after the cut the budget's last credits can be spent and the bill is what was delivered")
+def all_adds_up(context):
+    context.fleet.network.cut.clear()
+    router = routers(context)[0]
+
+    def spent_out():
+        spend(context, router, 1)
+        return context.delivered == 1_000
+
+    eventually(spent_out)
+    assert spend(context, router, 5) == 5
+
+    def billed():
+        shards = router.editor.shards()
+        return sum(shard.budgets["small"].spent for shard in shards if "small" in shard.budgets)
+
+    eventually(lambda: billed() == 1_000)
+
+
+@when("an agent dies while it streams to ten callers")
+def agent_dies(context):
+    router = routers(context)[0]
+    opened = [
+        send(router, "POST", "/v1/completions", completion(f"stream {number}", 100, True))
+        for number in range(10)
+    ]
+    name = next(name for name in context.fleet.agents if "essay" in name)
+    context.fleet.kill_agent(name)
+    context.ends = []
+    for _, response in opened:
+        try:
+            context.ends.append(response.read())
+        except http.client.HTTPException:
+            context.ends.append(b"cut")
+
+
+@then("no caller gets a cut answer as a whole one, and later requests run elsewhere")
+def cut_or_whole(context):
+    for number, data in enumerate(context.ends):
+        if data != b"cut":
+            assert words_of_stream(data) == expected_words(f"stream {number}", 100)
+    eventually(
+        lambda: all(
+            ask(router, "POST", "/v1/completions", completion("later", 2))[0] == 200
+            for router in routers(context)
+        )
+    )
--- a/src/aspengate/agent/_answers.py
+++ b/src/aspengate/agent/_answers.py
@@ -125,6 +125,12 @@
         """How many answers are in progress."""
         return len({id(answer) for answer in self._streams.values()})
 
+    def listeners(self) -> frozenset[str]:
+        """Return the addresses of the routers that wait for running answers."""
+        with self._lock:
+            running = list(self._streams.values())
+        return frozenset(each.reply_to for answer in running for each in answer.subscribers)
+
     def open(self, subscriber: Subscriber, answer: KeptAnswer) -> bool:
         """Note a new answer; return whether neither its stream nor its key was known."""
         stream = (subscriber.router_session, subscriber.stream)
--- a/src/aspengate/agent/_daemon.py
+++ b/src/aspengate/agent/_daemon.py
@@ -215,7 +215,7 @@
             for router, seen in self._routers.copy().items()
             if now - seen < _ROUTER_SILENT_MS
         }
-        self.outbox.forget(self._routers)
+        self.outbox.forget({*self._routers, *self.answers.listeners()})
         message = Heartbeat(
             sender=self.settings.name,
             reply_to=self.address,
@@ -224,7 +224,7 @@
             table_version=0,
         )
         quiet_since = now - self.settings.heartbeat_ms
-        for router in tuple(self._routers):
+        for router in {*self._routers, *self.answers.listeners()}:
             if self.gate.leaving or self.outbox.sent_ms.get(router, -math.inf) <= quiet_since:
                 self.peer.send(router, message)
 
--- a/src/aspengate/budgets/_recovery.py
+++ b/src/aspengate/budgets/_recovery.py
@@ -70,13 +70,22 @@
             for closed in self.closed.values()
         }
         by_block: dict[str, list[UsageRecord]] = {}
-        for record in self.records.values():
+        for record in self._distinct_records():
             by_block.setdefault(record.block_id, []).append(record)
         for block_id, records in by_block.items():
             if block_id not in found:
                 found[block_id] = _from_records(block_id, records, wanted)
         return tuple(found.values())
 
+    def _distinct_records(self) -> list[UsageRecord]:
+        """Return one record for each request: a repeated attempt must not be billed twice."""
+        latest: dict[str, UsageRecord] = {}
+        for record in self.records.values():
+            known = latest.get(record.request_id)
+            if known is None or record.finished_ms > known.finished_ms:
+                latest[record.request_id] = record
+        return list(latest.values())
+
 
 def billed_item(record: UsageRecord) -> BilledItem:
     """Return the invoice line of a usage record."""
--- a/src/aspengate/router/_pipeline.py
+++ b/src/aspengate/router/_pipeline.py
@@ -23,7 +23,8 @@
 class Pipeline:
     """Takes a request through admission, then through attempts until one agent has started it.
 
-    An attempt is repeated, on another upstream, only where the agent truly refused it.
+    An attempt is repeated, on another upstream, where the agent truly refused it, or where the
+    agent was lost before its answer began and the service's calls may be repeated.
     """
 
     def __init__(self, parts: FilterParts, retries: RetryBudget) -> None:
@@ -62,10 +63,12 @@
         raise AssertionError("the last attempt returns or raises")
 
     def _may_retry(self, failure: "_PassError", admitted: Exchange) -> bool:
-        tried = failure.exchange.upstream is not None
-        if not tried or failure.cause.kind not in _RETRYABLE:
+        exchange = failure.exchange
+        if exchange.upstream is None or exchange.joined_agent:
             return False
-        if failure.exchange.joined_agent:
+        lost = failure.cause.kind is ErrorKind.OUTCOME_UNKNOWN
+        harmless = exchange.known_service.repeatable and not exchange.request.idempotency_key
+        if failure.cause.kind not in _RETRYABLE and not (lost and harmless):
             return False
         expired = self.parts.clock.now_ms() >= admitted.request.deadline_ms
         return not expired and self.retries.take()
@@ -82,7 +85,7 @@
     def _first_frame(self, exchange: Exchange) -> Answer:
         stream = _stream(exchange)
         try:
-            frame = stream.next(self._remaining(exchange))
+            frame = stream.next(self._remaining(exchange), lambda: self._is_lost(stream))
         except AspengateError as error:
             self._cancel(stream)
             raise _PassError(exchange, error) from error
@@ -109,7 +112,14 @@
     ) -> Answer:
         """Return the answer; a short one is waited for, so that its cost goes in a header."""
         length = next((each.value for each in headers if each.name.lower() == "content-length"), "")
-        relay = Relay(exchange, stream, self.parts.clock, self.parts.counters, self._cancel)
+        relay = Relay(
+            exchange,
+            stream,
+            self.parts.clock,
+            self.parts.counters,
+            self._cancel,
+            lambda: self._is_lost(stream),
+        )
         if length.isdigit() and int(length) <= _WHOLE_ANSWER_BYTES:
             body = b"".join(relay)
             cost = relay.usage.cost if relay.usage else 0
@@ -119,6 +129,9 @@
             return Answer(status, headers, iter(()), relay.pump)
         return Answer(status, headers, iter(relay))
 
+    def _is_lost(self, stream: AnswerStream) -> bool:
+        return self.parts.registry.is_silent(stream.agent)
+
     def _remaining(self, exchange: Exchange) -> float:
         deadline = exchange.request.deadline_ms + ANSWER_MARGIN_MS
         return deadline - self.parts.clock.now_ms()
--- a/src/aspengate/router/_relay.py
+++ b/src/aspengate/router/_relay.py
@@ -11,6 +11,7 @@
 from aspengate.transport import Chunk, Done, UsageRecord
 
 ANSWER_MARGIN_MS = 1_000
+_LOOK_MS = 250.0
 
 Cancellation = Callable[[AnswerStream], None]
 
@@ -29,6 +30,7 @@
         clock: Clock,
         counters: Counters,
         cancel: Cancellation,
+        is_lost: Callable[[], bool],
     ) -> None:
         self.exchange = exchange
         self.stream = stream
@@ -36,6 +38,7 @@
         self.counters = counters
         self.usage: UsageRecord | None = None
         self._cancel = cancel
+        self._is_lost = is_lost
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield the body; what has come meanwhile is yielded in one piece."""
@@ -43,7 +46,10 @@
         try:
             while True:
                 remaining = self.exchange.request.deadline_ms - self.clock.now_ms()
-                frames = [self.stream.next(remaining + ANSWER_MARGIN_MS), *self.stream.ready()]
+                frames = [
+                    self.stream.next(remaining + ANSWER_MARGIN_MS, self._is_lost),
+                    *self.stream.ready(),
+                ]
                 data = b"".join(frame.data for frame in frames if isinstance(frame, Chunk))
                 if data:
                     yield data
@@ -64,8 +70,12 @@
         """
         pump = _Pump(self.stream, write, self.clock)
         self.stream.attach(pump.take)
-        remaining = self.exchange.request.deadline_ms - self.clock.now_ms() + ANSWER_MARGIN_MS
-        pump.ended.wait(max(0.0, remaining) / 1_000)
+        deadline_ms = self.exchange.request.deadline_ms + ANSWER_MARGIN_MS
+        remaining: float = deadline_ms - self.clock.now_ms()
+        while not pump.ended.wait(max(0.0, min(remaining, _LOOK_MS)) / 1_000):
+            remaining -= _LOOK_MS
+            if remaining <= 0 or self._is_lost():
+                pump.ended.set()
         self.usage = pump.done.usage if pump.done else None
         error = pump.done.error if pump.done else ErrorKind.OUTCOME_UNKNOWN.value
         first = pump.first_ms
--- a/src/aspengate/router/_streams.py
+++ b/src/aspengate/router/_streams.py
@@ -9,6 +9,8 @@
 from aspengate.telemetry import Counters
 from aspengate.transport import Chunk, Chunks, Done, Message, Refused, Started
 
+_LOOK_MS = 250.0
+
 Frame = Started | Chunk | Done | Refused
 Sink = Callable[[Frame], None]
 
@@ -43,18 +45,24 @@
                 sink(self._frames.get_nowait())
             self._sink = sink
 
-    def next(self, timeout_ms: float) -> Frame:
+    def next(self, timeout_ms: float, is_lost: Callable[[], bool]) -> Frame:
         """Return the next frame; raises OUTCOME_UNKNOWN where none came in time.
 
-        A piece that does not start where the last one ended is an error of the same kind: a
-        caller never gets an answer with a hole.
+        It gives up early once ``is_lost`` says that the agent is gone. A piece that does not
+        start where the last one ended is an error of the same kind: a caller never gets an
+        answer with a hole.
         """
-        try:
-            frame = self._frames.get(timeout=max(0.0, timeout_ms) / 1_000)
-        except queue.Empty:
-            raise AspengateError(
-                ErrorKind.OUTCOME_UNKNOWN, "no word from the agent in time", where=self.agent
-            ) from None
+        frame = None
+        left = timeout_ms
+        while frame is None:
+            try:
+                frame = self._frames.get(timeout=max(0.0, min(left, _LOOK_MS)) / 1_000)
+            except queue.Empty:
+                left -= _LOOK_MS
+                if left <= 0 or is_lost():
+                    raise AspengateError(
+                        ErrorKind.OUTCOME_UNKNOWN, "no word from the agent", where=self.agent
+                    ) from None
         self.check(frame)
         return frame
 
--- a/src/aspengate/routing/_registry.py
+++ b/src/aspengate/routing/_registry.py
@@ -1,7 +1,7 @@
 """All upstreams that a router knows, and which of them may be chosen."""
 
 import threading
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
@@ -54,13 +54,16 @@
         self._states: dict[str, UpstreamState] = {}
         self._subsets: dict[str, tuple[frozenset[str], frozenset[str], frozenset[str]]] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
+        self._heard: dict[str, float] = {}
         self._lock = threading.Lock()
 
-    def update(self, instances: Iterable[Instance], table: TableView) -> None:
+    def update(self, instances: Collection[Instance], table: TableView) -> None:
         """Take over the instance list and the operators' words on upstreams."""
         now = self.clock.monotonic_ms()
         listed = {instance.address: instance for instance in self._used(instances)}
+        known = {instance.address for instance in instances}
         with self._lock:
+            self._heard = {key: at for key, at in self._heard.items() if key in known}
             for address in set(self._states) - set(listed):
                 self._states.pop(address)
             for address, instance in listed.items():
@@ -121,16 +124,30 @@
 
     def touch(self, address: str) -> None:
         """Note that an agent lives, since it sent part of an answer."""
+        now = self.clock.monotonic_ms()
+        self._heard[address] = now
+        state = self._states.get(address)
+        if state is not None:
+            state.heard_ms = now
+
+    def is_silent(self, address: str) -> bool:
+        """Return whether an agent that was sent work has not been heard of for too long.
+
+        An agent that is leaving still answers what it has, so it need not be in use any more.
+        """
+        last = self._heard.get(address, float("-inf"))
         state = self._states.get(address)
         if state is not None:
-            state.heard_ms = self.clock.monotonic_ms()
+            last = max(last, state.heard_ms)
+        return self.clock.monotonic_ms() - last > self.silent_after_ms
 
     def heard(self, address: str, report: LoadReport) -> None:
         """Take an agent's word of its load."""
+        now = self.clock.monotonic_ms()
+        self._heard[address] = now
         state = self._states.get(address)
         if state is None:
             return
-        now = self.clock.monotonic_ms()
         state.heard_ms = now
         if report.reported_ms >= state.report.reported_ms:
             state.report = report
