Keep every itemised call: full pages leave the shard for an archive

Cause: a shard kept the latest 2,000 items and dropped older ones, so a licence review could be missing on an invoice. Change: 500 items at a time move to a page of their own, written before they leave the shard. Before: items above 2,000 lost (totals right). After: 1,300 calls settled with lost answers are all on the invoice, once each, 1,000 of them from two pages.

--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -47,3 +47,8 @@
     When the budget experiments run for a short time
     Then no design overspends
     And ours falsely refuses at most a fifth of what a static split does when a region is cut
+
+  Scenario: Itemised calls stay on the invoice however many there are
+    Given a shard of an itemised service in a store that fails now and then
+    When 1300 calls are settled in many writes
+    Then the invoice lists each of them once
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -6,6 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from aspengate.agent import DispatchGate
+from aspengate.billing import invoice_of
 from aspengate.budgets import (
     Budget,
     CloseSession,
@@ -19,9 +20,11 @@
 from aspengate.clock import ManualClock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.experiments import budget_scenarios, run_budget_scenario, scaled
-from aspengate.router import TableEditor
+from aspengate.router import StewardService, TableEditor
 from aspengate.standins import MemoryStore
 from aspengate.table import BudgetRow, RowChange
+from aspengate.telemetry import NullCounters
+from aspengate.transport import BlockClosed, DrawRequest, UsageRecord
 from budget_world import BUDGET, LIMIT, World, make_dispatch
 
 PLACE_NUMBERS = (0, 1)
@@ -352,3 +355,48 @@
     split = context.results["region_cut", "static_split"].false_refusals
     assert split > 0
     assert ours * 5 <= split, (ours, split)
+
+
+@given("a shard of an itemised service in a store that fails now and then")
+def itemised(context):
+    context.store = MemoryStore()
+    context.editor = TableEditor(context.store, ManualClock(), 1)
+    context.editor.change((RowChange(None, BudgetRow(name=BUDGET, limit=10**6)),), "operator")
+    context.service = StewardService(
+        session="s",
+        region="region",
+        address="",
+        store=context.store,
+        clock=ManualClock(),
+        counters=NullCounters(),
+        send=lambda address, message: True,
+        policy=SizingPolicy(),
+        honour_ms=10**6,
+        shard_count=1,
+        on_closed=lambda: None,
+    )
+
+
+@when("{count:d} calls are settled in many writes")
+def settle_many(context, count):
+    for start in range(0, count, 100):
+        context.store.faults.lose_answers = start // 100 % 3
+        for number in range(start, start + 100):
+            drawn = context.service.draw(DrawRequest(0, "", "router", BUDGET, 1, 1))
+            record = UsageRecord(
+                f"call-{number}", drawn.block_id, 1, "s", "router", BUDGET, "a", "s", 0, 0, 1, 0
+            )
+            closed = BlockClosed("", "router", drawn.block_id, "s", BUDGET, {"a|s": 1}, (record,))
+            context.service.close_block(closed)
+        context.service.settle()
+    context.store.faults.lose_answers = 0
+    context.service.settle()
+
+
+@then("the invoice lists each of them once")
+def invoice_lists(context):
+    invoice = invoice_of("a", context.editor.invoice_shards())
+    assert [item.request_id for item in invoice.items] == [f"call-{n}" for n in range(1_300)]
+    assert invoice.total == 1_300
+    (shard,) = context.editor.shards()
+    assert shard.item_pages == 2
--- a/src/aspengate/budgets/_codec.py
+++ b/src/aspengate/budgets/_codec.py
@@ -45,7 +45,7 @@
     items: tuple[BilledItem, ...]
     changes: tuple[LimitChange, ...]
     operations: tuple[bytes, ...]
-    lost_items: int
+    item_pages: int
 
 
 class _Names:
@@ -77,7 +77,7 @@
         items=shard.items,
         changes=shard.changes,
         operations=tuple(operation.encode() for operation in shard.operations),
-        lost_items=shard.lost_items,
+        item_pages=shard.item_pages,
     )
     return _ENCODER.encode(stored)
 
@@ -95,7 +95,7 @@
             items=stored.items,
             changes=stored.changes,
             operations=tuple(operation.decode() for operation in stored.operations),
-            lost_items=stored.lost_items,
+            item_pages=stored.item_pages,
         )
     except (msgspec.MsgspecError, IndexError, UnicodeDecodeError) as error:
         raise AspengateError(ErrorKind.INTERNAL, str(error), where="budget shard") from error
--- a/src/aspengate/budgets/_shard.py
+++ b/src/aspengate/budgets/_shard.py
@@ -137,7 +137,7 @@
     items: tuple[BilledItem, ...] = ()
     changes: tuple[LimitChange, ...] = ()
     operations: tuple[str, ...] = ()
-    lost_items: int = 0
+    item_pages: int = 0
 
     def has_applied(self, operation_id: str) -> bool:
         """Return whether the write with this id is among the latest that took effect."""
@@ -183,6 +183,13 @@
     holder: str
 
 
+class ArchiveItems(Command, frozen=True):
+    """The oldest items stand in page ``page`` of the archive and leave the shard."""
+
+    page: int
+    count: int
+
+
 class SetLimit(Command, frozen=True):
     """An operator creates a budget or sets its limit.
 
@@ -204,7 +211,7 @@
     changed_ms: int
 
 
-_ITEMS_KEPT = 2_000
+ITEMS_A_PAGE = 500
 _CHANGES_KEPT = 200
 
 
@@ -296,6 +303,15 @@
     return msgspec.structs.replace(shard, sessions=sessions)
 
 
+@_apply.register
+def _archive_items(command: ArchiveItems, shard: Shard) -> Shard:
+    if shard.item_pages != command.page:
+        return shard
+    return msgspec.structs.replace(
+        shard, items=shard.items[command.count :], item_pages=command.page + 1
+    )
+
+
 @_apply.register
 def _set_limit(command: SetLimit, shard: Shard) -> Shard:
     _require(command.limit >= 0, "a limit can't be negative")
@@ -357,11 +373,7 @@
 def _with_items(shard: Shard, items: tuple[BilledItem, ...]) -> Shard:
     known = {item.request_id for item in shard.items}
     fresh = tuple(item for item in items if item.request_id not in known)
-    kept = (*shard.items, *fresh)
-    dropped = max(0, len(kept) - _ITEMS_KEPT)
-    return msgspec.structs.replace(
-        shard, items=kept[dropped:], lost_items=shard.lost_items + dropped
-    )
+    return msgspec.structs.replace(shard, items=(*shard.items, *fresh))
 
 
 def _with_change(shard: Shard, entry: LimitChange) -> Shard:
--- a/src/aspengate/cli/_invoice.py
+++ b/src/aspengate/cli/_invoice.py
@@ -24,7 +24,7 @@
     def __call__(self) -> None:
         """Print the invoice."""
         editor = open_editor(self.store, self.budget_shards)
-        invoice = invoice_of(self.account, editor.shards())
+        invoice = invoice_of(self.account, editor.invoice_shards())
         if self.as_csv:
             writer = csv.writer(sys.stdout, lineterminator="\n")
             writer.writerow(("budget", "service", "request_id", "credits"))
--- a/src/aspengate/router/__init__.py
+++ b/src/aspengate/router/__init__.py
@@ -2,7 +2,7 @@
 
 from aspengate.router._daemon import Router
 from aspengate.router._settings import RouterSettings
-from aspengate.router._stewards import budget_document
+from aspengate.router._stewards import StewardService, budget_document
 from aspengate.router._streams import AnswerStream, StreamTable
 from aspengate.router._table import TableEditor, TableFollower
 
@@ -10,6 +10,7 @@
     "AnswerStream",
     "Router",
     "RouterSettings",
+    "StewardService",
     "StreamTable",
     "TableEditor",
     "TableFollower",
--- a/src/aspengate/router/_stewards.py
+++ b/src/aspengate/router/_stewards.py
@@ -22,6 +22,7 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.platform import DocumentCodec, Store, StoreDocument, VersionedValue
+from aspengate.router._items import archive_full_page
 from aspengate.telemetry import Counters, log_change
 from aspengate.transport import (
     BlockClosed,
@@ -47,6 +48,7 @@
     time go to the store.
     """
 
+    number: int
     steward: ShardSteward
     document: StoreDocument[Shard]
     current: VersionedValue[Shard] | None = None
@@ -227,7 +229,7 @@
                 steward = ShardSteward(
                     self.session, self.region, self.address, self.policy, self.honour_ms
                 )
-                state = _ShardState(steward, self.shard_document(number))
+                state = _ShardState(number, steward, self.shard_document(number))
                 self._shards[number] = state
             return state
 
@@ -330,6 +332,8 @@
             settled = state.steward.applied(write, written.value, self.clock.now_ms())
             told = self._addresses_of(state, settled)
         self.counters.count("steward.writes")
+        if archive_full_page(self._store, state.number, state.document, written.value):
+            state.current = None
         for address, block_ids in told.items():
             self._send(address, BlocksSettled(tuple(block_ids)))
 
--- a/src/aspengate/router/_table.py
+++ b/src/aspengate/router/_table.py
@@ -4,6 +4,8 @@
 import uuid
 from collections.abc import Callable
 
+import msgspec
+
 from aspengate.budgets import (
     Command,
     DropBudget,
@@ -15,6 +17,7 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.platform import Store
+from aspengate.router._items import archived_items
 from aspengate.router._stewards import budget_document
 from aspengate.table import (
     AnyRow,
@@ -128,6 +131,15 @@
             budget_document(self._store, number).read().value for number in range(self.shard_count)
         )
 
+    def invoice_shards(self) -> tuple[Shard, ...]:
+        """Return every budget shard with its archived items back in it."""
+        return tuple(
+            msgspec.structs.replace(
+                shard, items=(*archived_items(self._store, number, shard), *shard.items)
+            )
+            for number, shard in enumerate(self.shards())
+        )
+
     def replace(self, rows: tuple[AnyRow, ...], actor: str, expected_version: str = "") -> int:
         """Make the table hold exactly ``rows``; return the version that it led to.
 
