--- a/bench/control.py
+++ b/bench/control.py
@@ -74,10 +74,16 @@
     connection.close()
 
 
-def start_fleet(folder: str) -> dict[str, Daemon]:
-    """Start everything; return the daemons of ours by name."""
+def start_fleet(folder: str, engine: dict[str, str] | None = None) -> dict[str, Daemon]:
+    """Start everything; return all processes by name. ``engine`` adds to its settings."""
+    extra = {"engine": engine or {}}
     stand_ins = {
-        kind: Daemon(folder, kind, ["stand-in", kind], {"stand-in": {"listen": ANY}})
+        kind: Daemon(
+            folder,
+            kind,
+            ["stand-in", kind],
+            {"stand-in": {"listen": ANY, **extra.get(kind, {})}},
+        )
         for kind in ("store", "instances", "engine")
     }
     addresses = {kind: each.find(rf"{kind} at (\S+)") for kind, each in stand_ins.items()}
