Keep agents' records until the block's own steward has settled it

Cause (found by reading): after a recovery, agents were told to forget every block of the dead router that anyone knew of, also blocks that another steward had lent and not settled yet; that steward then found no records and closed its blocks with nothing billed. A dead session already settled once was also never looked at again by the same router for other shards. Change: only blocks that are in the store by this recovery are announced; what is left to do is read from the shards and not remembered apart. Before: 'Agents keep the records ...' failed with both blocks announced. After: it passes, and so do two scenarios with routers that die as steward and as borrower. Ruled out by those two: a loss in the ordinary case, where one router recovers everything.

--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -52,3 +52,8 @@
     Given a shard of an itemised service in a store that fails now and then
     When 1300 calls are settled in many writes
     Then the invoice lists each of them once
+
+  Scenario: Agents keep the records of blocks that someone else has still to settle
+    Given a dead router that had borrowed from two stewards
+    When one of the two settles what it had lent
+    Then agents are told to forget its blocks and not the other's
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -80,3 +80,14 @@
     Given a fleet with a model and a plain service
     When an agent dies while it streams to ten callers
     Then no caller gets a cut answer as a whole one, and later requests run elsewhere
+
+  Scenario Outline: The bill of a router that dies is found out from the agents
+    Given a fleet with a model and a plain service
+    When a router that is <role> of the budget dies after ten calls
+    Then in the end the store has billed each once
+    And no dead session holds money
+
+    Examples:
+      | role         |
+      | the steward  |
+      | no steward   |
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -1,5 +1,7 @@
 """Steps of budgets.feature."""
 
+from types import SimpleNamespace
+
 from behave import given, then, when
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -11,6 +13,7 @@
     Budget,
     CloseSession,
     DrawStep,
+    Recovery,
     SetLimit,
     Shard,
     ShardSteward,
@@ -20,11 +23,11 @@
 from aspengate.clock import ManualClock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.experiments import budget_scenarios, run_budget_scenario, scaled
-from aspengate.router import StewardService, TableEditor
+from aspengate.router import RecoveryService, StewardService, TableEditor
 from aspengate.standins import MemoryStore
-from aspengate.table import BudgetRow, RowChange
+from aspengate.table import BudgetRow, RowChange, TableView
 from aspengate.telemetry import NullCounters
-from aspengate.transport import BlockClosed, DrawRequest, UsageRecord
+from aspengate.transport import BlockClosed, DrawRequest, FenceAck, UsageRecord
 from budget_world import BUDGET, LIMIT, World, make_dispatch
 
 PLACE_NUMBERS = (0, 1)
@@ -400,3 +403,54 @@
     assert invoice.total == 1_300
     (shard,) = context.editor.shards()
     assert shard.item_pages == 2
+
+
+@given("a dead router that had borrowed from two stewards")
+def borrowed_from_two(context):
+    itemised(context)
+    context.editor.change((RowChange(None, BudgetRow(name="other", limit=10**6)),), "operator")
+    own = context.service.draw(DrawRequest(0, "", "dead@x", BUDGET, 5, 5)).block_id
+    context.blocks = {own: BUDGET, "second#dead@x#1": "other"}
+    context.recovery = Recovery("dead@x", frozenset({"agent"}), certain_ms=2**60)
+    records = tuple(
+        UsageRecord(
+            block, block, 1, block.partition("#")[0], "dead@x", budget, "a", "s", 0, 0, 3, 0
+        )
+        for block, budget in context.blocks.items()
+    )
+    context.recovery.add(FenceAck(0, "agent", "dead@x", records))
+
+
+@when("one of the two settles what it had lent")
+def one_settles(context):
+    context.sent = []
+    peer = SimpleNamespace(
+        address="self", send=lambda address, message: context.sent.append(message)
+    )
+    members = SimpleNamespace(name="self", processes=lambda: frozenset({"agent"}))
+    service = RecoveryService(
+        session="s",
+        region="region",
+        store=context.store,
+        clock=ManualClock(),
+        counters=NullCounters(),
+        peer=peer,
+        members=members,
+        stewards=context.service,
+        money=SimpleNamespace(routers={}),
+        claims=SimpleNamespace(fenced=set()),
+        list_lag_ms=0,
+        longest_run_ms=0,
+        honour_ms=0,
+        clock_error_ms=0,
+    )
+    context.cleanup.callback(service.close)
+    service._settle(context.recovery, TableView())
+
+
+@then("agents are told to forget its blocks and not the other's")
+def told(context):
+    own = next(iter(context.blocks))
+    assert [message.block_ids for message in context.sent] == [(own,)], context.sent
+    (shard,) = context.editor.shards()
+    assert shard.budgets[BUDGET].spent == 3
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -10,7 +10,9 @@
 import uuid6
 from behave import given, then, when
 
+from aspengate.budgets import owner_key, shard_of
 from aspengate.demo import LocalFleet, LocalService
+from aspengate.membership import owner_of
 from aspengate.standins import expected_words, file_bytes
 from aspengate.table import (
     BudgetRow,
@@ -489,3 +491,28 @@
             for router in routers(context)
         )
     )
+
+
+@when("a router that is {role} of the budget dies after ten calls")
+def router_dies_after_calls(context, role):
+    eventually(lambda: all(len(router.money.routers) == 2 for router in routers(context)))
+    first = routers(context)[0]
+    shard = shard_of("main", first.settings.budget_shards)
+    steward = owner_of(owner_key("region-1", shard), context.fleet.routers)
+    name = next(
+        name for name in context.fleet.routers if (name == steward) == (role == "the steward")
+    )
+    for number in range(10):
+        assert ask(context.fleet.routers[name], "GET", f"/services/files/{number}")[0] == 200
+    context.dead = context.fleet.routers[name].session
+    context.fleet.kill_router(name)
+    context.cost = 100
+
+
+@then("no dead session holds money")
+def no_dead_session(context):
+    eventually(
+        lambda: all(
+            context.dead not in shard.sessions for shard in routers(context)[0].editor.shards()
+        )
+    )
--- a/src/aspengate/router/_claims.py
+++ b/src/aspengate/router/_claims.py
@@ -151,6 +151,7 @@
             for shard, tenure in self._tenures.copy().items()
             if tenure.owner
             and tenure.owner != self.session
+            and tenure.owner not in self.fenced
             and owner_of(f"claims/{shard}", members) == self.name
         )
 
--- a/src/aspengate/router/_recovery.py
+++ b/src/aspengate/router/_recovery.py
@@ -1,6 +1,5 @@
 """Finding dead sessions and giving back what they did not spend."""
 
-import threading
 import uuid
 from concurrent.futures import ThreadPoolExecutor
 
@@ -13,6 +12,7 @@
     Shard,
     apply_commands,
     owner_key,
+    shard_of,
 )
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
@@ -73,11 +73,9 @@
         self._fences = fences_document(store)
         self._fenced_ms: dict[str, int] = {}
         self._recoveries: dict[str, Recovery] = {}
-        self._done: set[str] = set()
         self._scanned: dict[int, frozenset[str]] = {}
         self._generation = -1
         self._pool = ThreadPoolExecutor(_ASKERS, thread_name_prefix="recovery")
-        self._lock = threading.Lock()
 
     def tick(self, table: TableView) -> None:
         """Advance every recovery by one step; I/O, so call it from its own loop."""
@@ -96,13 +94,7 @@
         known = set(self._stewards.borrowers())
         known.update(*self._scanned.values())
         known.update(self._claims.predecessors())
-        with self._lock:
-            self._done &= known
-        return frozenset(
-            session
-            for session in known
-            if session not in self._done and self._members.is_dead(session)
-        )
+        return frozenset(session for session in known if self._members.is_dead(session))
 
     def _scan(self) -> None:
         """Read the shards that fall to this router, a few at a time.
@@ -198,37 +190,52 @@
         itemised = [row.name for row in table.services.values() if row.itemised]
         blocks = recovery.blocks(itemised)
         self._claims.fenced.add(recovery.session)
-        self._close_borrowed(recovery.session, blocks)
+        settled = self._close_borrowed(recovery.session, blocks)
         for number in range(self._stewards.shard_count):
             if self._owns(number):
-                self._close_held(recovery.session, number, blocks)
-        settled = BlocksSettled(tuple(block.block_id for block in blocks))
+                settled += self._close_held(recovery.session, number, blocks)
+                self._scanned[number] = self._scanned.get(number, frozenset()) - {recovery.session}
         for address in self._members.processes():
-            self._peer.send(address, settled)
-        with self._lock:
-            self._done.add(recovery.session)
+            self._peer.send(address, BlocksSettled(tuple(settled)))
         self._recoveries.pop(recovery.session, None)
         self.counters.count("recovery.completed")
         log_change("recovery.completed", session=recovery.session, blocks=len(blocks))
 
-    def _close_borrowed(self, session: str, blocks: tuple[RecoveredBlock, ...]) -> None:
+    def _close_borrowed(self, session: str, blocks: tuple[RecoveredBlock, ...]) -> list[str]:
+        """Settle what we lent to the session; return the blocks that are in the store.
+
+        Only those may be forgotten by the agents: a block that another steward lent is that
+        steward's to settle, and until then the agents' records are all that is known of it.
+        """
         found = {block.block_id: block for block in blocks}
-        for block_id, budget in self._stewards.open_blocks_of(session).items():
+        borrowed = self._stewards.open_blocks_of(session)
+        for block_id, budget in borrowed.items():
             block = found.get(block_id, RecoveredBlock(block_id, budget, {}))
             self._stewards.close_recovered(block)
-
-    def _close_held(self, session: str, number: int, blocks: tuple[RecoveredBlock, ...]) -> None:
+        self._stewards.settle()
+        return [
+            block_id
+            for block_id, budget in borrowed.items()
+            if self._stewards.is_settled(block_id, budget)
+        ]
+
+    def _close_held(
+        self, session: str, number: int, blocks: tuple[RecoveredBlock, ...]
+    ) -> list[str]:
+        """Settle what the session held of a shard; return its blocks, which are in the store."""
         document = budget_document(self._store, number)
         operation_id = uuid.uuid4().hex
 
+        held = [
+            block
+            for block in blocks
+            if block.block_id.startswith(f"{session}#")
+            and shard_of(block.budget, self._stewards.shard_count) == number
+        ]
+
         def transition(shard: Shard) -> Shard:
             if session not in shard.sessions:
                 return apply_commands(shard, operation_id, [])
-            held = [
-                block
-                for block in blocks
-                if block.block_id.startswith(f"{session}#") and block.budget in shard.budgets
-            ]
             commands: list[Command] = [
                 SettleBlocks(
                     session,
@@ -241,3 +248,4 @@
 
         if session in document.read().value.sessions:
             document.update(operation_id, transition)
+        return [block.block_id for block in held]
--- a/src/aspengate/router/_stewards.py
+++ b/src/aspengate/router/_stewards.py
@@ -121,14 +121,11 @@
         """Take a router's final account; answer at once where it is settled already."""
         state = self._state(shard_of(closed.budget, self.shard_count))
         items = [billed_item(record) for record in closed.items]
-        router_session, number = block_number(closed.block_id)
         with state.lock:
-            session = state.steward.shard.sessions.get(closed.holder)
-            settled = session.settled.get(router_session) if session else None
-            if settled is not None and settled.contains(number):
-                reply: Message | None = BlocksSettled((closed.block_id,))
+            reply: Message | None = None
+            if _is_settled(state.steward.shard, closed.block_id):
+                reply = BlocksSettled((closed.block_id,))
             else:
-                reply = None
                 state.answer_to[closed.block_id] = closed.reply_to
                 state.steward.close_block(closed.block_id, closed.bills, items, self.clock.now_ms())
         if reply is not None:
@@ -140,6 +137,12 @@
         with state.lock:
             state.steward.close_block(block.block_id, block.bills, block.items, self.clock.now_ms())
 
+    def is_settled(self, block_id: str, budget: str) -> bool:
+        """Return whether the store is known to have a block of ours settled."""
+        state = self._state(shard_of(budget, self.shard_count))
+        with state.lock:
+            return _is_settled(state.steward.shard, block_id)
+
     def trim_block(self, trimmed: BlockTrimmed) -> None:
         """Take back a part of an open block."""
         state = self._state(shard_of(trimmed.budget, self.shard_count))
@@ -362,6 +365,13 @@
 _SHARD_CODEC = DocumentCodec(encode_shard, decode_shard)
 
 
+def _is_settled(shard: Shard, block_id: str) -> bool:
+    router_session, number = block_number(block_id)
+    session = shard.sessions.get(block_id.partition("#")[0])
+    settled = session.settled.get(router_session) if session else None
+    return settled is not None and settled.contains(number)
+
+
 def budget_document(store: Store, number: int) -> StoreDocument[Shard]:
     """Return the document of one budget shard."""
     key = f"aspengate/budgets/{number}"
