Never say not_run after a lost attempt; forget settled records by block

(2) an agent rebuilt all its records for each settled block. Change: after a lost attempt a refusal becomes outcome_unknown; records are kept by block. Before: 'A lost attempt is not called not_run ...' failed with not_run. After: it passes. Conclusion: retries of lost attempts stay, for calls that may be repeated.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -46,3 +46,8 @@
   Scenario: An agent runs a key once even if two dispatches arrive
     When an agent gets two dispatches with the same key
     Then it opens one answer
+
+  Scenario: An agent keeps records until their block is settled, within its capacity
+    Given an agent's records with room for 10
+    When 8 records of 4 blocks come, one of them twice, and 2 blocks are settled
+    Then 4 records are left, and 9 more of one block push out the oldest block
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -91,3 +91,8 @@
       | role         |
       | the steward  |
       | no steward   |
+
+  Scenario: A lost attempt is not called not_run because the next one was refused
+    Given a fleet with a model and a plain service
+    When the only agent of a service dies unseen and a call is made at once
+    Then the call's run state is unknown
--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -5,7 +5,7 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
-from aspengate.agent import AnswerStore, DispatchGate, KeptAnswer, Subscriber
+from aspengate.agent import AnswerStore, DispatchGate, KeptAnswer, RecordStore, Subscriber
 from aspengate.claims import (
     ClaimOwner,
     ClaimTenure,
@@ -15,7 +15,7 @@
     take_tenure,
 )
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.transport import ClaimTicket, SeenClaim
+from aspengate.transport import ClaimTicket, SeenClaim, UsageRecord
 from budget_world import make_dispatch
 
 TIMES = KeyTimes()
@@ -193,3 +193,32 @@
 @then("it opens one answer")
 def one_answer(context):
     assert context.opened == [True, False]
+
+
+@given("an agent's records with room for {capacity:d}")
+def room_for(context, capacity):
+    context.records = RecordStore(capacity)
+
+
+def usage(block, sequence):
+    return UsageRecord("id", block, sequence, "s", "r", "b", "a", "s", 0, 0, 1, 0)
+
+
+@when("{count:d} records of {blocks:d} blocks come, one of them twice, and 2 blocks are settled")
+def records_come(context, count, blocks):
+    for number in range(count):
+        context.records.finish(usage(f"block-{number % blocks}", number))
+    context.records.finish(usage("block-0", 0))
+    assert len(context.records) == count
+    context.records.forget(("block-1", "block-2", "block-unknown"))
+
+
+@then("{left:d} records are left, and {more:d} more of one block push out the oldest block")
+def left(context, left, more):
+    assert len(context.records) == left
+    for number in range(more):
+        context.records.finish(usage("new", number))
+    assert context.records.dropped == 2 + 2
+    found, _ = context.records.of_session("s")
+    assert {record.block_id for record in found} == {"new"}
+    assert len(context.records) == more == len(found)
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -516,3 +516,18 @@
             context.dead not in shard.sessions for shard in routers(context)[0].editor.shards()
         )
     )
+
+
+@when("the only agent of a service dies unseen and a call is made at once")
+def dies_unseen(context):
+    router = routers(context)[0]
+    assert ask(router, "GET", "/services/files/a")[0] == 200
+    context.fleet.agents["region-1-files-0"].close()
+    status, data = ask(router, "GET", "/services/files/b")
+    assert status >= 500, data
+    context.error = json.loads(data)["error"]
+
+
+@then("the call's run state is {run_state}")
+def run_state_is(context, run_state):
+    assert context.error["run_state"] == run_state, context.error
--- a/src/aspengate/agent/_records.py
+++ b/src/aspengate/agent/_records.py
@@ -11,18 +11,19 @@
     """An agent's evidence of what was spent, by block.
 
     Records leave when ``forget`` is told that their block is settled. Above ``capacity`` the
-    oldest leave and are counted in ``dropped``.
+    oldest blocks' records leave and are counted in ``dropped``.
     """
 
     def __init__(self, capacity: int = _DEFAULT_CAPACITY) -> None:
         self.capacity = capacity
         self.dropped = 0
-        self._records: dict[tuple[str, int], UsageRecord] = {}
+        self._count = 0
+        self._blocks: dict[str, dict[int, UsageRecord]] = {}
         self._running: dict[tuple[str, int], RunningRequest] = {}
         self._lock = threading.Lock()
 
     def __len__(self) -> int:
-        return len(self._records)
+        return self._count
 
     def start(self, request: RunningRequest) -> None:
         """Note that a request starts to spend."""
@@ -31,21 +32,19 @@
 
     def finish(self, record: UsageRecord) -> None:
         """Note what a request spent."""
-        key = (record.block_id, record.sequence)
         with self._lock:
-            self._running.pop(key, None)
-            self._records[key] = record
-            if len(self._records) > self.capacity:
-                del self._records[next(iter(self._records))]
-                self.dropped += 1
+            self._running.pop((record.block_id, record.sequence), None)
+            block = self._blocks.setdefault(record.block_id, {})
+            self._count += record.sequence not in block
+            block[record.sequence] = record
+            while self._count > self.capacity:
+                self.dropped += self._drop(next(iter(self._blocks)))
 
     def forget(self, block_ids: tuple[str, ...]) -> None:
         """Drop the records of settled blocks."""
-        settled = frozenset(block_ids)
         with self._lock:
-            self._records = {
-                key: record for key, record in self._records.items() if key[0] not in settled
-            }
+            for block_id in block_ids:
+                self._drop(block_id)
 
     def of_session(
         self, session: str
@@ -54,7 +53,8 @@
         with self._lock:
             records = tuple(
                 record
-                for record in self._records.values()
+                for block in self._blocks.values()
+                for record in block.values()
                 if session in (record.holder, record.router_session)
             )
             running = tuple(
@@ -63,3 +63,8 @@
                 if session in (request.holder, request.router_session)
             )
         return records, running
+
+    def _drop(self, block_id: str) -> int:
+        dropped = len(self._blocks.pop(block_id, ()))
+        self._count -= dropped
+        return dropped
--- a/src/aspengate/router/_pipeline.py
+++ b/src/aspengate/router/_pipeline.py
@@ -49,6 +49,7 @@
 
     def _attempts(self, admitted: Exchange) -> Answer:
         exchange = admitted
+        lost = False
         for number in range(1, _MAX_ATTEMPTS + 1):
             try:
                 exchange = self._pass(self.attempt, exchange)
@@ -56,7 +57,8 @@
             except _PassError as failure:
                 last = number == _MAX_ATTEMPTS
                 if last or not self._may_retry(failure, admitted):
-                    raise
+                    raise _after_loss(failure) if lost else failure from failure.cause
+                lost = lost or failure.cause.kind is ErrorKind.OUTCOME_UNKNOWN
                 finish_filters(failure.exchange, _outcome_of(failure.cause), keep=admitted.passed)
                 exchange = replace(admitted, excluded=_excluded(failure.exchange))
                 self.parts.counters.count("router.retries")
@@ -149,6 +151,14 @@
         self.cause = cause
 
 
+def _after_loss(failure: _PassError) -> _PassError:
+    """Return a failure that does not say ``not_run``, since the lost attempt may have run."""
+    if failure.cause.answer.run_state is not RunState.NOT_RUN:
+        return failure
+    message = f"an attempt was lost, and then: {failure.cause}"
+    return _PassError(failure.exchange, AspengateError(ErrorKind.OUTCOME_UNKNOWN, message))
+
+
 def _outcome_of(error: AspengateError) -> Outcome:
     not_run = error.answer.run_state is RunState.NOT_RUN
     return Outcome(error=error.kind.value, not_run=not_run)
