--- a/src/aspengate/router/__init__.py
+++ b/src/aspengate/router/__init__.py
@@ -1,5 +1,6 @@
 """The process on an entry instance: admits, reserves, chooses, relays and settles."""
 
+from aspengate.router._claims import ClaimService
 from aspengate.router._daemon import Router
 from aspengate.router._recovery import RecoveryService
 from aspengate.router._settings import RouterSettings
@@ -9,6 +10,7 @@
 
 __all__ = [
     "AnswerStream",
+    "ClaimService",
     "RecoveryService",
     "Router",
     "RouterSettings",
