--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -23,7 +23,7 @@
     hash_key,
 )
 
-PATIENCE_S = 30.0
+PATIENCE_S = 60.0
 TOKEN_PRICE = 2
 ROWS = (
     BudgetRow(name="main", limit=10_000_000),
