Give an agent that is not in use its time to answer a retry

Change: sending work starts the silence limit for such an agent. Before: the new scenario's first check holds at once. After: only past the limit.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -5,6 +5,11 @@
     When one is silent, one says that it leaves, one is listed as leaving and one is disabled
     Then only the other 4 are chosen
 
+  Scenario: An agent that is not in use gets its time to answer a retry
+    Given a registry of 8 upstreams
+    When a retry is sent to an agent that the router never heard of
+    Then it counts as silent only after the silence limit
+
   Scenario: Ejection takes failing upstreams out for a while, but never most of them
     Given a registry of 8 upstreams
     When 2 upstreams fail three times in a row
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -193,3 +193,18 @@
     finally:
         _registry._REPORT_SMOOTHING, _registry._OTHERS_WEIGHT = smoothing, weight
     assert raw.first_p95 > 1.3 * context.results["load_90", OURS].first_p95
+
+
+@when("a retry is sent to an agent that the router never heard of")
+def never_heard(context):
+    assert context.registry.is_silent("elsewhere:1")
+    context.registry.sent_to("elsewhere:1")
+
+
+@then("it counts as silent only after the silence limit")
+def silence(context):
+    assert not context.registry.is_silent("elsewhere:1")
+    context.clock.advance(2_900)
+    assert not context.registry.is_silent("elsewhere:1")
+    context.clock.advance(200)
+    assert context.registry.is_silent("elsewhere:1")
--- a/src/aspengate/routing/_registry.py
+++ b/src/aspengate/routing/_registry.py
@@ -130,6 +130,11 @@
         if state is not None:
             state.heard_ms = now
 
+    def sent_to(self, address: str) -> None:
+        """Note that an agent was sent work; one that is not in use is expected to answer now."""
+        if address not in self._states:
+            self._heard[address] = self.clock.monotonic_ms()
+
     def is_silent(self, address: str) -> bool:
         """Return whether an agent that was sent work has not been heard of for too long.
 
