Take out dead code, and state and loops that stood twice

Cause: a reading of the whole change. Change: LedgerOutput, in_flight_tokens, two fields of the fake engine and an unused constant go; the versions that routers speak of are read from their heartbeats and not kept apart; a draw's request is built once and passed on whole; the wait for an agent in short steps stands once, for the first frame and for the pump. Conclusion: fewer copies. Left: the agent's last sign of life is kept in two places of the registry, and the processes of the bench and of the tests are started by two like classes.

--- a/src/aspengate/budgets/__init__.py
+++ b/src/aspengate/budgets/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from aspengate.budgets._codec import decode_shard, encode_shard
-from aspengate.budgets._ledger import Block, BlockLedger, LedgerOutput, Reservation
+from aspengate.budgets._ledger import Block, BlockLedger, Reservation
 from aspengate.budgets._rates import RateEstimate
 from aspengate.budgets._recovery import RecoveredBlock, Recovery, billed_item
 from aspengate.budgets._shard import (
@@ -44,7 +44,6 @@
     "Command",
     "DrawStep",
     "DropBudget",
-    "LedgerOutput",
     "OpenSession",
     "PlannedWrite",
     "RateEstimate",
--- a/src/aspengate/budgets/_ledger.py
+++ b/src/aspengate/budgets/_ledger.py
@@ -30,14 +30,6 @@
     amount: int
 
 
-@dataclass(frozen=True)
-class LedgerOutput:
-    """What a ledger wants to be sent: final accounts and trimmed blocks."""
-
-    closed: tuple[BlockClosed, ...] = ()
-    trimmed: tuple[BlockTrimmed, ...] = ()
-
-
 @dataclass
 class _OpenBlock:
     block: Block
--- a/src/aspengate/experiments/_engines.py
+++ b/src/aspengate/experiments/_engines.py
@@ -20,8 +20,6 @@
     blocks: tuple[int, ...]
     output_tokens: int
     priority: int
-    arrived_ms: float
-    on_first: Callable[[float], None]
     on_done: Callable[[float], None]
     produced: int = 0
     token_ms: list[float] = field(default_factory=list)
@@ -89,8 +87,6 @@
     def _produce(self, request: EngineRequest, at_ms: float) -> None:
         request.produced += 1
         request.token_ms.append(at_ms)
-        if request.produced == 1:
-            request.on_first(at_ms)
         if request.produced >= request.output_tokens:
             self.running.remove(request)
             self.served += 1
--- a/src/aspengate/experiments/_routing_run.py
+++ b/src/aspengate/experiments/_routing_run.py
@@ -202,7 +202,7 @@
         counted: bool,
     ) -> None:
         arrived = self.clock.time_ms
-        request = EngineRequest(blocks, tokens, 0, arrived, lambda _: None, lambda _: None)
+        request = EngineRequest(blocks, tokens, 0, lambda _: None)
 
         def done(at_ms: float) -> None:
             first = request.token_ms[0] - arrived
--- a/src/aspengate/router/_daemon.py
+++ b/src/aspengate/router/_daemon.py
@@ -166,7 +166,7 @@
 
     def status(self) -> tuple[ProcessStatus, ...]:
         """Return the table version in force in each router that was heard of."""
-        versions = {**self.members.versions, self.settings.name: self.table.view.version}
+        versions = {**self.members.versions(), self.settings.name: self.table.view.version}
         return tuple(
             ProcessStatus(
                 name=instance.name,
--- a/src/aspengate/router/_http.py
+++ b/src/aspengate/router/_http.py
@@ -18,7 +18,6 @@
 _PLAIN_PREFIX = "/services/"
 _TABLE_PATH = "/table"
 _MAX_IDEMPOTENCY_KEY = 200
-_REQUEST_ID_LENGTH = 64
 
 Handle = Callable[[CallerRequest, TableView], Answer]
 AdminHandle = Callable[[WsgiEnvironment], tuple[int, list[tuple[str, str]], bytes]]
--- a/src/aspengate/router/_members.py
+++ b/src/aspengate/router/_members.py
@@ -43,7 +43,6 @@
         self.instances: tuple[Instance, ...] = ()
         self.listed_ms = 0
         self.leaving = False
-        self.versions: dict[str, int] = {}
         self.generation = 0
         self._listed = listed
         self._registry = registry
@@ -100,10 +99,14 @@
                 if before is not None and before[1].session != heartbeat.session:
                     self.generation += 1
                 self._heard[heartbeat.sender] = (self._clock.monotonic_ms(), heartbeat)
-                self.versions[heartbeat.sender] = heartbeat.table_version
             return
         self._registry.heard(heartbeat.reply_to, heartbeat.load)
 
+    def versions(self) -> dict[str, int]:
+        """Return the table version that each router last spoke of."""
+        with self._lock:
+            return {name: beat.table_version for name, (_, beat) in self._heard.items()}
+
     def routers(self, *, regional: bool) -> dict[str, str]:
         """Return names and addresses of the other live routers, of our region or of all."""
         now = self._clock.monotonic_ms()
--- a/src/aspengate/router/_money.py
+++ b/src/aspengate/router/_money.py
@@ -3,6 +3,8 @@
 import threading
 from collections.abc import Callable
 
+import msgspec
+
 from aspengate.budgets import Block, BlockLedger, Reservation, owner_key, shard_of
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
@@ -22,6 +24,7 @@
 
 _DRAW_TIMEOUT_MS = 1_500.0
 _STEWARDS_ASKED = 2
+_FETCHES = 2
 _RESEND_MS = 2_000.0
 
 LocalDraw = Callable[[DrawRequest], DrawReply]
@@ -69,10 +72,9 @@
         Raises AspengateError of kind BUDGET_EXHAUSTED, BUDGET_UNAVAILABLE or NOT_FOUND.
         """
         reservation = self._try_reserve(budget, amount)
-        if reservation is None:
-            self._fetch(budget, amount)
-            reservation = self._try_reserve(budget, amount)
-        if reservation is None:
+        for _ in range(_FETCHES):
+            if reservation is not None:
+                break
             self._fetch(budget, amount)
             reservation = self._try_reserve(budget, amount)
         if reservation is None:
@@ -178,7 +180,17 @@
         now = self._clock.now_ms()
         with self._lock:
             size = max(needed, wanted, self._wanted(budget, now))
-        reply = self._draw(budget, needed, size, ahead)
+        reply = self._draw(
+            DrawRequest(
+                call=0,
+                reply_to=self._peer.address,
+                router_session=self.ledger.session,
+                budget=budget,
+                needed=needed,
+                wanted=size,
+                ahead=ahead,
+            )
+        )
         if reply.refusal:
             kind = ErrorKind(reply.refusal)
             raise AspengateError(kind, _REASONS.get(kind, "no money"), where=f"budget {budget}")
@@ -190,36 +202,25 @@
             if block.holder not in self.fenced:
                 self.ledger.add(block, self._clock.now_ms())
 
-    def _draw(self, budget: str, needed: int, wanted: int, ahead: bool) -> DrawReply:
-        work = owner_key(self.region, shard_of(budget, self._shard_count))
+    def _draw(self, request: DrawRequest) -> DrawReply:
+        work = owner_key(self.region, shard_of(request.budget, self._shard_count))
         ranked = rank_owners(work, {*self.routers, self.name})[:_STEWARDS_ASKED]
         if self.name not in ranked:
             ranked.append(self.name)
         for steward in ranked:
             if steward == self.name:
-                return self._local_draw(self._request(0, budget, needed, wanted, ahead))
+                return self._local_draw(request)
             try:
                 return self._peer.call(
                     self.routers[steward],
-                    lambda call: self._request(call, budget, needed, wanted, ahead),
+                    lambda call: msgspec.structs.replace(request, call=call),
                     DrawReply,
                     _DRAW_TIMEOUT_MS,
                 )
             except (AspengateError, KeyError):
                 self._counters.count("money.steward_silent")
-        raise AspengateError(ErrorKind.BUDGET_UNAVAILABLE, "no steward answers", where=budget)
-
-    def _request(
-        self, call: int, budget: str, needed: int, wanted: int, ahead: bool
-    ) -> DrawRequest:
-        return DrawRequest(
-            call=call,
-            reply_to=self._peer.address,
-            router_session=self.ledger.session,
-            budget=budget,
-            needed=needed,
-            wanted=wanted,
-            ahead=ahead,
+        raise AspengateError(
+            ErrorKind.BUDGET_UNAVAILABLE, "no steward answers", where=request.budget
         )
 
     def _send_closed(self, closed: BlockClosed) -> None:
--- a/src/aspengate/router/_relay.py
+++ b/src/aspengate/router/_relay.py
@@ -6,12 +6,11 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.router._exchange import Exchange, Filter, Outcome, Write
-from aspengate.router._streams import AnswerStream, Frame
+from aspengate.router._streams import AnswerStream, Frame, wait_in_steps
 from aspengate.telemetry import Counters
 from aspengate.transport import Chunk, Done, UsageRecord
 
 ANSWER_MARGIN_MS = 1_000
-_LOOK_MS = 250.0
 
 Cancellation = Callable[[AnswerStream], None]
 
@@ -71,11 +70,10 @@
         pump = _Pump(self.stream, write, self.clock)
         self.stream.attach(pump.take)
         deadline_ms = self.exchange.request.deadline_ms + ANSWER_MARGIN_MS
-        remaining: float = deadline_ms - self.clock.now_ms()
-        while not pump.ended.wait(max(0.0, min(remaining, _LOOK_MS)) / 1_000):
-            remaining -= _LOOK_MS
-            if remaining <= 0 or self._is_lost():
-                pump.ended.set()
+        for seconds in wait_in_steps(deadline_ms - self.clock.now_ms(), self._is_lost):
+            if pump.ended.wait(seconds):
+                break
+        pump.ended.set()
         self.usage = pump.done.usage if pump.done else None
         error = pump.done.error if pump.done else ErrorKind.OUTCOME_UNKNOWN.value
         first = pump.first_ms
--- a/src/aspengate/router/_streams.py
+++ b/src/aspengate/router/_streams.py
@@ -3,7 +3,7 @@
 import itertools
 import queue
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.telemetry import Counters
@@ -15,6 +15,16 @@
 Sink = Callable[[Frame], None]
 
 
+def wait_in_steps(timeout_ms: float, is_lost: Callable[[], bool]) -> Iterator[float]:
+    """Yield short waits, in seconds, until ``timeout_ms`` has passed or ``is_lost`` says so."""
+    left = timeout_ms
+    while True:
+        yield max(0.0, min(left, _LOOK_MS)) / 1_000
+        left -= _LOOK_MS
+        if left <= 0 or is_lost():
+            return
+
+
 class AnswerStream:
     """The frames of one dispatch, in the order in which they came."""
 
@@ -52,19 +62,14 @@
         start where the last one ended is an error of the same kind: a caller never gets an
         answer with a hole.
         """
-        frame = None
-        left = timeout_ms
-        while frame is None:
+        for seconds in wait_in_steps(timeout_ms, is_lost):
             try:
-                frame = self._frames.get(timeout=max(0.0, min(left, _LOOK_MS)) / 1_000)
+                frame = self._frames.get(timeout=seconds)
             except queue.Empty:
-                left -= _LOOK_MS
-                if left <= 0 or is_lost():
-                    raise AspengateError(
-                        ErrorKind.OUTCOME_UNKNOWN, "no word from the agent", where=self.agent
-                    ) from None
-        self.check(frame)
-        return frame
+                continue
+            self.check(frame)
+            return frame
+        raise AspengateError(ErrorKind.OUTCOME_UNKNOWN, "no word from the agent", where=self.agent)
 
     def ready(self) -> list[Frame]:
         """Return the frames that are already there."""
--- a/src/aspengate/routing/_candidates.py
+++ b/src/aspengate/routing/_candidates.py
@@ -13,16 +13,14 @@
 class UpstreamState:
     """One upstream as this router sees it; it is changed on the request path.
 
-    ``in_flight`` counts this router's own requests there and ``in_flight_tokens`` the tokens
-    they may still generate. ``others_in_flight`` is the work of other routers there, smoothed
-    over its reports. ``heard_ms`` is when its agent last spoke to us.
+    ``in_flight`` counts this router's own requests there, ``others_in_flight`` those of other
+    routers, smoothed over its reports. ``heard_ms`` is when its agent last spoke to us.
     """
 
     instance: Instance
     weight: float = 1.0
     max_concurrency: int = 0
     in_flight: int = 0
-    in_flight_tokens: int = 0
     report: LoadReport = field(default_factory=LoadReport)
     report_received_ms: float = 0.0
     others_in_flight: float = 0.0
