Check what the operator saw in one place, for changed and removed budgets

Cause (found by reading): two operators racing on a limit got a conflict only when both set it; a removal went through unseen over another's change. The check sat in one of the two transitions, fed with a revision made up so that it would fail. Change: the edit of a budget compares the row that was seen, before either command is made; the transition no longer carries a revision. Before: 'A budget that someone else has changed is not removed unseen' ended in an error, since no conflict came. After: it passes, and the scenario of two set limits passes unedited.

--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -38,6 +38,11 @@
     When two operators who both saw 1000 set 1500 and 700
     Then one of them gets a conflict that shows the present limit
 
+  Scenario: A budget that someone else has changed is not removed unseen
+    Given a budget of 1000 in a store that loses the next answer
+    When one operator who saw 1000 sets 1500 and another who saw 1000 removes it
+    Then one of them gets a conflict that shows the present limit
+
   Scenario: A budget that is spent costs no writes
     Given a budget of 1000 that is spent
     When 100 more requests ask for money within a second
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -294,6 +294,15 @@
         context.error = error
 
 
+@when("one operator who saw 1000 sets {limit:d} and another who saw 1000 removes it")
+def race_removal(context, limit):
+    set_limit(context, limit, "first")
+    try:
+        context.editor.change((RowChange(context.before, None),), "second")
+    except AspengateError as error:
+        context.error = error
+
+
 @then("one of them gets a conflict that shows the present limit")
 def conflict(context):
     assert context.error.kind is ErrorKind.CONFLICT
--- a/src/aspengate/budgets/_shard.py
+++ b/src/aspengate/budgets/_shard.py
@@ -191,16 +191,12 @@
 
 
 class SetLimit(Command, frozen=True):
-    """An operator creates a budget or sets its limit.
-
-    ``expected_revision`` is the budget's revision that the operator saw; 0 for a new one.
-    """
+    """An operator creates a budget or sets its limit."""
 
     budget: str
     limit: int
     actor: str
     changed_ms: int
-    expected_revision: int | None = None
 
 
 class DropBudget(Command, frozen=True):
@@ -317,12 +313,6 @@
     _require(command.limit >= 0, "a limit can't be negative")
     known = shard.budgets.get(command.budget)
     revision = known.revision if known else 0
-    if command.expected_revision is not None and command.expected_revision != revision:
-        raise AspengateError(
-            ErrorKind.CONFLICT,
-            f"the limit was changed by someone else: it is now {known.limit if known else 'none'}",
-            where=f"budget {command.budget}",
-        )
     before = known.limit if known and not known.dropped else None
     base = known or Budget(command.limit)
     changed = msgspec.structs.replace(
--- a/src/aspengate/router/_table.py
+++ b/src/aspengate/router/_table.py
@@ -207,13 +207,17 @@
 
         def transition(shard: Shard) -> Shard:
             known = shard.budgets.get(name)
-            revision = known.revision if known else 0
             seen = change.before.limit if isinstance(change.before, BudgetRow) else None
             present = known.limit if known and not known.dropped else None
-            expected = revision if seen == present else revision + 1
+            if seen != present:
+                raise AspengateError(
+                    ErrorKind.CONFLICT,
+                    f"the limit was changed by someone else: it is now {present}",
+                    where=f"budget {name}",
+                )
             command: Command
             if isinstance(change.after, BudgetRow):
-                command = SetLimit(name, change.after.limit, actor, now, expected)
+                command = SetLimit(name, change.after.limit, actor, now)
             else:
                 command = DropBudget(name, actor, now)
             return apply_commands(shard, budget_operation, [command])
