Move the product's own adapters to a package of their own

Cause: the folder platform/ is to speak the users' platform alone. The adapters for the product's own deployment (store in etcd's form, instance list, engines) move unchanged to aspengate.adapters. Ruled out: leaving both in one package, since a test is to hold that only platform/ knows the platform's names.

--- a/bench/tokens.py
+++ b/bench/tokens.py
@@ -17,8 +17,8 @@
 import time
 from multiprocessing.connection import Connection
 
+from aspengate.adapters import Instance
 from aspengate.clock import SystemClock
-from aspengate.platform import Instance
 from aspengate.router import Router, RouterSettings, TableEditor
 from aspengate.serving import StartResponse, WsgiEnvironment, WsgiServer
 from aspengate.standins import MemoryStore, StandInInstanceList
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -5,10 +5,10 @@
 
 from behave import given, then, when
 
+from aspengate.adapters import Instance, InstanceState
 from aspengate.clock import ManualClock
 from aspengate.experiments import routing_scenarios, run_routing_scenario
 from aspengate.limits import RetryBudget
-from aspengate.platform import Instance, InstanceState
 from aspengate.routing import (
     ChoiceContext,
     PrefixMemory,
--- a/src/aspengate/platform/__init__.py
+++ b/src/aspengate/adapters/__init__.py
@@ -1,7 +1,7 @@
 """The outside systems that the fleet meets, each behind one small adapter."""
 
-from aspengate.platform._documents import DocumentCodec, StoreDocument, VersionedValue
-from aspengate.platform._engine import (
+from aspengate.adapters._documents import DocumentCodec, StoreDocument, VersionedValue
+from aspengate.adapters._engine import (
     CompletionUpstream,
     PlainUpstream,
     TokenUsage,
@@ -11,9 +11,9 @@
     open_upstream,
     register_upstream,
 )
-from aspengate.platform._etcd import EtcdStore
-from aspengate.platform._instances import HttpInstanceList, Instance, InstanceList, InstanceState
-from aspengate.platform._store import Entry, Store
+from aspengate.adapters._etcd import EtcdStore
+from aspengate.adapters._instances import HttpInstanceList, Instance, InstanceList, InstanceState
+from aspengate.adapters._store import Entry, Store
 
 __all__ = [
     "CompletionUpstream",
--- a/src/aspengate/platform/_documents.py
+++ b/src/aspengate/adapters/_documents.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from aspengate.adapters._store import Store
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.platform._store import Store
 
 _MAX_CONFLICTS = 50
 _MAX_UNKNOWN = 3
--- a/src/aspengate/platform/_etcd.py
+++ b/src/aspengate/adapters/_etcd.py
@@ -7,8 +7,8 @@
 import time
 from typing import Any
 
+from aspengate.adapters._store import Entry
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.platform._store import Entry
 
 _CALL_TIMEOUT_S = 3.0
 
--- a/src/aspengate/agent/_daemon.py
+++ b/src/aspengate/agent/_daemon.py
@@ -6,6 +6,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
+from aspengate.adapters import Store, open_upstream
 from aspengate.agent._answers import AnswerStore, KeptAnswer, Subscriber
 from aspengate.agent._gate import DispatchGate
 from aspengate.agent._outbox import Outbox
@@ -15,7 +16,6 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.membership import fences_document
-from aspengate.platform import Store, open_upstream
 from aspengate.telemetry import Counters, log_change
 from aspengate.transport import (
     BlocksSettled,
--- a/src/aspengate/agent/_run.py
+++ b/src/aspengate/agent/_run.py
@@ -1,9 +1,9 @@
 """One run at the upstream, from an accepted dispatch to its usage record."""
 
+from aspengate.adapters import TokenUsage, Upstream, UpstreamRequest
 from aspengate.agent._answers import KeptAnswer
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.platform import TokenUsage, Upstream, UpstreamRequest
 from aspengate.transport import Dispatch, Done, Header, LoadReport, UsageRecord
 
 _SUCCESS_BELOW = 500
--- a/src/aspengate/cli/_daemons.py
+++ b/src/aspengate/cli/_daemons.py
@@ -30,7 +30,7 @@
 
     def __call__(self) -> None:
         """Run the router."""
-        from aspengate.platform import EtcdStore, HttpInstanceList
+        from aspengate.adapters import EtcdStore, HttpInstanceList
         from aspengate.router import Router as RouterProcess
         from aspengate.router import RouterSettings
 
@@ -54,9 +54,9 @@
 
     def __call__(self) -> None:
         """Run the agent."""
+        from aspengate.adapters import EtcdStore
         from aspengate.agent import Agent as AgentProcess
         from aspengate.agent import AgentSettings
-        from aspengate.platform import EtcdStore
 
         settings = load_settings(AgentSettings, self.settings)
         agent = AgentProcess(
--- a/src/aspengate/cli/_table.py
+++ b/src/aspengate/cli/_table.py
@@ -13,9 +13,9 @@
 import cappa
 import msgspec
 
+from aspengate.adapters import EtcdStore
 from aspengate.clock import SystemClock
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.platform import EtcdStore
 from aspengate.router import TableEditor
 from aspengate.settings import address
 from aspengate.table import (
--- a/src/aspengate/demo/_fleet.py
+++ b/src/aspengate/demo/_fleet.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass, field, replace
 
+from aspengate.adapters import Instance
 from aspengate.agent import Agent, AgentSettings
 from aspengate.clock import Clock, SystemClock
 from aspengate.demo._network import Network
-from aspengate.platform import Instance
 from aspengate.router import Router, RouterSettings, TableEditor
 from aspengate.serving import WsgiServer
 from aspengate.standins import (
--- a/src/aspengate/demo/_network.py
+++ b/src/aspengate/demo/_network.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from aspengate.adapters import Entry, Instance, InstanceList, Store
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.platform import Entry, Instance, InstanceList, Store
 from aspengate.telemetry import Counters
 from aspengate.transport import Message, Peer, Sealer
 
--- a/src/aspengate/demo/_run.py
+++ b/src/aspengate/demo/_run.py
@@ -8,12 +8,12 @@
 
 from hdrh.histogram import HdrHistogram
 
+from aspengate.adapters import Instance, InstanceState
 from aspengate.budgets import Budget
 from aspengate.demo._callers import Caller, Tally
 from aspengate.demo._fleet import LocalFleet
 from aspengate.demo._report import BudgetReport, Report, Rule
 from aspengate.demo._tables import SERVICES, demonstration_rows
-from aspengate.platform import Instance, InstanceState
 from aspengate.standins import EngineApplication, ServiceApplication
 from aspengate.table import RowChange, ServiceRow
 
--- a/src/aspengate/experiments/_routing_run.py
+++ b/src/aspengate/experiments/_routing_run.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from aspengate.adapters import Instance
 from aspengate.clock import ManualClock
 from aspengate.errors import AspengateError
 from aspengate.experiments._engines import EngineRequest, FakeEngine
-from aspengate.platform import Instance
 from aspengate.routing import (
     ChoiceContext,
     PrefixMemory,
--- a/src/aspengate/experiments/_slopes.py
+++ b/src/aspengate/experiments/_slopes.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from aspengate.adapters import Instance
 from aspengate.agent import DispatchGate, RecordStore
 from aspengate.budgets import (
     Account,
@@ -29,7 +30,6 @@
 )
 from aspengate.claims import ClaimOwner, KeyTimes, claim_key
 from aspengate.clock import ManualClock
-from aspengate.platform import Instance
 from aspengate.router import AnswerStream, StreamTable
 from aspengate.routing import (
     ChoiceContext,
@@ -425,8 +425,8 @@
     """Return the resident memory of a bare interpreter and of each daemon's imports, in bytes."""
     slopes = {}
     for name, imports in (
-        ("router", "import aspengate.router, aspengate.platform"),
-        ("agent", "import aspengate.agent, aspengate.platform"),
+        ("router", "import aspengate.router, aspengate.adapters"),
+        ("agent", "import aspengate.agent, aspengate.adapters"),
     ):
         program = _RESIDENT_PROGRAM.format(imports=imports)
         output = subprocess.run(
--- a/src/aspengate/membership/_fences.py
+++ b/src/aspengate/membership/_fences.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from aspengate.platform import Store, StoreDocument
+from aspengate.adapters import Store, StoreDocument
 
 FENCES_KEY = "aspengate/fences"
 _OPERATIONS_KEPT = 64
--- a/src/aspengate/router/_claims.py
+++ b/src/aspengate/router/_claims.py
@@ -4,6 +4,7 @@
 import uuid
 from collections.abc import Iterable
 
+from aspengate.adapters import Store, StoreDocument
 from aspengate.claims import (
     ClaimDecision,
     ClaimOwner,
@@ -16,7 +17,6 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.membership import owner_of
-from aspengate.platform import Store, StoreDocument
 from aspengate.telemetry import Counters, log_change
 from aspengate.transport import (
     ClaimReply,
--- a/src/aspengate/router/_daemon.py
+++ b/src/aspengate/router/_daemon.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from aspengate.adapters import InstanceList, Store
 from aspengate.budgets import BlockLedger, SizingPolicy
 from aspengate.claims import KeyTimes
 from aspengate.clock import Clock
 from aspengate.limits import Limiter, RetryBudget
-from aspengate.platform import InstanceList, Store
 from aspengate.router._claims import ClaimService
 from aspengate.router._http import HttpApplication
 from aspengate.router._members import Members
--- a/src/aspengate/router/_items.py
+++ b/src/aspengate/router/_items.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from aspengate.adapters import Store, StoreDocument
 from aspengate.budgets import ITEMS_A_PAGE, ArchiveItems, BilledItem, Shard, apply_commands
-from aspengate.platform import Store, StoreDocument
 
 
 class ItemPage(msgspec.Struct, frozen=True):
--- a/src/aspengate/router/_members.py
+++ b/src/aspengate/router/_members.py
@@ -3,9 +3,9 @@
 import threading
 from collections.abc import Callable
 
+from aspengate.adapters import Instance, InstanceList, InstanceState
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
-from aspengate.platform import Instance, InstanceList, InstanceState
 from aspengate.routing import UpstreamRegistry
 from aspengate.table import TableView
 from aspengate.telemetry import Counters
--- a/src/aspengate/router/_recovery.py
+++ b/src/aspengate/router/_recovery.py
@@ -3,6 +3,7 @@
 import uuid
 from concurrent.futures import ThreadPoolExecutor
 
+from aspengate.adapters import Store
 from aspengate.budgets import (
     CloseSession,
     Command,
@@ -17,7 +18,6 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
 from aspengate.membership import FenceDocument, FencedSession, fences_document, owner_of
-from aspengate.platform import Store
 from aspengate.router._claims import ClaimService
 from aspengate.router._members import Members
 from aspengate.router._money import RouterMoney
--- a/src/aspengate/router/_stewards.py
+++ b/src/aspengate/router/_stewards.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from aspengate.adapters import DocumentCodec, Store, StoreDocument, VersionedValue
 from aspengate.budgets import (
     Block,
     DrawStep,
@@ -21,7 +22,6 @@
 )
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.platform import DocumentCodec, Store, StoreDocument, VersionedValue
 from aspengate.router._items import archive_full_page
 from aspengate.telemetry import Counters, log_change
 from aspengate.transport import (
--- a/src/aspengate/router/_table.py
+++ b/src/aspengate/router/_table.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from aspengate.adapters import Store
 from aspengate.budgets import (
     Command,
     DropBudget,
@@ -16,7 +17,6 @@
 )
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.platform import Store
 from aspengate.router._items import archived_items
 from aspengate.router._stewards import budget_document
 from aspengate.table import (
--- a/src/aspengate/routing/_candidates.py
+++ b/src/aspengate/routing/_candidates.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from aspengate.adapters import Instance
 from aspengate.limits import AdaptiveLimit
-from aspengate.platform import Instance
 from aspengate.transport import LoadReport
 
 
--- a/src/aspengate/routing/_registry.py
+++ b/src/aspengate/routing/_registry.py
@@ -3,10 +3,10 @@
 import threading
 from collections.abc import Collection, Iterable, Sequence
 
+from aspengate.adapters import Instance, InstanceState
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.membership import rank_owners
-from aspengate.platform import Instance, InstanceState
 from aspengate.routing._candidates import Candidate, UpstreamState
 from aspengate.routing._policies import ChoiceContext, Policy
 from aspengate.table import TableView
--- a/src/aspengate/standins/_instances.py
+++ b/src/aspengate/standins/_instances.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from aspengate.platform import Instance
+from aspengate.adapters import Instance
 from aspengate.serving import StartResponse, WsgiEnvironment
 
 
--- a/src/aspengate/standins/_store.py
+++ b/src/aspengate/standins/_store.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 from typing import Any
 
+from aspengate.adapters import Entry
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.platform import Entry
 from aspengate.serving import StartResponse, WsgiEnvironment
 from aspengate.standins._faults import Faults
 
--- a/src/aspengate/table/_storage.py
+++ b/src/aspengate/table/_storage.py
@@ -8,8 +8,8 @@
 import uuid
 from collections.abc import Callable
 
+from aspengate.adapters import Store, StoreDocument, VersionedValue
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.platform import Store, StoreDocument, VersionedValue
 from aspengate.table._document import AuditEntry, TableDocument, TableHistory, TableLog
 
 TABLE_LOG_KEY = "aspengate/table"
