--- a/src/aspengate/cli/_daemons.py
+++ b/src/aspengate/cli/_daemons.py
@@ -45,6 +45,20 @@
         _run(router)
 
 
+@cappa.command(description="Run the gateway of a shared platform.")
+@dataclass
+class Gateway:
+    """Run until SIGTERM, then finish what is in progress."""
+
+    settings: _SettingsFile
+
+    def __call__(self) -> None:
+        """Run the gateway."""
+        from aspengate.deployed import run_gateway
+
+        run_gateway(self.settings)
+
+
 @cappa.command(description="Run the agent beside an upstream.")
 @dataclass
 class Agent:
--- a/src/aspengate/cli/_main.py
+++ b/src/aspengate/cli/_main.py
@@ -6,7 +6,7 @@
 import cappa
 
 from aspengate import __version__
-from aspengate.cli._daemons import Agent, Check, Router, StandIn
+from aspengate.cli._daemons import Agent, Check, Gateway, Router, StandIn
 from aspengate.cli._demo import Demo
 from aspengate.cli._experiments import Bench, Verify
 from aspengate.cli._invoice import Invoice
@@ -24,7 +24,7 @@
     """The whole command."""
 
     command: cappa.Subcommands[
-        Router | Agent | StandIn | Check | Table | Invoice | Demo | Bench | Verify | Pages
+        Router | Gateway | Agent | StandIn | Check | Table | Invoice | Demo | Bench | Verify | Pages
     ]
 
 
--- a/src/aspengate/cli/_pages.py
+++ b/src/aspengate/cli/_pages.py
@@ -62,6 +62,7 @@
     ErrorKind.RATE_LIMITED: "above the account's or the service's limit in the table",
     ErrorKind.BUDGET_EXHAUSTED: "the budget can't pay the request's upper bound",
     ErrorKind.BUDGET_UNAVAILABLE: "the budget has money, but it can't be had here now",
+    ErrorKind.NOT_CONFIGURED: "this router knows no configuration yet",
     ErrorKind.NO_UPSTREAM: "no upstream of the service is live",
     ErrorKind.OVERLOADED: "every upstream of the service is at its limit",
     ErrorKind.DEADLINE_EXCEEDED: "the deadline passed before the request started",
@@ -71,6 +72,7 @@
     ErrorKind.CLAIM_UNAVAILABLE: "nobody can say now whether the key was used; retry with it",
     ErrorKind.OUTCOME_UNKNOWN: "the request may have run; with a key, a retry tells",
     ErrorKind.STORE_UNAVAILABLE: "the platform's store does not answer",
+    ErrorKind.CALLER_GONE: "the caller closed its connection; nobody gets this answer",
     ErrorKind.INTERNAL: "a fault of the fleet's own",
 }
 
--- /dev/null
+++ b/src/aspengate/configuration/__init__.py
@@ -0,0 +1,25 @@
+"""The operators' configuration that is in force, and how a newer one comes into force."""
+
+from aspengate.configuration._holder import ConfigurationHolder
+from aspengate.configuration._model import (
+    CallerLimits,
+    ClientAccount,
+    Engine,
+    FleetConfiguration,
+    Route,
+    RouteKind,
+    Service,
+    WeightedService,
+)
+
+__all__ = [
+    "CallerLimits",
+    "ClientAccount",
+    "ConfigurationHolder",
+    "Engine",
+    "FleetConfiguration",
+    "Route",
+    "RouteKind",
+    "Service",
+    "WeightedService",
+]
--- /dev/null
+++ b/src/aspengate/connections/__init__.py
@@ -0,0 +1,15 @@
+"""HTTP connections to replicas, whose every answer is bound to its request."""
+
+from aspengate.connections._answer import ReplicaAnswer
+from aspengate.connections._connection import ReplicaConnection, RequestHead
+from aspengate.connections._pool import ConnectionPool
+from aspengate.connections._waiter import CallerGoneError, Waiter
+
+__all__ = [
+    "CallerGoneError",
+    "ConnectionPool",
+    "ReplicaAnswer",
+    "ReplicaConnection",
+    "RequestHead",
+    "Waiter",
+]
--- /dev/null
+++ b/src/aspengate/connections/_answer.py
@@ -0,0 +1,82 @@
+"""The answer to one request, read from its connection as it comes."""
+
+from collections.abc import Callable
+
+import h11
+
+from aspengate.connections._connection import ReplicaConnection
+from aspengate.connections._waiter import Waiter
+from aspengate.errors import AspengateError, ErrorKind
+
+_MOST_SURPLUS_ANSWERS = 3
+_LENGTH = b"content-length"
+_CODING = b"transfer-encoding"
+
+BelongsTo = Callable[[tuple[tuple[str, str], ...]], bool]
+
+
+class ReplicaAnswer:
+    """An answer whose head has come; read its body with ``next_data`` until that is empty.
+
+    ``framed`` tells whether the answer says itself where it ends, other than by closing.
+    """
+
+    def __init__(self, connection: ReplicaConnection, head: h11.Response) -> None:
+        self.connection = connection
+        self.status = head.status_code
+        self.reason = bytes(head.reason).decode("latin-1")
+        self.headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers
+        )
+        names = {name for name, _ in head.headers}
+        self.framed = bool(names & {_LENGTH, _CODING})
+        self.whole = False
+
+    @classmethod
+    def await_head(
+        cls,
+        connection: ReplicaConnection,
+        waiter: Waiter,
+        belongs: BelongsTo,
+        until_ms: float | None = None,
+    ) -> "ReplicaAnswer | None":
+        """Wait for the answer that ``belongs`` to the request; None where ``until_ms`` is first.
+
+        Answers to earlier requests that come in its place are read and dropped. Raises
+        UPSTREAM_FAILED, DEADLINE_EXCEEDED or CallerGoneError.
+        """
+        for _ in range(_MOST_SURPLUS_ANSWERS):
+            event = connection.receive(waiter, until_ms)
+            if event is None:
+                return None
+            if not isinstance(event, h11.Response):
+                break
+            answer = cls(connection, event)
+            if belongs(answer.headers):
+                return answer
+            if not connection.kept or not answer.framed:
+                break
+            while answer.next_data(waiter):
+                pass
+            connection.rearm()
+        raise AspengateError(
+            ErrorKind.UPSTREAM_FAILED, "another request's answer", where=connection.address
+        )
+
+    def header(self, name: str) -> str:
+        """Return a header's value; empty where there is none."""
+        lowered = name.lower()
+        return next((value for key, value in self.headers if key.lower() == lowered), "")
+
+    def next_data(self, waiter: Waiter, until_ms: float | None = None) -> bytes | None:
+        """Return more of the body, empty at its end; None where ``until_ms`` comes first.
+
+        Raises UPSTREAM_FAILED where the answer breaks off.
+        """
+        event = self.connection.receive(waiter, until_ms)
+        if event is None:
+            return None
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        self.whole = True
+        return b""
--- /dev/null
+++ b/src/aspengate/connections/_connection.py
@@ -0,0 +1,163 @@
+"""One HTTP/1.1 connection to one replica, for one request at a time."""
+
+import contextlib
+import socket
+from dataclasses import dataclass
+
+import h11
+
+from aspengate.clock import Clock
+from aspengate.connections._waiter import Waiter
+from aspengate.errors import AspengateError, ErrorKind
+
+_RECEIVE_BYTES = 64 * 1024
+_SEND_BYTES = 64 * 1024
+_UNACKNOWLEDGED_MS = 2_000
+
+
+@dataclass(frozen=True)
+class RequestHead:
+    """The first lines of a request as a replica is to get them."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+
+
+class ReplicaConnection:
+    """A connection to ``address``; raises NO_UPSTREAM where none comes up.
+
+    After an error, or an answer that is not whole, ``close`` it: what still comes on it belongs
+    to no request.
+    """
+
+    def __init__(self, address: str, clock: Clock, timeout_ms: float) -> None:
+        self.address = address
+        self.clock = clock
+        self.used_ms = clock.monotonic_ms()
+        self.idle_until_ms = float("inf")
+        self.requests = 0
+        self.early = False
+        self._protocol = h11.Connection(h11.CLIENT)
+        host, _, port = address.rpartition(":")
+        try:
+            self.socket = socket.create_connection((host, int(port)), timeout_ms / 1_000)
+        except OSError as error:
+            raise AspengateError(ErrorKind.NO_UPSTREAM, repr(error), where=address) from error
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+        self.socket.setblocking(False)
+
+    @property
+    def kept(self) -> bool:
+        """Whether an earlier request used this connection."""
+        return self.requests > 1
+
+    def send(self, head: RequestHead, body: bytes, waiter: Waiter) -> None:
+        """Send a request; stop early where the replica answers before it has read all.
+
+        Raises NO_UPSTREAM where no byte has left, else OUTCOME_UNKNOWN.
+        """
+        self.requests += 1
+        data = self._render(head, body)
+        view = memoryview(data)
+        sent = 0
+        while sent < len(data):
+            try:
+                sent += self.socket.send(view[sent : sent + _SEND_BYTES])
+            except BlockingIOError:
+                can_write, can_read = waiter.writable_or_readable(self.socket)
+                if can_read and not can_write:
+                    self.early = True
+                    return
+            except OSError as error:
+                if not sent:
+                    raise AspengateError(
+                        ErrorKind.NO_UPSTREAM, repr(error), where=self.address
+                    ) from error
+                self.early = True
+                return
+
+    def receive(self, waiter: Waiter, until_ms: float | None = None) -> h11.Event | None:
+        """Return the next event of the answer, or None where ``until_ms`` comes first.
+
+        Raises UPSTREAM_FAILED for bytes that are no answer and for a connection that ends.
+        """
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self._failed(error) from error
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if event is not h11.NEED_DATA:
+                return self._checked(event)
+            if not waiter.readable(self.socket, until_ms):
+                return None
+            self._read()
+
+    def rearm(self) -> None:
+        """Expect one more answer, after one that belonged to an earlier request."""
+        surplus, ended = self._protocol.trailing_data
+        if ended:
+            raise AspengateError(ErrorKind.UPSTREAM_FAILED, "closed", where=self.address)
+        self._protocol = h11.Connection(h11.CLIENT)
+        self._protocol.send(h11.Request(method="GET", target="/", headers=[("Host", "-")]))
+        self._protocol.send(h11.EndOfMessage())
+        if surplus:
+            self._protocol.receive_data(surplus)
+
+    def make_ready(self) -> bool:
+        """Prepare for another request; return False where the connection can't take one."""
+        states = self._protocol.states
+        done = states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+        if self.early or not done or self._protocol.trailing_data[0]:
+            return False
+        self._protocol.start_next_cycle()
+        self.used_ms = self.clock.monotonic_ms()
+        return True
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing has come on this idle connection, neither bytes nor an end."""
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """End the connection; the replica stops what still runs on it."""
+        with contextlib.suppress(OSError):
+            self.socket.close()
+
+    def _render(self, head: RequestHead, body: bytes) -> bytes:
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1")) for name, value in head.headers
+        ]
+        request = h11.Request(
+            method=head.method, target=head.target.encode("latin-1"), headers=headers
+        )
+        parts = [self._protocol.send(request)]
+        if body:
+            parts.append(self._protocol.send(h11.Data(data=body)))
+        parts.append(self._protocol.send(h11.EndOfMessage()))
+        return b"".join(part for part in parts if part)
+
+    def _read(self) -> None:
+        try:
+            data = self.socket.recv(_RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            raise self._failed(error) from error
+        self._protocol.receive_data(data)
+
+    def _checked(self, event: object) -> h11.Event:
+        if isinstance(event, h11.Response | h11.Data | h11.EndOfMessage):
+            return event
+        raise self._failed(event)
+
+    def _failed(self, cause: object) -> AspengateError:
+        return AspengateError(ErrorKind.UPSTREAM_FAILED, repr(cause), where=self.address)
--- /dev/null
+++ b/src/aspengate/connections/_pool.py
@@ -0,0 +1,66 @@
+"""Idle connections to replicas, kept for further requests."""
+
+import threading
+
+from aspengate.clock import Clock
+from aspengate.connections._connection import ReplicaConnection
+
+_CONNECT_TIMEOUT_MS = 1_000.0
+_MOST_IDLE = 32
+
+
+class ConnectionPool:
+    """Idle connections by replica identity.
+
+    An address may pass to another replica, so that a connection belongs to an identity. One that
+    rested longer than ``longest_rest_ms`` is not used again.
+    """
+
+    def __init__(self, clock: Clock, longest_rest_ms: float) -> None:
+        self.clock = clock
+        self.longest_rest_ms = longest_rest_ms
+        self.opened = 0
+        self._idle: dict[str, list[ReplicaConnection]] = {}
+        self._lock = threading.Lock()
+
+    def take(self, identity: str) -> ReplicaConnection | None:
+        """Return an idle connection that seems sound, if there is one."""
+        while True:
+            with self._lock:
+                idle = self._idle.get(identity)
+                if not idle:
+                    return None
+                connection = idle.pop()
+            now = self.clock.monotonic_ms()
+            rested = now - connection.used_ms
+            usable = rested <= self.longest_rest_ms and now < connection.idle_until_ms
+            if usable and connection.is_quiet():
+                return connection
+            connection.close()
+
+    def open(self, address: str, timeout_ms: float) -> ReplicaConnection:
+        """Open a connection; raises NO_UPSTREAM."""
+        self.opened += 1
+        return ReplicaConnection(address, self.clock, min(timeout_ms, _CONNECT_TIMEOUT_MS))
+
+    def give_back(self, identity: str, connection: ReplicaConnection) -> None:
+        """Keep a connection whose answer was whole, or close it where it can't go on."""
+        if connection.make_ready():
+            with self._lock:
+                idle = self._idle.setdefault(identity, [])
+                if len(idle) < _MOST_IDLE:
+                    idle.append(connection)
+                    return
+        connection.close()
+
+    def forget(self, identity: str) -> None:
+        """Close the idle connections of a replica that is gone."""
+        with self._lock:
+            idle = self._idle.pop(identity, [])
+        for connection in idle:
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for identity in list(self._idle):
+            self.forget(identity)
--- a/src/aspengate/errors/_kinds.py
+++ b/src/aspengate/errors/_kinds.py
@@ -24,6 +24,7 @@
     RATE_LIMITED = "rate_limited"
     BUDGET_EXHAUSTED = "budget_exhausted"
     BUDGET_UNAVAILABLE = "budget_unavailable"
+    NOT_CONFIGURED = "not_configured"
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
     DEADLINE_EXCEEDED = "deadline_exceeded"
@@ -33,6 +34,7 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
     STORE_UNAVAILABLE = "store_unavailable"
+    CALLER_GONE = "caller_gone"
     INTERNAL = "internal"
 
 
@@ -58,6 +60,7 @@
     ErrorKind.RATE_LIMITED: ErrorAnswer(429, RunState.NOT_RUN, retry_after_s=1),
     ErrorKind.BUDGET_EXHAUSTED: ErrorAnswer(402, RunState.NOT_RUN),
     ErrorKind.BUDGET_UNAVAILABLE: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=5),
+    ErrorKind.NOT_CONFIGURED: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=1),
     ErrorKind.NO_UPSTREAM: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=2),
     ErrorKind.OVERLOADED: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=2),
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, RunState.NOT_RUN),
@@ -67,5 +70,6 @@
     ErrorKind.CLAIM_UNAVAILABLE: ErrorAnswer(503, RunState.UNKNOWN, retry_after_s=2),
     ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(504, RunState.UNKNOWN),
     ErrorKind.STORE_UNAVAILABLE: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=5),
+    ErrorKind.CALLER_GONE: ErrorAnswer(499, RunState.UNKNOWN),
     ErrorKind.INTERNAL: ErrorAnswer(500, RunState.UNKNOWN),
 }
--- /dev/null
+++ b/src/aspengate/gateway/__init__.py
@@ -0,0 +1,19 @@
+"""The router that relays requests straight to replicas, within the operators' configuration."""
+
+from aspengate.gateway._daemon import Gateway
+from aspengate.gateway._exchange import Exchange, Filter, Outcome
+from aspengate.gateway._ports import RequestSpelling
+from aspengate.gateway._request import CallerRequest, PromptPart, TokenBounds
+from aspengate.gateway._settings import GatewaySettings
+
+__all__ = [
+    "CallerRequest",
+    "Exchange",
+    "Filter",
+    "Gateway",
+    "GatewaySettings",
+    "Outcome",
+    "PromptPart",
+    "RequestSpelling",
+    "TokenBounds",
+]
--- /dev/null
+++ b/src/aspengate/gateway/_ports.py
@@ -0,0 +1,69 @@
+"""What the gateway needs of the place that it runs in."""
+
+from typing import Protocol
+
+from aspengate.configuration import FleetConfiguration
+from aspengate.gateway._request import CallerRequest
+from aspengate.replicas import Replica
+from aspengate.serving import ReceivedRequest
+from aspengate.store import KeyValueStore, StoreItem
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class RequestSpelling(Protocol):
+    """Reads callers' requests and writes replicas' requests in the deployment's own headers."""
+
+    def caller_request(self, received: ReceivedRequest) -> CallerRequest:
+        """Return what a received request says; raises BAD_REQUEST."""
+
+    def replica_headers(
+        self,
+        request: CallerRequest,
+        *,
+        identity: str,
+        account: str,
+        remaining_ms: float,
+        priority: int | None,
+        last_event_id: str,
+    ) -> Headers:
+        """Return the headers with which the replica ``identity`` gets a request."""
+
+    def answer_headers(self, headers: Headers) -> Headers:
+        """Return the headers of a replica's answer that its caller is to get."""
+
+    def answers_request(self, headers: Headers, request_id: str) -> bool:
+        """Return whether an answer names the request as its own."""
+
+    def is_not_executed(self, status: int, headers: Headers) -> bool:
+        """Return whether a replica says that it did not run the request."""
+
+    def is_misdirected(self, status: int) -> bool:
+        """Return whether another replica than the one that was meant answered."""
+
+    def is_signed(self, headers: Headers) -> bool:
+        """Return whether an answer carries a replica's signature."""
+
+    def error_headers(self, request_id: str) -> Headers:
+        """Return headers for an answer of the gateway's own."""
+
+
+class Deployment(Protocol):
+    """The place that a gateway runs in: its store, its records there, and its spelling."""
+
+    configuration_key: str
+    replica_prefix: str
+
+    @property
+    def store(self) -> KeyValueStore:
+        """The store that holds all that must last."""
+
+    @property
+    def spelling(self) -> RequestSpelling:
+        """How requests and answers are spelt."""
+
+    def read_configuration(self, item: StoreItem) -> FleetConfiguration:
+        """Return the configuration that a store item holds; raises BAD_REQUEST."""
+
+    def read_replica(self, item: StoreItem) -> Replica:
+        """Return the replica that a store item holds; raises BAD_REQUEST."""
--- /dev/null
+++ b/src/aspengate/gateway/_ready.py
@@ -0,0 +1,21 @@
+"""Answers the balancer's question whether this router takes callers."""
+
+from collections.abc import Callable, Iterable
+
+from aspengate.serving import StartResponse, WsgiEnvironment
+
+_READY = "200 OK"
+_NOT_READY = "503 Service Unavailable"
+
+
+class ReadyApplication:
+    """A WSGI application that answers every path with the state of ``is_ready``."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def __call__(self, environ: WsgiEnvironment, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one question."""
+        status = _READY if self._is_ready() else _NOT_READY
+        start_response(status, [("Content-Type", "text/plain"), ("Content-Length", "0")])
+        return [b""]
--- /dev/null
+++ b/src/aspengate/gateway/filters/__init__.py
@@ -0,0 +1,13 @@
+"""The steps that admit a request, one module each, in a registry by name."""
+
+from aspengate.gateway.filters._authenticate import Authenticate
+from aspengate.gateway.filters._find_route import FindRoute
+from aspengate.gateway.filters._registry import FilterParts, make_filters, register_filter
+
+__all__ = [
+    "Authenticate",
+    "FilterParts",
+    "FindRoute",
+    "make_filters",
+    "register_filter",
+]
--- /dev/null
+++ b/src/aspengate/gateway/filters/_authenticate.py
@@ -0,0 +1,27 @@
+"""Who calls."""
+
+from dataclasses import replace
+
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.gateway._exchange import Exchange, Outcome
+from aspengate.gateway.filters._registry import FilterParts, register_filter
+
+
+@register_filter("authenticate")
+class Authenticate:
+    """Finds the account that holds the request's key, unless the route is public."""
+
+    def __init__(self, parts: FilterParts) -> None:
+        self.parts = parts
+
+    def apply(self, exchange: Exchange) -> Exchange:
+        """Return the exchange with its account; raises UNAUTHENTICATED."""
+        configuration = exchange.configuration
+        if exchange.known_route.public or not configuration.accounts:
+            return exchange
+        if not exchange.request.key:
+            raise AspengateError(ErrorKind.UNAUTHENTICATED, "a key is needed")
+        return replace(exchange, account=configuration.account_of(exchange.request.key))
+
+    def finish(self, exchange: Exchange, outcome: Outcome) -> None:
+        """Nothing to undo."""
--- /dev/null
+++ b/src/aspengate/gateway/filters/_registry.py
@@ -0,0 +1,37 @@
+"""The registry of filters, and what they are made from."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from aspengate.clock import Clock
+from aspengate.gateway._exchange import Filter
+from aspengate.telemetry import Counters
+
+
+@dataclass(frozen=True)
+class FilterParts:
+    """The services that filters use."""
+
+    clock: Clock
+    counters: Counters
+
+
+FilterFactory = Callable[[FilterParts], Filter]
+_FACTORIES: dict[str, FilterFactory] = {}
+_Factory = TypeVar("_Factory", bound=FilterFactory)
+
+
+def register_filter(name: str) -> Callable[[_Factory], _Factory]:
+    """Register a filter under the name that the row of filters uses."""
+
+    def register(factory: _Factory) -> _Factory:
+        _FACTORIES[name] = factory
+        return factory
+
+    return register
+
+
+def make_filters(names: Iterable[str], parts: FilterParts) -> tuple[Filter, ...]:
+    """Return the filters with these names, in order."""
+    return tuple(_FACTORIES[name](parts) for name in names)
--- /dev/null
+++ b/src/aspengate/platform/_client.py
@@ -0,0 +1,228 @@
+"""The client of the platform's metadata store."""
+
+import base64
+import http.client
+import socket
+import threading
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.store import (
+    Changes,
+    ConditionFailedError,
+    HistoryLostError,
+    Put,
+    Removal,
+    Snapshot,
+    StoreItem,
+)
+
+_CONNECT_TIMEOUT_S = 1.0
+_WATCH_MARGIN_S = 2.0
+_IDLE_CONNECTIONS = 4
+_KEEPALIVE_IDLE_S = 2
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 2
+
+
+class _Item(msgspec.Struct):
+    key: str = ""
+    value: str = ""
+    revision: int = 0
+    gone: bool = False
+    at: int = 0
+
+    def to_item(self) -> StoreItem:
+        return StoreItem(self.key, base64.b64decode(self.value), self.revision)
+
+
+class _Page(msgspec.Struct):
+    items: list[_Item] = []
+    more: bool = False
+    at: int = 0
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item] = []
+    at: int = 0
+
+
+class _Condition(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _Write(msgspec.Struct):
+    key: str
+    value: str
+    lease: int = 0
+
+
+class _Transaction(msgspec.Struct, rename="camel"):
+    expected_rev: list[_Condition]
+    put: list[_Write]
+    drop: list[str]
+
+
+class _Done(msgspec.Struct):
+    revision: int = 0
+
+
+_Body = TypeVar("_Body")
+
+
+class PlatformStore:
+    """Calls the store at ``address`` over HTTP, on connections that are kept for more calls.
+
+    ``timeout_ms`` bounds the wait for one answer, which comes within some milliseconds unless
+    the store is slow or down. It may be called from any thread.
+    """
+
+    def __init__(self, address: str, timeout_ms: float) -> None:
+        self.address = address
+        self.timeout_ms = timeout_ms
+        self._idle: list[http.client.HTTPConnection] = []
+        self._lock = threading.Lock()
+
+    def get(self, key: str) -> StoreItem | None:
+        """Return the item under ``key``, if any."""
+        status, body = self._call("GET", f"/kv-key?{urlencode({'key': key})}")
+        if status == HTTPStatus.NOT_FOUND:
+            return None
+        return _decode(body, _Item).to_item()
+
+    def list(self, prefix: str) -> Snapshot:
+        """Return the items whose keys begin with ``prefix``.
+
+        Pages form no snapshot, so the first page's revision is the one that holds for all.
+        """
+        query = {"pathPrefix": prefix}
+        pages = [self._page(query)]
+        while pages[-1].more:
+            pages.append(self._page({**query, "sinceRev": pages[-1].items[-1].key}))
+        items = tuple(item.to_item() for page in pages for item in page.items)
+        return Snapshot(items, pages[0].at)
+
+    def changes(self, prefix: str, since: int, wait_ms: int) -> Changes:
+        """Wait up to ``wait_ms`` for changes after revision ``since``."""
+        query = {"pathPrefix": prefix, "sinceRev": since, "waitMs": wait_ms}
+        status, body = self._call(
+            "GET", f"/kv-watch?{urlencode(query)}", wait_s=wait_ms / 1_000 + _WATCH_MARGIN_S
+        )
+        if status == HTTPStatus.GONE:
+            raise HistoryLostError(prefix)
+        answer = _decode(body, _Events)
+        return Changes(
+            tuple(event.to_item() for event in answer.events if not event.gone),
+            tuple(Removal(event.key, event.revision) for event in answer.events if event.gone),
+            answer.at,
+        )
+
+    def transact(self, conditions: Mapping[str, int], puts: tuple[Put, ...]) -> int:
+        """Write all ``puts`` if each key in ``conditions`` is still at its revision."""
+        return self._transact(conditions, puts, ())
+
+    def remove(self, key: str) -> None:
+        """Remove ``key`` where it is there."""
+        self._transact({}, (), (key,))
+
+    def _transact(
+        self, conditions: Mapping[str, int], puts: tuple[Put, ...], drops: tuple[str, ...]
+    ) -> int:
+        transaction = _Transaction(
+            [_Condition(key, revision) for key, revision in conditions.items()],
+            [_Write(put.key, base64.b64encode(put.value).decode()) for put in puts],
+            list(drops),
+        )
+        status, body = self._call(
+            "POST", "/kv-txn", msgspec.json.encode(transaction), is_write=True
+        )
+        if status == HTTPStatus.PRECONDITION_FAILED:
+            present = (item.to_item() for item in _decode(body, _Page).items)
+            raise ConditionFailedError({item.key: item for item in present})
+        return _decode(body, _Done).revision
+
+    def _page(self, query: Mapping[str, Any]) -> _Page:
+        _, body = self._call("GET", f"/kv-range?{urlencode(query)}")
+        return _decode(body, _Page)
+
+    def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes | None = None,
+        *,
+        wait_s: float | None = None,
+        is_write: bool = False,
+    ) -> tuple[int, bytes]:
+        connection = self._take()
+        unknown = ErrorKind.OUTCOME_UNKNOWN if is_write else ErrorKind.STORE_UNAVAILABLE
+        try:
+            connection.sock.settimeout(wait_s or self.timeout_ms / 1_000)
+            headers = {"Content-Type": "application/json"} if body is not None else {}
+            connection.request(method, target, body, headers)
+            answer = connection.getresponse()
+            content = answer.read()
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            raise AspengateError(unknown, repr(error), where=target.partition("?")[0]) from error
+        self._give_back(connection)
+        if answer.status in _NOTHING_DONE:
+            raise AspengateError(
+                ErrorKind.STORE_UNAVAILABLE, f"status {answer.status}", where=self.address
+            )
+        if answer.status not in _EXPECTED:
+            message = f"status {answer.status}"
+            raise AspengateError(unknown, message, where=target.partition("?")[0])
+        return answer.status, content
+
+    def _take(self) -> http.client.HTTPConnection:
+        with self._lock:
+            if self._idle:
+                return self._idle.pop()
+        connection = http.client.HTTPConnection(self.address, timeout=_CONNECT_TIMEOUT_S)
+        try:
+            connection.connect()
+            _detect_silence(connection.sock)
+        except OSError as error:
+            connection.close()
+            raise AspengateError(
+                ErrorKind.STORE_UNAVAILABLE, repr(error), where=self.address
+            ) from error
+        return connection
+
+    def _give_back(self, connection: http.client.HTTPConnection) -> None:
+        with self._lock:
+            if connection.sock is not None and len(self._idle) < _IDLE_CONNECTIONS:
+                self._idle.append(connection)
+                return
+        connection.close()
+
+
+_NOTHING_DONE = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
+_EXPECTED = frozenset(
+    {HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.GONE, HTTPStatus.PRECONDITION_FAILED}
+)
+
+
+def _detect_silence(connected: socket.socket) -> None:
+    """Have the system end a connection whose other side is gone, also while nothing is sent."""
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+
+
+def _decode(body: bytes, kind: type[_Body]) -> _Body:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise AspengateError(
+            ErrorKind.STORE_UNAVAILABLE, str(error), where="the store's answer"
+        ) from error
--- /dev/null
+++ b/src/aspengate/platform/_deployment.py
@@ -0,0 +1,32 @@
+"""The users' platform as a place for the product to run in."""
+
+from aspengate.configuration import FleetConfiguration
+from aspengate.platform._client import PlatformStore
+from aspengate.platform._headers import PlatformSpelling
+from aspengate.platform._records import (
+    CONFIGURATION_KEY,
+    REPLICA_PREFIX,
+    read_configuration,
+    read_replica,
+)
+from aspengate.replicas import Replica
+from aspengate.store import KeyValueStore, StoreItem
+
+
+class PlatformDeployment:
+    """The platform whose store is at ``address``; ``timeout_ms`` bounds each call to it."""
+
+    configuration_key = CONFIGURATION_KEY
+    replica_prefix = REPLICA_PREFIX
+
+    def __init__(self, address: str, timeout_ms: float) -> None:
+        self.store: KeyValueStore = PlatformStore(address, timeout_ms)
+        self.spelling = PlatformSpelling()
+
+    def read_configuration(self, item: StoreItem) -> FleetConfiguration:
+        """Return the configuration that a store item holds; raises BAD_REQUEST."""
+        return read_configuration(item)
+
+    def read_replica(self, item: StoreItem) -> Replica:
+        """Return the replica that a store item holds; raises BAD_REQUEST."""
+        return read_replica(item)
--- /dev/null
+++ b/src/aspengate/replicas/_replica.py
@@ -0,0 +1,28 @@
+"""What a replica says of itself."""
+
+import enum
+from dataclasses import dataclass
+
+
+class ReplicaState(enum.Enum):
+    """Whether a replica takes new requests."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True)
+class Replica:
+    """One start of one replica; ``identity`` is never used again.
+
+    ``slots`` is how many requests it works on at once. ``warm_up_ms`` is how long it is still
+    slow after its start.
+    """
+
+    identity: str
+    service: str
+    address: str
+    failure_domain: str = ""
+    slots: int = 0
+    state: ReplicaState = ReplicaState.READY
+    warm_up_ms: float = 0.0
--- a/src/aspengate/serving/__init__.py
+++ b/src/aspengate/serving/__init__.py
@@ -1,5 +1,16 @@
-"""HTTP serving by waitress, for the daemons and the stand-ins."""
+"""HTTP serving by waitress: WSGI applications, and the relay of requests and streams."""
 
+from aspengate.serving._relay_server import RelayHandler, RelayServer
+from aspengate.serving._relay_task import CallerConnection, ReceivedRequest
 from aspengate.serving._server import StartResponse, WsgiApplication, WsgiEnvironment, WsgiServer
 
-__all__ = ["StartResponse", "WsgiApplication", "WsgiEnvironment", "WsgiServer"]
+__all__ = [
+    "CallerConnection",
+    "ReceivedRequest",
+    "RelayHandler",
+    "RelayServer",
+    "StartResponse",
+    "WsgiApplication",
+    "WsgiEnvironment",
+    "WsgiServer",
+]
--- /dev/null
+++ b/src/aspengate/serving/_relay_task.py
@@ -0,0 +1,147 @@
+"""One caller's request, and the writing of its answer, on a waitress channel."""
+
+import socket
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+from waitress.channel import ClientDisconnected
+from waitress.task import Task
+
+from aspengate.connections import CallerGoneError, Waiter
+
+_MOST_UNSENT_BYTES = 256 * 1024
+_UNSENT_POLL_MS = 20.0
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_BODILESS = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
+
+Headers = Iterable[tuple[str, str]]
+
+
+@dataclass(frozen=True)
+class ReceivedRequest:
+    """A whole request as it was read; ``received_ms`` is monotonic time of its first byte."""
+
+    method: str
+    target: str
+    version: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    received_ms: float
+
+
+class CallerConnection:
+    """The caller's side of one request: what it sent, and the answer that it gets.
+
+    Either ``answer`` once, or ``start``, any number of ``write`` and then ``finish`` or ``cut``.
+    All of them raise CallerGoneError where the caller has gone.
+    """
+
+    def __init__(self, channel: Any, request: ReceivedRequest, closing: bool) -> None:
+        self.request = request
+        self.closing = closing
+        self.started = False
+        self.ended = False
+        self._channel = channel
+        self._chunked = False
+
+    @property
+    def socket(self) -> socket.socket | None:
+        """The caller's socket, to be watched but not read."""
+        found: socket.socket | None = self._channel.socket
+        return found
+
+    def answer(self, status: int, reason: str, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        lines = _header_lines(headers)
+        if status not in _BODILESS:
+            lines.append(f"Content-Length: {len(body)}")
+        self._send_head(status, reason, lines)
+        if body and status not in _BODILESS and self.request.method != "HEAD":
+            self._send(body)
+        self.ended = True
+
+    def start(self, status: int, reason: str, headers: Headers) -> None:
+        """Send the head of an answer whose length is not known yet."""
+        lines = _header_lines(headers)
+        self._chunked = self.request.version == "1.1"
+        if self._chunked:
+            lines.append("Transfer-Encoding: chunked")
+        else:
+            self.closing = True
+        self._send_head(status, reason, lines)
+
+    def write(self, data: bytes, waiter: Waiter) -> None:
+        """Send more of a started answer; wait where the caller reads too slowly."""
+        while self._channel.total_outbufs_len > _MOST_UNSENT_BYTES:
+            waiter.pause(waiter.clock.monotonic_ms() + _UNSENT_POLL_MS)
+        if data:
+            self._send(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+
+    def finish(self) -> None:
+        """End a started answer as a whole one."""
+        if self._chunked:
+            self._send(b"0\r\n\r\n")
+        self.ended = True
+
+    def cut(self) -> None:
+        """End the connection such that a started answer does not look whole."""
+        self.closing = True
+        self.ended = True
+        caller = self.socket
+        if not self._chunked and self.started and caller is not None:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+    def _send_head(self, status: int, reason: str, lines: list[str]) -> None:
+        self.started = True
+        if self.closing:
+            lines.append("Connection: close")
+        elif self.request.version == "1.0":
+            lines.append("Connection: keep-alive")
+        head = "\r\n".join([f"HTTP/1.1 {status} {reason}", *lines, "", ""])
+        self._send(head.encode("latin-1"))
+
+    def _send(self, data: bytes) -> None:
+        try:
+            self._channel.write_soon(data)
+        except ClientDisconnected as error:
+            raise CallerGoneError from error
+
+
+class RelayTask(Task):  # type: ignore[misc]
+    """Hands a request that was read to the server's handler and ends its answer."""
+
+    def service(self) -> None:
+        """Answer the request; called on a thread of the pool."""
+        connection = CallerConnection(
+            self.channel, self.request.received_request(), closing=self._must_close()
+        )
+        try:
+            self.channel.server.handler(connection)
+        except CallerGoneError:
+            connection.cut()
+        if not connection.ended:
+            connection.cut()
+        self.wrote_header = connection.started
+        self.close_on_finish = connection.closing
+
+    def _must_close(self) -> bool:
+        server = self.channel.server
+        options = self.request.headers.get("CONNECTION", "").lower()
+        if self.request.version == "1.0":
+            return options != "keep-alive" or bool(server.leaving)
+        return "close" in options or bool(server.leaving)
+
+
+def reason_of(status: int) -> str:
+    """Return the usual words for a status."""
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+def _header_lines(headers: Headers) -> list[str]:
+    return [f"{name}: {value}" for name, value in headers]
--- /dev/null
+++ b/src/aspengate/store/__init__.py
@@ -0,0 +1,26 @@
+"""The key-value store that holds all that must last, as the product sees it."""
+
+from aspengate.store._mirror import MirrorState, StoreMirror
+from aspengate.store._port import (
+    Changes,
+    ConditionFailedError,
+    HistoryLostError,
+    KeyValueStore,
+    Put,
+    Removal,
+    Snapshot,
+    StoreItem,
+)
+
+__all__ = [
+    "Changes",
+    "ConditionFailedError",
+    "HistoryLostError",
+    "KeyValueStore",
+    "MirrorState",
+    "Put",
+    "Removal",
+    "Snapshot",
+    "StoreItem",
+    "StoreMirror",
+]
--- /dev/null
+++ b/src/aspengate/store/_mirror.py
@@ -0,0 +1,129 @@
+"""A local copy of the items below a prefix, kept current by a watch."""
+
+import random
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from aspengate.clock import Clock
+from aspengate.errors import AspengateError
+from aspengate.store._port import Changes, HistoryLostError, KeyValueStore, Snapshot, StoreItem
+from aspengate.telemetry import Counters, log_change
+
+_FIRST_PAUSE_MS = 50.0
+_LONGEST_PAUSE_MS = 1_000.0
+_PAUSE_GROWTH = 2.0
+
+
+@dataclass(frozen=True)
+class MirrorState:
+    """The items by key, as of the store's ``revision``; a revision of 0 means none are known."""
+
+    items: Mapping[str, StoreItem] = field(default_factory=dict)
+    revision: int = 0
+
+
+class StoreMirror:
+    """Follows one prefix of the store on a thread of its own.
+
+    ``on_change`` is called with each new state, on the thread that learned of it. A state from
+    another process may be handed in by ``offer``: revisions are the store's, so the higher one
+    is the newer one, wherever it comes from.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        prefix: str,
+        clock: Clock,
+        counters: Counters,
+        on_change: Callable[[MirrorState], None],
+        wait_ms: int,
+    ) -> None:
+        self.prefix = prefix
+        self.state = MirrorState()
+        self.connected = False
+        self.wait_ms = wait_ms
+        self._store = store
+        self._clock = clock
+        self._counters = counters
+        self._on_change = on_change
+        self._lock = threading.Lock()
+        self._closing = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True, name=f"mirror-{prefix}")
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop following; a watch that is waiting ends by itself."""
+        self._closing.set()
+
+    def offer(self, snapshot: Snapshot) -> bool:
+        """Take over a whole state if it is newer than the one held; return whether it was."""
+        with self._lock:
+            if snapshot.revision <= self.state.revision:
+                return False
+            items = {item.key: item for item in snapshot.items}
+            changed = items != self.state.items
+            self.state = MirrorState(items, snapshot.revision)
+            if changed:
+                self._on_change(self.state)
+            return True
+
+    def _run(self) -> None:
+        pause_ms = _FIRST_PAUSE_MS
+        listed = False
+        while not self._closing.is_set():
+            try:
+                if not listed:
+                    self.offer(self._store.list(self.prefix))
+                    listed = True
+                    self._note_connected()
+                self._follow()
+                self._note_connected()
+                pause_ms = _FIRST_PAUSE_MS
+            except HistoryLostError:
+                self._counters.count("mirror.history_lost")
+                log_change("store.history_lost", prefix=self.prefix, revision=self.state.revision)
+                listed = False
+                self._closing.wait(_FIRST_PAUSE_MS / 1_000)
+            except AspengateError as error:
+                self._note_lost(error)
+                self._closing.wait(pause_ms * random.uniform(0.5, 1.0) / 1_000)
+                pause_ms = min(pause_ms * _PAUSE_GROWTH, _LONGEST_PAUSE_MS)
+
+    def _follow(self) -> None:
+        changes = self._store.changes(self.prefix, self.state.revision, self.wait_ms)
+        with self._lock:
+            if changes.revision <= self.state.revision:
+                return
+            items = dict(self.state.items)
+            _apply(changes, items)
+            self.state = MirrorState(items, changes.revision)
+            if changes.written or changes.removed:
+                self._on_change(self.state)
+
+    def _note_connected(self) -> None:
+        if not self.connected:
+            self.connected = True
+            log_change("store.connected", prefix=self.prefix, revision=self.state.revision)
+
+    def _note_lost(self, error: AspengateError) -> None:
+        self._counters.count("mirror.failed")
+        if self.connected:
+            self.connected = False
+            log_change("store.lost", prefix=self.prefix, error=str(error))
+
+
+def _apply(changes: Changes, items: dict[str, StoreItem]) -> None:
+    """Apply changes by revision, so that what is already known is not undone by older news."""
+    for item in changes.written:
+        known = items.get(item.key)
+        if known is None or item.revision > known.revision:
+            items[item.key] = item
+    for removal in changes.removed:
+        known = items.get(removal.key)
+        if known is not None and removal.revision > known.revision:
+            del items[removal.key]
--- /dev/null
+++ b/src/aspengate/store/_port.py
@@ -0,0 +1,95 @@
+"""What the product asks of a key-value store, and the values that cross this border."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from aspengate.errors import AspengateError, ErrorKind
+
+
+@dataclass(frozen=True)
+class StoreItem:
+    """One key with its value, as of ``revision``, the store's counter at its last change."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """All items below a prefix. Every change up to ``revision`` is in it."""
+
+    items: tuple[StoreItem, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class Removal:
+    """A key that was removed at ``revision``."""
+
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True)
+class Changes:
+    """What has changed below a prefix up to ``revision``: items written and keys removed."""
+
+    written: tuple[StoreItem, ...]
+    removed: tuple[Removal, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class Put:
+    """A value to write under a key."""
+
+    key: str
+    value: bytes
+
+
+class HistoryLostError(AspengateError):
+    """The store no longer knows the changes since a revision; list the items again."""
+
+    def __init__(self, prefix: str) -> None:
+        super().__init__(ErrorKind.STORE_UNAVAILABLE, "history is gone", where=prefix)
+
+
+class ConditionFailedError(AspengateError):
+    """A transaction's condition did not hold; ``items`` are the present values by key."""
+
+    def __init__(self, items: Mapping[str, StoreItem]) -> None:
+        super().__init__(ErrorKind.CONFLICT, "another write came first")
+        self.items = items
+
+
+class KeyValueStore(Protocol):
+    """A store with revisions, prefix watches and conditional writes.
+
+    Every call may raise AspengateError of kind STORE_UNAVAILABLE, which promises that nothing
+    was done.
+    """
+
+    def get(self, key: str) -> StoreItem | None:
+        """Return the item under ``key``, if any; the read is linearizable."""
+
+    def list(self, prefix: str) -> Snapshot:
+        """Return the items whose keys begin with ``prefix``."""
+
+    def changes(self, prefix: str, since: int, wait_ms: int) -> Changes:
+        """Wait up to ``wait_ms`` for changes after revision ``since``.
+
+        Raises HistoryLostError where they are no longer known.
+        """
+
+    def transact(self, conditions: Mapping[str, int], puts: tuple[Put, ...]) -> int:
+        """Write all ``puts`` if each key in ``conditions`` is still at its revision.
+
+        A revision of 0 means that the key is absent. Return the new revision. Raises
+        ConditionFailedError, or OUTCOME_UNKNOWN where the write may have been done, or may
+        still be done while its conditions hold.
+        """
+
+    def remove(self, key: str) -> None:
+        """Remove ``key`` where it is there."""
