Keep prepaid tokens by session in the store; share the retry budget; know the other routers

Change: allowances, one document an account, changed by compare-and-swap together with the configuration's revision; a shared retry budget without messages; routers register in the store, tell each other by UDP what they know, and hand each other mirrors of the store. Ruled out: reusing stewards, blocks and agents' records: without agents every router is its own holder, and one number for each session replaces four kinds of messages.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -6,8 +6,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from aspengate.deployed import SETTINGS_VARIABLE, run_gateway  # noqa: E402
-from aspengate.errors import AspengateError  # noqa: E402
+from aspengate.deployed import SETTINGS_VARIABLE, run_gateway
+from aspengate.errors import AspengateError
 
 if __name__ == "__main__":
     try:
--- /dev/null
+++ b/src/aspengate/allowances/__init__.py
@@ -0,0 +1,26 @@
+"""Prepaid tokens: what the store grants to each router's session, and what that session used.
+
+The modules here decide and hold state; they call no store, and take the time as a parameter.
+"""
+
+from aspengate.allowances._document import (
+    AllowanceDocument,
+    close_session,
+    decode_document,
+    encode_document,
+    set_allowance,
+)
+from aspengate.allowances._purse import Purse, PurseFigures
+from aspengate.allowances._sizing import AllowanceSizing, Demand
+
+__all__ = [
+    "AllowanceDocument",
+    "AllowanceSizing",
+    "Demand",
+    "Purse",
+    "PurseFigures",
+    "close_session",
+    "decode_document",
+    "encode_document",
+    "set_allowance",
+]
--- /dev/null
+++ b/src/aspengate/allowances/_purse.py
@@ -0,0 +1,109 @@
+"""One account's tokens as one router holds them."""
+
+import math
+from dataclasses import dataclass
+
+from aspengate.allowances._document import AllowanceDocument
+from aspengate.allowances._sizing import AllowanceSizing, Demand
+
+_HALF_LIFE_MS = 3_000.0
+_SIZE_WEIGHT = 0.2
+
+
+@dataclass(frozen=True)
+class PurseFigures:
+    """What a purse holds: used by ended requests, reserved by running ones, and granted."""
+
+    used: int
+    reserved: int
+    granted: int
+
+    @property
+    def free(self) -> int:
+        """What a new request could take at once."""
+        return self.granted - self.used - self.reserved
+
+
+class Purse:
+    """Counts what a session may use of one account, what it reserved, and what it used.
+
+    ``granted`` is what the store is known to allow; it is lowered before a lower allowance is
+    written, and raised only after a higher one was confirmed.
+    """
+
+    def __init__(self, sizing: AllowanceSizing) -> None:
+        self.sizing = sizing
+        self.used = 0
+        self.reserved = 0
+        self.granted = 0
+        self._rate = 0.0
+        self._rate_ms = 0.0
+        self._request = 0.0
+
+    @property
+    def free(self) -> int:
+        """What a new request could take at once."""
+        return self.granted - self.used - self.reserved
+
+    @property
+    def figures(self) -> PurseFigures:
+        """What the purse holds now."""
+        return PurseFigures(self.used, self.reserved, self.granted)
+
+    def reserve(self, amount: int, now_ms: float) -> bool:
+        """Set ``amount`` aside for a request that may begin; return whether it was there."""
+        if amount > self.free:
+            return False
+        self.reserved += amount
+        self._note_demand(amount, now_ms)
+        return True
+
+    def settle(self, reserved: int, used: int) -> None:
+        """Replace what an ended request had set aside by what it used."""
+        self.reserved -= reserved
+        self.used += used
+
+    def demand(self, waiting: int, now_ms: float) -> Demand:
+        """Return what this router's requests need, with ``waiting`` tokens waited for."""
+        self._age(now_ms)
+        return Demand(
+            committed=self.used + self.reserved,
+            waiting=waiting,
+            per_second=self._rate * math.log(2) * 1_000 / _HALF_LIFE_MS,
+            request=int(self._request),
+        )
+
+    def target(
+        self,
+        document: AllowanceDocument,
+        session: str,
+        limit: int,
+        routers: int,
+        demand: Demand,
+        *,
+        short: bool,
+    ) -> int:
+        """Return the allowance to ask for, never less than what is committed.
+
+        What is waited for is asked for whole or not at all. While the account is ``short``,
+        nothing is kept beyond what requests need.
+        """
+        most = document.most_for(session, limit)
+        needed = demand.committed + demand.waiting
+        if needed > most:
+            return demand.committed
+        if short:
+            return needed
+        return needed + self.sizing.reserve(demand, most - needed, routers)
+
+    def _note_demand(self, amount: int, now_ms: float) -> None:
+        self._age(now_ms)
+        self._rate += amount
+        if not self._request:
+            self._request = float(amount)
+        self._request += _SIZE_WEIGHT * (amount - self._request)
+
+    def _age(self, now_ms: float) -> None:
+        elapsed = max(0.0, now_ms - self._rate_ms)
+        self._rate *= 0.5 ** (elapsed / _HALF_LIFE_MS)
+        self._rate_ms = max(self._rate_ms, now_ms)
--- /dev/null
+++ b/src/aspengate/allowances/_sizing.py
@@ -0,0 +1,36 @@
+"""How many tokens a router keeps at hand beyond what its requests need."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What a router's requests need: ``committed`` is used or reserved, ``waiting`` waits.
+
+    ``per_second`` is the rate at which it reserved lately, ``request`` a usual request's size.
+    """
+
+    committed: int
+    waiting: int
+    per_second: float
+    request: int
+
+
+@dataclass(frozen=True)
+class AllowanceSizing:
+    """Sizes of the reserve that lets a router go on while the store does not answer.
+
+    The reserve covers ``horizon_ms`` of the demand seen. It takes at most one part in
+    ``share_divisor`` x routers of what nobody holds yet, so that it shrinks as an account's
+    tokens run out; what a router that dies held is lost to the account.
+    """
+
+    horizon_ms: float = 6_000.0
+    share_divisor: int = 4
+    refill_part: float = 0.5
+
+    def reserve(self, demand: Demand, unheld: int, routers: int) -> int:
+        """Return the tokens to keep at hand, where ``unheld`` are held by nobody."""
+        share = max(0, unheld) // (self.share_divisor * max(1, routers))
+        wanted = int(demand.per_second * self.horizon_ms / 1_000) + demand.request
+        return min(wanted, share)
--- a/src/aspengate/configuration/_model.py
+++ b/src/aspengate/configuration/_model.py
@@ -97,9 +97,13 @@
 
 @dataclass(frozen=True)
 class FleetConfiguration:
-    """One version of the whole configuration, with the look-ups that a request needs."""
+    """One version of the whole configuration, with the look-ups that a request needs.
+
+    ``revision`` is the store's revision of the item that it was read from.
+    """
 
     version: int
+    revision: int = 0
     routes: tuple[Route, ...] = ()
     services: dict[str, Service] = field(default_factory=dict)
     accounts: tuple[ClientAccount, ...] = ()
--- a/src/aspengate/gateway/_application.py
+++ b/src/aspengate/gateway/_application.py
@@ -6,14 +6,15 @@
 from aspengate.configuration import ConfigurationHolder
 from aspengate.connections import CallerGoneError, Waiter
 from aspengate.errors import AspengateError, ErrorKind, RunState
-from aspengate.gateway._dispatcher import Dispatcher, Progress
+from aspengate.gateway._dispatcher import Dispatcher
 from aspengate.gateway._exchange import Exchange, Filter
 from aspengate.gateway._ports import RequestSpelling
+from aspengate.gateway._progress import Progress
 from aspengate.gateway._request import CallerRequest
 from aspengate.serving import CallerConnection
 from aspengate.telemetry import Counters, log_change
 
-ADMISSION = ("route", "authenticate")
+ADMISSION = ("route", "authenticate", "reserve")
 _LONGEST_MS = 600_000.0
 
 
@@ -76,7 +77,7 @@
             failure = ErrorKind.INTERNAL
             raise
         finally:
-            outcome = progress.outcome(failure)
+            outcome = progress.outcome(failure, _event_tokens(exchange))
             for step in reversed(passed):
                 step.finish(exchange, outcome)
 
@@ -110,6 +111,12 @@
         caller.answer(truthful.answer.status, truthful.kind.value, headers, body)
 
 
+def _event_tokens(exchange: Exchange) -> int:
+    """Return how many tokens one event of the exchange's stream holds at most."""
+    engine = exchange.service.engine if exchange.service else None
+    return engine.event_tokens if engine else 1
+
+
 def _truthful(error: AspengateError, progress: Progress) -> AspengateError:
     """Return the error to tell, such that what it says of the run is true."""
     says_not_run = error.answer.run_state is RunState.NOT_RUN
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -1,6 +1,7 @@
 """The gateway as a process: its followers of the store, its servers, and its planned stop."""
 
-from collections.abc import Callable
+import threading
+from collections.abc import Callable, Mapping
 
 from aspengate.clock import Clock
 from aspengate.configuration import ConfigurationHolder, FleetConfiguration
@@ -9,13 +10,17 @@
 from aspengate.gateway._application import ADMISSION, GatewayApplication
 from aspengate.gateway._attempt import AttemptParts
 from aspengate.gateway._dispatcher import Dispatcher
+from aspengate.gateway._money import LimitSource, TokenAccounts
+from aspengate.gateway._peering import Peering
 from aspengate.gateway._ports import Deployment
 from aspengate.gateway._ready import ReadyApplication
 from aspengate.gateway._settings import GatewaySettings
 from aspengate.gateway.filters import FilterParts, make_filters
+from aspengate.peers import MEMBER_PREFIX
 from aspengate.replicas import ReplicaRegistry
+from aspengate.retries import RetryPolicy, SharedRetryBudget
 from aspengate.serving import RelayServer, WsgiServer
-from aspengate.store import MirrorState, StoreMirror
+from aspengate.store import MirrorState, StoreItem, StoreMirror
 from aspengate.telemetry import Counters, log_change
 
 _READY_THREADS = 2
@@ -24,7 +29,8 @@
 _RESERVED_DESCRIPTORS = 200
 _DRAIN_POLL_MS = 50.0
 _LISTEN_MS = 3_000.0
-_STOP_MARGIN_MS = 500.0
+_STOP_MARGIN_MS = 800.0
+_TICK_S = 0.5
 _SMALL_BODY = 64 * 1024
 
 
@@ -46,30 +52,33 @@
         self.holder = ConfigurationHolder(clock)
         self.pool = ConnectionPool(clock, _LONGEST_REST_MS)
         self.registry = ReplicaRegistry(clock, self.pool.forget)
-        self.mirrors = (
-            self._mirror(deployment.configuration_key, self._on_configuration),
-            self._mirror(deployment.replica_prefix, self._on_replicas),
-        )
-        limits = FleetConfiguration(version=0).limits
-        self.server = RelayServer(
-            self._application(),
-            settings.listen,
-            threads=settings.threads,
-            most_connections=(settings.descriptors - _RESERVED_DESCRIPTORS) // 2,
-            max_header_bytes=limits.max_header_bytes,
-            max_body_bytes=limits.max_body_bytes,
-        )
+        self.retries = SharedRetryBudget(_retry_policy(settings), clock)
+        self.configuration = self._mirror(deployment.configuration_key, self._on_configuration)
+        self.replicas = self._mirror(deployment.replica_prefix, self._on_replicas)
+        self.routers = self._mirror(MEMBER_PREFIX, self._on_members)
+        self.peering = self._make_peering()
+        self.tokens = self._make_tokens()
+        self.server = self._make_server()
         self.ready_server = WsgiServer(
             ReadyApplication(self._is_ready), settings.ready_listen, _READY_THREADS, _SMALL_BODY
         )
-        self.holder.on_change(self._apply_limits)
+        self.holder.on_change(self._apply_configuration)
+        self._closing = threading.Event()
+        self._ticker = threading.Thread(target=self._tick, daemon=True, name="ticker")
+
+    @property
+    def mirrors(self) -> tuple[StoreMirror, ...]:
+        """The parts of the store that this gateway follows."""
+        return (self.configuration, self.replicas, self.routers)
 
     def start(self) -> None:
         """Begin to serve."""
         for mirror in self.mirrors:
             mirror.start()
+        self.peering.start()
         self.server.start()
         self.ready_server.start()
+        self._ticker.start()
         log_change("gateway.started", name=self.settings.name, listen=self.server.address)
 
     def leave(self) -> bool:
@@ -90,39 +99,100 @@
         return done
 
     def close(self) -> None:
-        """Stop at once."""
-        for mirror in self.mirrors:
-            mirror.close()
+        """Stop at once; what is not in progress any more is settled."""
+        self._closing.set()
         self.server.stop()
         self.ready_server.close()
+        self.tokens.close()
+        for mirror in self.mirrors:
+            mirror.close()
+        self.peering.close()
         self.pool.close()
 
     def _is_ready(self) -> bool:
-        return self.holder.known and bool(self.mirrors[1].state.revision) and not self.leaving
+        return self.holder.known and bool(self.replicas.state.revision) and not self.leaving
 
     def _sleep_until(self, until_ms: float) -> None:
         self.clock.sleep_ms(until_ms - self.clock.monotonic_ms())
 
+    def _tick(self) -> None:
+        while not self._closing.wait(_TICK_S):
+            self.tokens.tick()
+
     def _mirror(self, prefix: str, on_change: Callable[[MirrorState], None]) -> StoreMirror:
         return StoreMirror(
             self.deployment.store, prefix, self.clock, self.counters, on_change, _WATCH_MS
         )
 
+    def _make_peering(self) -> Peering:
+        host = self.settings.listen.rpartition(":")[0]
+        return Peering(
+            name=self.settings.name,
+            address=f"{host}:{self.settings.peer_ports.start}",
+            seeds=self.settings.seeds,
+            mirrors={mirror.prefix: mirror for mirror in self.mirrors},
+            store=self.deployment.store,
+            clock=self.clock,
+            counters=self.counters,
+            on_shortage=lambda account: self.tokens.give_back(account),
+        )
+
+    def _make_tokens(self) -> TokenAccounts:
+        return TokenAccounts(
+            session=self.peering.session,
+            store=self.deployment.store,
+            clock=self.clock,
+            counters=self.counters,
+            limit_of=self._limit_of,
+            on_conflict=self._on_conflict,
+            ask_peers=self.peering.ask_for_tokens,
+        )
+
+    def _make_server(self) -> RelayServer:
+        limits = FleetConfiguration(version=0).limits
+        return RelayServer(
+            self._application(),
+            self.settings.listen,
+            threads=self.settings.threads,
+            most_connections=(self.settings.descriptors - _RESERVED_DESCRIPTORS) // 2,
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+        )
+
     def _application(self) -> GatewayApplication:
-        parts = FilterParts(self.clock, self.counters)
-        attempt_parts = AttemptParts(self.deployment.spelling, self.pool)
+        spelling = self.deployment.spelling
         return GatewayApplication(
-            spelling=self.deployment.spelling,
+            spelling=spelling,
             holder=self.holder,
-            admission=make_filters(ADMISSION, parts),
-            dispatcher=Dispatcher(attempt_parts, self.registry, self.counters),
+            admission=make_filters(ADMISSION, FilterParts(self.clock, self.counters, self.tokens)),
+            dispatcher=Dispatcher(
+                AttemptParts(spelling, self.pool), self.registry, self.retries, self.counters
+            ),
             clock=self.clock,
             counters=self.counters,
         )
 
+    def _limit_of(self, account: str) -> LimitSource | None:
+        configuration = self.holder.current
+        found = configuration.accounts_by_name.get(account)
+        if found is None or found.prepaid_tokens is None:
+            return None
+        return LimitSource(
+            found.prepaid_tokens, self.deployment.configuration_key, configuration.revision
+        )
+
+    def _on_conflict(self, items: Mapping[str, StoreItem]) -> None:
+        item = items.get(self.deployment.configuration_key)
+        if item is not None:
+            self._take_configuration(item)
+
     def _on_configuration(self, state: MirrorState) -> None:
         item = state.items.get(self.deployment.configuration_key)
-        if item is None:
+        if item is not None:
+            self._take_configuration(item)
+
+    def _take_configuration(self, item: StoreItem) -> None:
+        if self.holder.known and item.revision <= self.holder.current.revision:
             return
         try:
             self.holder.offer(self.deployment.read_configuration(item))
@@ -138,9 +208,19 @@
                 log_change("replica.unreadable", key=item.key, error=str(error))
         self.registry.update(replicas)
 
-    def _apply_limits(self, configuration: FleetConfiguration) -> None:
+    def _on_members(self, state: MirrorState) -> None:
+        self.peering.members.update(state)
+        self.retries.routers = self.peering.members.count
+        self.tokens.routers = self.peering.members.count
+
+    def _apply_configuration(self, configuration: FleetConfiguration) -> None:
         limits = configuration.limits
         self.server.idle_timeout_ms = limits.idle_timeout_ms
         self.server.header_timeout_ms = limits.header_timeout_ms
         self.server.adj.max_request_header_size = limits.max_header_bytes
         self.server.adj.max_request_body_size = limits.max_body_bytes + 1
+        self.tokens.limits_changed()
+
+
+def _retry_policy(settings: GatewaySettings) -> RetryPolicy:
+    return RetryPolicy(settings.retry_ratio, settings.retry_slack, settings.retry_window_s * 1_000)
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -1,46 +1,40 @@
-"""Sends an admitted request to replicas until one of them has answered, and relays the answer."""
-
-from dataclasses import dataclass, field
+"""Sends an admitted request to replicas until one of them has answered."""
 
 from aspengate.connections import CallerGoneError, ReplicaAnswer
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._attempt import Attempt, AttemptParts
-from aspengate.gateway._events import EventSplitter, StreamEvent
-from aspengate.gateway._exchange import Exchange, Outcome
+from aspengate.gateway._exchange import Exchange
+from aspengate.gateway._progress import Progress
+from aspengate.gateway._relay import AnswerRelay, TryAnotherError
 from aspengate.replicas import ReplicaRegistry, ReplicaView
+from aspengate.retries import SharedRetryBudget
 from aspengate.serving import CallerConnection
 from aspengate.telemetry import Counters
 
-_WHOLE_ANSWER_BYTES = 256 * 1024
 _SUCCESS = range(200, 300)
 _SERVER_ERROR = range(500, 600)
-
-
-@dataclass
-class Progress:
-    """What has happened to one request so far."""
-
-    attempts: int = 0
-    may_have_run: bool = False
-    excluded: set[str] = field(default_factory=set)
-    last_event_id: str = ""
-    events: int = 0
-
-    def outcome(self, error: ErrorKind | None) -> Outcome:
-        """Return how the request ended."""
-        return Outcome(error, self.attempts, self.may_have_run)
+_MOST_UNREACHED = 4
 
 
 class Dispatcher:
-    """Makes the attempts of each request."""
+    """Makes the attempts of each request, within its route's bound and the retry budget."""
 
-    def __init__(self, parts: AttemptParts, registry: ReplicaRegistry, counters: Counters) -> None:
+    def __init__(
+        self,
+        parts: AttemptParts,
+        registry: ReplicaRegistry,
+        retries: SharedRetryBudget,
+        counters: Counters,
+    ) -> None:
         self.parts = parts
         self.registry = registry
+        self.retries = retries
         self.counters = counters
+        self.relay = AnswerRelay(parts.spelling)
 
     def run(self, exchange: Exchange, caller: CallerConnection, progress: Progress) -> None:
         """Answer the caller with a replica's answer; raises AspengateError where none serves."""
+        self.retries.note_request(exchange.known_service.name)
         progress.last_event_id = exchange.request.last_event_id
         while True:
             view = self._choose(exchange, progress)
@@ -49,15 +43,26 @@
             try:
                 self._serve(attempt, exchange, caller, progress)
                 return
-            except _TryAnotherError as failure:
+            except TryAnotherError as failure:
                 progress.excluded.add(view.identity)
-                self.counters.count("gateway.repeated")
-                if progress.attempts >= exchange.known_route.max_attempts:
-                    raise failure.cause from None
+                attempt.close()
+                self._check_another(exchange, progress, failure)
             finally:
                 view.in_flight -= 1
                 attempt.close()
 
+    def _check_another(
+        self, exchange: Exchange, progress: Progress, failure: TryAnotherError
+    ) -> None:
+        """Raise the cause of a failure where no further attempt may be made."""
+        if not failure.sent:
+            progress.unreached += 1
+            if progress.unreached >= _MOST_UNREACHED:
+                raise failure.cause
+            return
+        if not failure.paid and not self._may_repeat(exchange, progress):
+            raise failure.cause
+
     def _choose(self, exchange: Exchange, progress: Progress) -> ReplicaView:
         ready = self.registry.ready(exchange.known_service.name, progress.excluded)
         if not ready:
@@ -73,121 +78,50 @@
         caller: CallerConnection,
         progress: Progress,
     ) -> None:
-        route = exchange.known_route
-        try:
-            answer = attempt.begin(progress.last_event_id)
-        except CallerGoneError:
-            self._note_sent(attempt, progress)
-            raise
-        except AspengateError as error:
-            self._note_sent(attempt, progress)
-            if error.kind is ErrorKind.NO_UPSTREAM:
-                raise _TryAnotherError(error) from error
-            if route.repeatable and error.kind is ErrorKind.UPSTREAM_FAILED:
-                raise _TryAnotherError(error) from error
-            raise
-        self._note_sent(attempt, progress)
+        ran_before = progress.may_have_run
+        answer = self._begin(attempt, exchange, progress)
         if self.parts.spelling.is_not_executed(answer.status, answer.headers):
-            progress.may_have_run = progress.may_have_run and progress.attempts > 1
+            progress.may_have_run = ran_before
             refused = AspengateError(ErrorKind.OVERLOADED, f"refused with {answer.status}")
-            raise _TryAnotherError(refused)
+            raise TryAnotherError(refused, sent=True)
         if answer.status in _SUCCESS and not self.parts.spelling.is_signed(answer.headers):
             raise AspengateError(ErrorKind.UPSTREAM_FAILED, "an unsigned answer")
         if _is_event_stream(answer) and answer.status in _SUCCESS:
-            self._relay_stream(attempt, answer, exchange, caller, progress)
-        else:
-            self._relay_whole(attempt, answer, exchange, caller)
-
-    def _note_sent(self, attempt: Attempt, progress: Progress) -> None:
-        if attempt.sent:
-            progress.attempts += 1
-            progress.may_have_run = True
-
-    def _relay_whole(
-        self,
-        attempt: Attempt,
-        answer: ReplicaAnswer,
-        exchange: Exchange,
-        caller: CallerConnection,
-    ) -> None:
-        body = b""
+            self.relay.stream(attempt, answer, caller, progress)
+            return
+        if caller.started:
+            raise AspengateError(ErrorKind.UPSTREAM_FAILED, f"resumed with {answer.status}")
+        failed = answer.status in _SERVER_ERROR and exchange.known_route.repeatable
+        if failed and self._may_repeat(exchange, progress):
+            cause = AspengateError(ErrorKind.UPSTREAM_FAILED, f"answered {answer.status}")
+            raise TryAnotherError(cause, sent=True, paid=True)
+        self.relay.whole(attempt, answer, caller)
+
+    def _begin(self, attempt: Attempt, exchange: Exchange, progress: Progress) -> ReplicaAnswer:
         try:
-            while data := answer.next_data(exchange.waiter):
-                body += data
-                if len(body) > _WHOLE_ANSWER_BYTES:
-                    self._relay_rest(answer, body, exchange, caller)
-                    attempt.release()
-                    return
+            return attempt.begin(progress.last_event_id)
         except CallerGoneError:
             raise
         except AspengateError as error:
-            if exchange.known_route.repeatable and error.kind is ErrorKind.UPSTREAM_FAILED:
-                raise _TryAnotherError(error) from error
-            raise
-        attempt.release()
-        headers = self.parts.spelling.answer_headers(answer.headers)
-        caller.answer(answer.status, answer.reason, headers, body)
-
-    def _relay_rest(
-        self, answer: ReplicaAnswer, body: bytes, exchange: Exchange, caller: CallerConnection
-    ) -> None:
-        headers = self.parts.spelling.answer_headers(answer.headers)
-        caller.start(answer.status, answer.reason, headers)
-        caller.write(body, exchange.waiter)
-        while data := answer.next_data(exchange.waiter):
-            caller.write(data, exchange.waiter)
-        caller.finish()
-
-    def _relay_stream(
-        self,
-        attempt: Attempt,
-        answer: ReplicaAnswer,
-        exchange: Exchange,
-        caller: CallerConnection,
-        progress: Progress,
-    ) -> None:
-        splitter = EventSplitter()
-        try:
-            while data := answer.next_data(exchange.waiter):
-                for event in splitter.feed(data):
-                    self._pass_on(event, answer, exchange, caller, progress)
-            if splitter.rest:
-                raise AspengateError(ErrorKind.UPSTREAM_FAILED, "ends within an event")
-        except CallerGoneError:
-            raise
-        except AspengateError as error:
-            if exchange.known_route.repeatable and error.kind is ErrorKind.UPSTREAM_FAILED:
-                raise _TryAnotherError(error) from error
+            if error.kind is ErrorKind.NO_UPSTREAM:
+                raise TryAnotherError(error, sent=False) from error
+            if error.kind is ErrorKind.UPSTREAM_FAILED and exchange.known_route.repeatable:
+                raise TryAnotherError(error, sent=True) from error
             raise
-        attempt.release()
-        if not caller.started:
-            headers = self.parts.spelling.answer_headers(answer.headers)
-            caller.start(answer.status, answer.reason, headers)
-        caller.finish()
-
-    def _pass_on(
-        self,
-        event: StreamEvent,
-        answer: ReplicaAnswer,
-        exchange: Exchange,
-        caller: CallerConnection,
-        progress: Progress,
-    ) -> None:
-        if not caller.started:
-            headers = self.parts.spelling.answer_headers(answer.headers)
-            caller.start(answer.status, answer.reason, headers)
-        caller.write(event.data, exchange.waiter)
-        progress.events += 1
-        if event.identity:
-            progress.last_event_id = event.identity
-
-
-class _TryAnotherError(Exception):
-    """An attempt failed in a way that lets another replica be tried."""
-
-    def __init__(self, cause: AspengateError) -> None:
-        super().__init__(str(cause))
-        self.cause = cause
+        finally:
+            if attempt.sent:
+                progress.attempts += 1
+                progress.may_have_run = True
+
+    def _may_repeat(self, exchange: Exchange, progress: Progress) -> bool:
+        """Take one more attempt from the route's bound and the retry budget, if there is one."""
+        if progress.attempts >= exchange.known_route.max_attempts:
+            return False
+        if not self.retries.take(exchange.known_service.name):
+            self.counters.count("gateway.retry_budget_spent")
+            return False
+        self.counters.count("gateway.repeated")
+        return True
 
 
 def _is_event_stream(answer: ReplicaAnswer) -> bool:
--- /dev/null
+++ b/src/aspengate/gateway/_peering.py
@@ -0,0 +1,146 @@
+"""Keeps in touch with the other routers, and learns from them what the store did not tell."""
+
+import threading
+import uuid
+from collections.abc import Callable, Mapping
+
+from aspengate.clock import Clock
+from aspengate.errors import AspengateError
+from aspengate.peers import (
+    Beacon,
+    Member,
+    MemberList,
+    MirrorClient,
+    MirrorServer,
+    PeerNews,
+    peer_addresses,
+)
+from aspengate.serving import WsgiServer
+from aspengate.store import KeyValueStore, StoreMirror
+from aspengate.telemetry import Counters, log_change
+
+_BEACON_MS = 500.0
+_GRACE_MS = 150.0
+_FETCH_TIMEOUT_MS = 500.0
+_SERVER_THREADS = 2
+_SMALL_BODY = 4 * 1024
+_ASKED_WHEN_SHORT = 64
+
+
+class Peering:
+    """One router among its peers.
+
+    ``mirrors`` are the parts of the store that peers help each other with, by prefix. A router
+    whose store does not answer asks a peer for them; one that hears of a newer change than it
+    knows asks the peer that spoke of it.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        seeds: tuple[str, ...],
+        mirrors: Mapping[str, StoreMirror],
+        store: KeyValueStore,
+        clock: Clock,
+        counters: Counters,
+        on_shortage: Callable[[str], None],
+    ) -> None:
+        self.mirrors = mirrors
+        self.server = WsgiServer(MirrorServer(mirrors), address, _SERVER_THREADS, _SMALL_BODY)
+        self.session = f"{name}.{uuid.uuid4().hex[:8]}"
+        self.members = MemberList(Member(name, self.server.address, self.session), clock)
+        self._store = store
+        self._clock = clock
+        self._counters = counters
+        self._on_shortage = on_shortage
+        self._seeds = seeds
+        self._client = MirrorClient(_FETCH_TIMEOUT_MS)
+        self._beacon = Beacon(self.server.address, counters, self._on_news)
+        self._behind: dict[str, str] = {}
+        self._wake = threading.Event()
+        self._closing = threading.Event()
+        self._threads = (
+            threading.Thread(target=self._send, daemon=True, name="peers-send"),
+            threading.Thread(target=self._catch_up, daemon=True, name="peers-fetch"),
+        )
+
+    def start(self) -> None:
+        """Begin to send and to listen."""
+        self.server.start()
+        self._beacon.start()
+        for thread in self._threads:
+            thread.start()
+
+    def close(self) -> None:
+        """Stop, and withdraw from the store."""
+        self._closing.set()
+        self._wake.set()
+        self.members.withdraw(self._store)
+        self._beacon.close()
+        self.server.close()
+
+    def ask_for_tokens(self, account: str) -> None:
+        """Ask all other routers to give back what they do not need of an account."""
+        news = PeerNews(self.members.own, shortages=(account,))
+        self._beacon.send(news, self.members.addresses(), most=_ASKED_WHEN_SHORT)
+
+    def _send(self) -> None:
+        while not self._closing.wait(_BEACON_MS / 1_000):
+            revisions = {prefix: each.state.changed for prefix, each in self.mirrors.items()}
+            self._beacon.send(PeerNews(self.members.own, revisions), self.members.addresses())
+            if not self.members.registered:
+                self._register()
+            if not all(each.connected for each in self.mirrors.values()):
+                self._wake.set()
+
+    def _register(self) -> None:
+        try:
+            self.members.register(self._store)
+        except AspengateError as error:
+            self._counters.count("members.not_registered")
+            log_change("member.not_registered", error=str(error))
+
+    def _on_news(self, news: PeerNews) -> None:
+        self.members.heard(news.member)
+        for account in news.shortages:
+            self._on_shortage(account)
+        for prefix, revision in news.revisions.items():
+            mirror = self.mirrors.get(prefix)
+            if mirror is not None and revision > mirror.state.changed:
+                self._behind[prefix] = news.member.address
+                self._wake.set()
+
+    def _catch_up(self) -> None:
+        while not self._closing.is_set():
+            self._wake.wait()
+            self._wake.clear()
+            if self._closing.wait(_GRACE_MS / 1_000):
+                return
+            for prefix, mirror in self.mirrors.items():
+                self._fetch(prefix, mirror)
+
+    def _fetch(self, prefix: str, mirror: StoreMirror) -> None:
+        told = self._behind.pop(prefix, "")
+        if not told and mirror.connected:
+            return
+        for address in self._sources(told):
+            try:
+                snapshot = self._client.fetch(address, prefix)
+            except AspengateError:
+                self._counters.count("peers.fetch_failed")
+                continue
+            if mirror.offer(snapshot):
+                self._counters.count("peers.fetched")
+                log_change(
+                    "mirror.from_peer", prefix=prefix, peer=address, revision=snapshot.revision
+                )
+            return
+
+    def _sources(self, told: str) -> list[str]:
+        """Return the peers to ask, the one that knows something new first."""
+        port = int(self.members.own.address.rpartition(":")[2])
+        known = self.members.addresses() or peer_addresses(self._seeds, port)
+        others = [each for each in known if each not in (told, self.members.own.address)]
+        return ([told] if told else []) + others[:2]
--- /dev/null
+++ b/src/aspengate/gateway/_relay.py
@@ -0,0 +1,118 @@
+"""Hands a replica's answer to the caller."""
+
+from aspengate.connections import CallerGoneError, ReplicaAnswer
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.gateway._attempt import Attempt
+from aspengate.gateway._events import EventSplitter, StreamEvent
+from aspengate.gateway._ports import RequestSpelling
+from aspengate.gateway._progress import Progress
+from aspengate.serving import CallerConnection
+
+_WHOLE_ANSWER_BYTES = 256 * 1024
+
+
+class TryAnotherError(Exception):
+    """An attempt failed in a way that lets another replica be tried.
+
+    ``sent`` tells whether the replica may have received the request; ``paid`` whether the
+    repeat was taken from the retry budget already.
+    """
+
+    def __init__(self, cause: AspengateError, *, sent: bool, paid: bool = False) -> None:
+        super().__init__(str(cause))
+        self.cause = cause
+        self.sent = sent
+        self.paid = paid
+
+
+class AnswerRelay:
+    """Relays whole answers and streams of events."""
+
+    def __init__(self, spelling: RequestSpelling) -> None:
+        self.spelling = spelling
+
+    def whole(self, attempt: Attempt, answer: ReplicaAnswer, caller: CallerConnection) -> None:
+        """Read an answer to its end, then send it, so that a broken one is never begun.
+
+        One that is very long is passed on as it comes. Raises TryAnotherError, or
+        AspengateError.
+        """
+        body = b""
+        try:
+            while data := answer.next_data(attempt.exchange.waiter):
+                body += data
+                if len(body) > _WHOLE_ANSWER_BYTES:
+                    self._begin(answer, caller)
+                    caller.write(body, attempt.exchange.waiter)
+                    body = b""
+        except AspengateError as error:
+            raise _broken(attempt, error, resumable=not caller.started) from error
+        attempt.release()
+        if caller.started:
+            caller.write(body, attempt.exchange.waiter)
+            caller.finish()
+            return
+        headers = self.spelling.answer_headers(answer.headers)
+        caller.answer(answer.status, answer.reason, headers, body)
+
+    def stream(
+        self,
+        attempt: Attempt,
+        answer: ReplicaAnswer,
+        caller: CallerConnection,
+        progress: Progress,
+    ) -> None:
+        """Pass events on as they come, each one whole; raises as ``whole`` does."""
+        splitter = EventSplitter()
+        try:
+            while data := answer.next_data(attempt.exchange.waiter):
+                for event in splitter.feed(data):
+                    self._pass_on(event, attempt, answer, caller, progress)
+            if splitter.rest:
+                raise AspengateError(ErrorKind.UPSTREAM_FAILED, "ends within an event")
+            if not answer.framed:
+                raise AspengateError(ErrorKind.UPSTREAM_FAILED, "a stream without framing")
+        except AspengateError as error:
+            resumable = not caller.started or attempt.exchange.known_route.resumable
+            raise _broken(attempt, error, resumable=resumable) from error
+        attempt.release()
+        self._begin(answer, caller)
+        caller.finish()
+        progress.whole = True
+
+    def _pass_on(
+        self,
+        event: StreamEvent,
+        attempt: Attempt,
+        answer: ReplicaAnswer,
+        caller: CallerConnection,
+        progress: Progress,
+    ) -> None:
+        if _is_repeated(event, progress):
+            return
+        self._begin(answer, caller)
+        caller.write(event.data, attempt.exchange.waiter)
+        progress.events += 1
+        if event.identity:
+            progress.last_event_id = event.identity
+
+    def _begin(self, answer: ReplicaAnswer, caller: CallerConnection) -> None:
+        """Send the head, once; a resumed stream keeps that of its first replica."""
+        if not caller.started:
+            headers = self.spelling.answer_headers(answer.headers)
+            caller.start(answer.status, answer.reason, headers)
+
+
+def _broken(attempt: Attempt, error: AspengateError, *, resumable: bool) -> Exception:
+    """Return what to raise after an answer broke off."""
+    lost = error.kind is ErrorKind.UPSTREAM_FAILED and not isinstance(error, CallerGoneError)
+    if lost and resumable and attempt.exchange.known_route.repeatable:
+        return TryAnotherError(error, sent=True)
+    return error
+
+
+def _is_repeated(event: StreamEvent, progress: Progress) -> bool:
+    """Return whether the caller has an event already; ids rise where they are numbers."""
+    if not (event.identity.isdigit() and progress.last_event_id.isdigit()):
+        return False
+    return int(event.identity) <= int(progress.last_event_id)
--- a/src/aspengate/gateway/filters/__init__.py
+++ b/src/aspengate/gateway/filters/__init__.py
@@ -3,11 +3,13 @@
 from aspengate.gateway.filters._authenticate import Authenticate
 from aspengate.gateway.filters._find_route import FindRoute
 from aspengate.gateway.filters._registry import FilterParts, make_filters, register_filter
+from aspengate.gateway.filters._reserve import Reserve
 
 __all__ = [
     "Authenticate",
     "FilterParts",
     "FindRoute",
+    "Reserve",
     "make_filters",
     "register_filter",
 ]
--- a/src/aspengate/gateway/filters/_registry.py
+++ b/src/aspengate/gateway/filters/_registry.py
@@ -6,6 +6,7 @@
 
 from aspengate.clock import Clock
 from aspengate.gateway._exchange import Filter
+from aspengate.gateway._money import TokenAccounts
 from aspengate.telemetry import Counters
 
 
@@ -15,6 +16,7 @@
 
     clock: Clock
     counters: Counters
+    tokens: TokenAccounts
 
 
 FilterFactory = Callable[[FilterParts], Filter]
--- /dev/null
+++ b/src/aspengate/gateway/filters/_reserve.py
@@ -0,0 +1,39 @@
+"""Whether the account's prepaid tokens cover the request at its most."""
+
+from aspengate.gateway._exchange import Exchange, Outcome
+from aspengate.gateway.filters._registry import FilterParts, register_filter
+
+
+@register_filter("reserve")
+class Reserve:
+    """Sets the most that a request can use aside, and settles what it used."""
+
+    def __init__(self, parts: FilterParts) -> None:
+        self.parts = parts
+
+    def apply(self, exchange: Exchange) -> Exchange:
+        """Return the exchange; raises BUDGET_EXHAUSTED or BUDGET_UNAVAILABLE."""
+        amount = _most(exchange)
+        if amount and exchange.account is not None:
+            self.parts.tokens.reserve(exchange.account, amount, exchange.waiter)
+        return exchange
+
+    def finish(self, exchange: Exchange, outcome: Outcome) -> None:
+        """Settle the exact use where the answer was whole, the most where that is not known."""
+        amount = _most(exchange)
+        if not amount or exchange.account is None:
+            return
+        used = amount
+        if not outcome.may_have_run:
+            used = 0
+        elif outcome.output_tokens is not None and exchange.request.tokens is not None:
+            used = min(amount, exchange.request.tokens.prompt + outcome.output_tokens)
+        self.parts.tokens.settle(exchange.account, amount, used)
+
+
+def _most(exchange: Exchange) -> int:
+    """Return the tokens to set aside; 0 where the account is not capped."""
+    account = exchange.account
+    if account is None or account.prepaid_tokens is None or exchange.request.tokens is None:
+        return 0
+    return exchange.request.tokens.most
--- a/src/aspengate/platform/_records.py
+++ b/src/aspengate/platform/_records.py
@@ -96,6 +96,7 @@
     record = _decode(item, _Configuration)
     return FleetConfiguration(
         version=record.config_version,
+        revision=item.revision,
         routes=tuple(_route(each) for each in record.routes),
         services={each.name: _service(each) for each in record.services},
         accounts=tuple(
--- /dev/null
+++ b/src/aspengate/retries/__init__.py
@@ -0,0 +1,5 @@
+"""How many repeated attempts the whole fleet allows itself."""
+
+from aspengate.retries._shared_budget import RetryPolicy, SharedRetryBudget
+
+__all__ = ["RetryPolicy", "SharedRetryBudget"]
--- a/src/aspengate/store/_mirror.py
+++ b/src/aspengate/store/_mirror.py
@@ -17,10 +17,14 @@
 
 @dataclass(frozen=True)
 class MirrorState:
-    """The items by key, as of the store's ``revision``; a revision of 0 means none are known."""
+    """The items by key, as of the store's ``revision``; a revision of 0 means none are known.
+
+    ``changed`` is the revision of the newest change that is known below the prefix.
+    """
 
     items: Mapping[str, StoreItem] = field(default_factory=dict)
     revision: int = 0
+    changed: int = 0
 
 
 class StoreMirror:
@@ -66,9 +70,11 @@
             if snapshot.revision <= self.state.revision:
                 return False
             items = {item.key: item for item in snapshot.items}
-            changed = items != self.state.items
-            self.state = MirrorState(items, snapshot.revision)
-            if changed:
+            differs = items != self.state.items
+            newest = max((item.revision for item in snapshot.items), default=0)
+            changed = max(newest, snapshot.changed, self.state.changed)
+            self.state = MirrorState(items, snapshot.revision, changed)
+            if differs:
                 self._on_change(self.state)
             return True
 
@@ -100,8 +106,8 @@
             if changes.revision <= self.state.revision:
                 return
             items = dict(self.state.items)
-            _apply(changes, items)
-            self.state = MirrorState(items, changes.revision)
+            changed = max(_apply(changes, items), self.state.changed)
+            self.state = MirrorState(items, changes.revision, changed)
             if changes.written or changes.removed:
                 self._on_change(self.state)
 
@@ -117,8 +123,11 @@
             log_change("store.lost", prefix=self.prefix, error=str(error))
 
 
-def _apply(changes: Changes, items: dict[str, StoreItem]) -> None:
-    """Apply changes by revision, so that what is already known is not undone by older news."""
+def _apply(changes: Changes, items: dict[str, StoreItem]) -> int:
+    """Apply changes by revision, so that what is already known is not undone by older news.
+
+    Return the revision of the newest change.
+    """
     for item in changes.written:
         known = items.get(item.key)
         if known is None or item.revision > known.revision:
@@ -127,3 +136,5 @@
         known = items.get(removal.key)
         if known is not None and removal.revision > known.revision:
             del items[removal.key]
+    written = max((item.revision for item in changes.written), default=0)
+    return max(written, max((removal.revision for removal in changes.removed), default=0))
--- a/src/aspengate/store/_port.py
+++ b/src/aspengate/store/_port.py
@@ -18,10 +18,14 @@
 
 @dataclass(frozen=True)
 class Snapshot:
-    """All items below a prefix. Every change up to ``revision`` is in it."""
+    """All items below a prefix. Every change up to ``revision`` is in it.
+
+    ``changed`` is the revision of the newest change below the prefix, where that is known.
+    """
 
     items: tuple[StoreItem, ...]
     revision: int
+    changed: int = 0
 
 
 @dataclass(frozen=True)
