Choose replicas by prompt parts and load; let routers lend each other unused tokens

Change: replicas are ranked for the deepest shared part alike at every router, bounded by what this router has queued there; a router without tokens borrows from its peers, which can't use them then. Ruled out: larger reserves alone: a router that dies loses what it holds for the account.

--- a/src/aspengate/allowances/__init__.py
+++ b/src/aspengate/allowances/__init__.py
@@ -10,7 +10,7 @@
     encode_document,
     set_allowance,
 )
-from aspengate.allowances._purse import Purse, PurseFigures
+from aspengate.allowances._purse import Purse
 from aspengate.allowances._sizing import AllowanceSizing, Demand
 
 __all__ = [
@@ -18,7 +18,6 @@
     "AllowanceSizing",
     "Demand",
     "Purse",
-    "PurseFigures",
     "close_session",
     "decode_document",
     "encode_document",
--- a/src/aspengate/allowances/_purse.py
+++ b/src/aspengate/allowances/_purse.py
@@ -1,34 +1,21 @@
 """One account's tokens as one router holds them."""
 
 import math
-from dataclasses import dataclass
 
 from aspengate.allowances._document import AllowanceDocument
 from aspengate.allowances._sizing import AllowanceSizing, Demand
 
-_HALF_LIFE_MS = 3_000.0
+_HALF_LIFE_MS = 10_000.0
 _SIZE_WEIGHT = 0.2
 
 
-@dataclass(frozen=True)
-class PurseFigures:
-    """What a purse holds: used by ended requests, reserved by running ones, and granted."""
-
-    used: int
-    reserved: int
-    granted: int
-
-    @property
-    def free(self) -> int:
-        """What a new request could take at once."""
-        return self.granted - self.used - self.reserved
-
-
 class Purse:
     """Counts what a session may use of one account, what it reserved, and what it used.
 
     ``granted`` is what the store is known to allow; it is lowered before a lower allowance is
-    written, and raised only after a higher one was confirmed.
+    written, and raised only after a higher one was confirmed. ``lent`` went to other routers
+    and ``borrowed`` came from them, both without the store: what one lends it can never use
+    itself, so that the sum over all routers stays what the store granted.
     """
 
     def __init__(self, sizing: AllowanceSizing) -> None:
@@ -36,6 +23,8 @@
         self.used = 0
         self.reserved = 0
         self.granted = 0
+        self.lent = 0
+        self.borrowed = 0
         self._rate = 0.0
         self._rate_ms = 0.0
         self._request = 0.0
@@ -43,12 +32,17 @@
     @property
     def free(self) -> int:
         """What a new request could take at once."""
-        return self.granted - self.used - self.reserved
+        return self.granted - self.committed
+
+    @property
+    def committed(self) -> int:
+        """What the store must allow for what is used, reserved and lent."""
+        return self.used + self.reserved + self.lent - self.borrowed
 
     @property
-    def figures(self) -> PurseFigures:
-        """What the purse holds now."""
-        return PurseFigures(self.used, self.reserved, self.granted)
+    def settled(self) -> int:
+        """What the store must count for good once nothing is reserved any more."""
+        return self.used + self.lent - self.borrowed
 
     def reserve(self, amount: int, now_ms: float) -> bool:
         """Set ``amount`` aside for a request that may begin; return whether it was there."""
@@ -63,11 +57,21 @@
         self.reserved -= reserved
         self.used += used
 
+    def lend(self, amount: int) -> int:
+        """Give up to ``amount`` of what is free to another router; return how much."""
+        given = max(0, min(amount, self.free))
+        self.lent += given
+        return given
+
+    def borrow(self, amount: int) -> None:
+        """Take in what another router gave."""
+        self.borrowed += amount
+
     def demand(self, waiting: int, now_ms: float) -> Demand:
         """Return what this router's requests need, with ``waiting`` tokens waited for."""
         self._age(now_ms)
         return Demand(
-            committed=self.used + self.reserved,
+            committed=self.committed,
             waiting=waiting,
             per_second=self._rate * math.log(2) * 1_000 / _HALF_LIFE_MS,
             request=int(self._request),
@@ -81,18 +85,18 @@
         routers: int,
         demand: Demand,
         *,
-        short: bool,
+        idle: bool,
     ) -> int:
         """Return the allowance to ask for, never less than what is committed.
 
-        What is waited for is asked for whole or not at all. While the account is ``short``,
+        What is waited for is asked for whole or not at all. While the account is ``idle``,
         nothing is kept beyond what requests need.
         """
         most = document.most_for(session, limit)
         needed = demand.committed + demand.waiting
         if needed > most:
             return demand.committed
-        if short:
+        if idle:
             return needed
         return needed + self.sizing.reserve(demand, most - needed, routers)
 
--- a/src/aspengate/allowances/_sizing.py
+++ b/src/aspengate/allowances/_sizing.py
@@ -25,8 +25,8 @@
     tokens run out; what a router that dies held is lost to the account.
     """
 
-    horizon_ms: float = 6_000.0
-    share_divisor: int = 4
+    horizon_ms: float = 10_000.0
+    share_divisor: int = 2
     refill_part: float = 0.5
 
     def reserve(self, demand: Demand, unheld: int, routers: int) -> int:
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -13,6 +13,9 @@
 from aspengate.gateway._ports import RequestSpelling
 from aspengate.replicas import ReplicaView
 
+_LEAST_URGENT = 9
+_ROUTE_PRIORITIES = 3
+
 
 @dataclass(frozen=True)
 class AttemptParts:
@@ -22,6 +25,15 @@
     pool: ConnectionPool
 
 
+def urgency(exchange: Exchange) -> int:
+    """Return how urgent a request is to a replica, from 0, the most urgent, to 9.
+
+    The account's priority comes first, then the route's.
+    """
+    account = exchange.account.priority if exchange.account else 0
+    return max(0, min(_LEAST_URGENT, account * _ROUTE_PRIORITIES + exchange.known_route.priority))
+
+
 class Attempt:
     """A request at one replica; ``close`` it, or ``release`` it after a whole answer."""
 
@@ -90,7 +102,7 @@
             identity=self.view.identity,
             account=account.name if account else "",
             remaining_ms=self.exchange.waiter.remaining_ms,
-            priority=None,
+            priority=urgency(self.exchange),
             last_event_id=last_event_id,
         )
         return RequestHead(request.method, request.target, headers)
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -17,7 +17,7 @@
 from aspengate.gateway._settings import GatewaySettings
 from aspengate.gateway.filters import FilterParts, make_filters
 from aspengate.peers import MEMBER_PREFIX
-from aspengate.replicas import ReplicaRegistry
+from aspengate.replicas import PartMemory, ReplicaChooser, ReplicaRegistry
 from aspengate.retries import RetryPolicy, SharedRetryBudget
 from aspengate.serving import RelayServer, WsgiServer
 from aspengate.store import MirrorState, StoreItem, StoreMirror
@@ -51,7 +51,8 @@
         self.leaving = False
         self.holder = ConfigurationHolder(clock)
         self.pool = ConnectionPool(clock, _LONGEST_REST_MS)
-        self.registry = ReplicaRegistry(clock, self.pool.forget)
+        self.parts = PartMemory()
+        self.registry = ReplicaRegistry(clock, self._on_replica_gone)
         self.retries = SharedRetryBudget(_retry_policy(settings), clock)
         self.configuration = self._mirror(deployment.configuration_key, self._on_configuration)
         self.replicas = self._mirror(deployment.replica_prefix, self._on_replicas)
@@ -134,7 +135,7 @@
             store=self.deployment.store,
             clock=self.clock,
             counters=self.counters,
-            on_shortage=lambda account: self.tokens.give_back(account),
+            lend=lambda account, amount: self.tokens.lend(account, amount),
         )
 
     def _make_tokens(self) -> TokenAccounts:
@@ -145,7 +146,7 @@
             counters=self.counters,
             limit_of=self._limit_of,
             on_conflict=self._on_conflict,
-            ask_peers=self.peering.ask_for_tokens,
+            borrow=self.peering.borrow,
         )
 
     def _make_server(self) -> RelayServer:
@@ -166,7 +167,11 @@
             holder=self.holder,
             admission=make_filters(ADMISSION, FilterParts(self.clock, self.counters, self.tokens)),
             dispatcher=Dispatcher(
-                AttemptParts(spelling, self.pool), self.registry, self.retries, self.counters
+                AttemptParts(spelling, self.pool),
+                self.registry,
+                self.retries,
+                self.counters,
+                ReplicaChooser(self.parts, self.settings.failure_domain),
             ),
             clock=self.clock,
             counters=self.counters,
@@ -208,6 +213,10 @@
                 log_change("replica.unreadable", key=item.key, error=str(error))
         self.registry.update(replicas)
 
+    def _on_replica_gone(self, identity: str) -> None:
+        self.pool.forget(identity)
+        self.parts.forget(identity)
+
     def _on_members(self, state: MirrorState) -> None:
         self.peering.members.update(state)
         self.retries.routers = self.peering.members.count
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -1,12 +1,16 @@
 """Sends an admitted request to replicas until one of them has answered."""
 
+import random
+
 from aspengate.connections import CallerGoneError, ReplicaAnswer
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._attempt import Attempt, AttemptParts
 from aspengate.gateway._exchange import Exchange
+from aspengate.gateway._load import Load
 from aspengate.gateway._progress import Progress
 from aspengate.gateway._relay import AnswerRelay, TryAnotherError
-from aspengate.replicas import ReplicaRegistry, ReplicaView
+from aspengate.gateway._request import CallerRequest
+from aspengate.replicas import Candidate, PromptShape, ReplicaChooser, ReplicaRegistry
 from aspengate.retries import SharedRetryBudget
 from aspengate.serving import CallerConnection
 from aspengate.telemetry import Counters
@@ -25,8 +29,10 @@
         registry: ReplicaRegistry,
         retries: SharedRetryBudget,
         counters: Counters,
+        chooser: ReplicaChooser,
     ) -> None:
         self.parts = parts
+        self.chooser = chooser
         self.registry = registry
         self.retries = retries
         self.counters = counters
@@ -37,18 +43,18 @@
         self.retries.note_request(exchange.known_service.name)
         progress.last_event_id = exchange.request.last_event_id
         while True:
-            view = self._choose(exchange, progress)
-            attempt = Attempt(self.parts, exchange, view)
-            view.in_flight += 1
+            candidate = self._choose(exchange, progress)
+            attempt = Attempt(self.parts, exchange, candidate.view)
+            load = Load(self.registry, candidate)
             try:
-                self._serve(attempt, exchange, caller, progress)
+                self._serve(attempt, load, exchange, caller, progress)
                 return
             except TryAnotherError as failure:
-                progress.excluded.add(view.identity)
+                progress.excluded.add(candidate.view.identity)
                 attempt.close()
                 self._check_another(exchange, progress, failure)
             finally:
-                view.in_flight -= 1
+                load.end()
                 attempt.close()
 
     def _check_another(
@@ -63,23 +69,30 @@
         if not failure.paid and not self._may_repeat(exchange, progress):
             raise failure.cause
 
-    def _choose(self, exchange: Exchange, progress: Progress) -> ReplicaView:
+    def _choose(self, exchange: Exchange, progress: Progress) -> Candidate:
         ready = self.registry.ready(exchange.known_service.name, progress.excluded)
         if not ready:
             raise AspengateError(
                 ErrorKind.NO_UPSTREAM, "no replica is ready", where=exchange.known_service.name
             )
-        return min(ready, key=lambda view: view.in_flight)
+        prompt = _prompt_shape(exchange.request)
+        now = self.registry.clock.monotonic_ms()
+        candidate = self.chooser.choose(ready, prompt, random.random(), now)
+        for part, _ in prompt.shared:
+            self.chooser.parts.note(part, candidate.view.identity, now)
+        return candidate
 
     def _serve(
         self,
         attempt: Attempt,
+        load: Load,
         exchange: Exchange,
         caller: CallerConnection,
         progress: Progress,
     ) -> None:
         ran_before = progress.may_have_run
         answer = self._begin(attempt, exchange, progress)
+        load.answered()
         if self.parts.spelling.is_not_executed(answer.status, answer.headers):
             progress.may_have_run = ran_before
             refused = AspengateError(ErrorKind.OVERLOADED, f"refused with {answer.status}")
@@ -124,5 +137,14 @@
         return True
 
 
+def _prompt_shape(request: CallerRequest) -> PromptShape:
+    """Return the request's prompt; its last part belongs to the request or its session."""
+    if not request.parts:
+        own = request.tokens.prompt if request.tokens else 0
+        return PromptShape((), own)
+    shared = tuple((part.identity, part.tokens) for part in request.parts[:-1])
+    return PromptShape(shared, request.parts[-1].tokens)
+
+
 def _is_event_stream(answer: ReplicaAnswer) -> bool:
     return answer.header("content-type").startswith("text/event-stream")
--- a/src/aspengate/gateway/_money.py
+++ b/src/aspengate/gateway/_money.py
@@ -25,13 +25,13 @@
 
 _WRITERS = 8
 _CALLER_CHECK_S = 0.05
-_PAUSE_MS = 40.0
-_MOST_RECALLS = 3
-_SHORT_MS = 2_000.0
+_PATIENCE_MS = 40.0
+_SEEMS_DOWN_MS = 1_000.0
+_CLOSE_ATTEMPTS = 3
 _EXHAUSTED_MS = 400.0
 _LONGEST_WAIT_MS = 600.0
 _SURPLUS_FACTOR = 2.0
-_IDLE_MS = 4_000.0
+_IDLE_MS = 20_000.0
 
 
 @dataclass(frozen=True)
@@ -75,11 +75,9 @@
     working: bool = False
     uncertain: bool = False
     waiting: list[_Ticket] = field(default_factory=list)
-    short_until_ms: float = 0.0
     exhausted_until_ms: float = 0.0
     exhausted_amount: int = 0
     used_ms: float = 0.0
-    recalls: int = 0
     changed: threading.Condition = field(default_factory=threading.Condition)
 
 
@@ -87,8 +85,8 @@
     """The purses of all accounts that this router spends from.
 
     ``limit_of`` finds an account's limit by name; ``on_conflict`` is handed the items that a
-    write found changed; ``ask_peers`` asks other routers to give unused tokens of an account
-    back.
+    write found changed; ``borrow`` asks other routers for tokens of an account that they hold
+    unused, and returns how many it got.
     """
 
     def __init__(
@@ -100,7 +98,7 @@
         counters: Counters,
         limit_of: Callable[[str], LimitSource | None],
         on_conflict: Callable[[Mapping[str, StoreItem]], None],
-        ask_peers: Callable[[str], None],
+        borrow: Callable[[str, int], int],
         sizing: AllowanceSizing | None = None,
     ) -> None:
         self.session = session
@@ -110,14 +108,19 @@
         self._counters = counters
         self._limit_of = limit_of
         self._on_conflict = on_conflict
-        self._ask_peers = ask_peers
+        self._borrow = borrow
         self._sizing = sizing or AllowanceSizing()
+        self._failed_ms = float("-inf")
         self._accounts: dict[str, _Account] = {}
         self._lock = threading.Lock()
         self._writers = ThreadPoolExecutor(_WRITERS, thread_name_prefix="allowances")
 
     def reserve(self, client: ClientAccount, amount: int, waiter: Waiter) -> None:
-        """Set ``amount`` tokens aside; raises BUDGET_EXHAUSTED or BUDGET_UNAVAILABLE."""
+        """Set ``amount`` tokens aside; raises BUDGET_EXHAUSTED or BUDGET_UNAVAILABLE.
+
+        Where none are at hand, the store is asked for more, and other routers where it refuses
+        or does not answer at once.
+        """
         account = self._account(client.name)
         now = self._clock.monotonic_ms()
         with account.changed:
@@ -130,31 +133,38 @@
             ticket = _Ticket(amount)
             account.waiting.append(ticket)
             self._schedule(account)
-            self._await(account, ticket, waiter)
+            self._await(account, ticket, waiter, now + self._patience(account, now))
+        if not ticket.granted and self._borrowed(account, ticket):
+            return
+        with account.changed:
+            if not ticket.decided and not self._seems_down(now):
+                self._await(account, ticket, waiter, now + _LONGEST_WAIT_MS)
+            self._give_up(account, ticket)
+        if ticket.granted:
+            return
         if ticket.refused is ErrorKind.BUDGET_EXHAUSTED:
             raise _exhausted(client.name)
-        if ticket.refused is not None:
-            raise AspengateError(
-                ErrorKind.BUDGET_UNAVAILABLE, "the store does not grant now", where=client.name
-            )
+        raise AspengateError(
+            ErrorKind.BUDGET_UNAVAILABLE, "the store does not grant now", where=client.name
+        )
 
     def settle(self, client: ClientAccount, reserved: int, used: int) -> None:
         """Replace a reservation by what was used."""
         account = self._account(client.name)
         with account.changed:
             account.purse.settle(reserved, used)
-            if self._clock.monotonic_ms() < account.short_until_ms:
-                self._schedule(account)
 
-    def give_back(self, name: str) -> None:
-        """Keep no more of an account than is needed, for a while; another router is short."""
+    def lend(self, name: str, amount: int) -> int:
+        """Give another router up to ``amount`` unused tokens of an account; return how many."""
         account = self._accounts.get(name)
         if account is None:
-            return
+            return 0
         with account.changed:
-            account.short_until_ms = self._clock.monotonic_ms() + _SHORT_MS
-            if account.purse.free > 0:
-                self._schedule(account)
+            given = account.purse.lend(amount)
+        if given:
+            self._counters.count("allowances.lent")
+            log_change("allowance.lent", account=name, amount=given)
+        return given
 
     def limits_changed(self) -> None:
         """Look again at accounts after a new configuration."""
@@ -176,7 +186,7 @@
         for account in self._all():
             with account.changed:
                 account.working = True
-                account.purse.granted = account.purse.used + account.purse.reserved
+                account.purse.granted = account.purse.committed
             try:
                 self._close(account)
             except AspengateError as error:
@@ -195,22 +205,52 @@
         with self._lock:
             return list(self._accounts.values())
 
-    def _await(self, account: _Account, ticket: _Ticket, waiter: Waiter) -> None:
-        last = min(self._clock.monotonic_ms() + _LONGEST_WAIT_MS, waiter.deadline_ms)
-        try:
-            while not ticket.decided:
-                if self._clock.monotonic_ms() >= last:
-                    ticket.refused = ErrorKind.BUDGET_UNAVAILABLE
-                    return
-                account.changed.wait(_CALLER_CHECK_S)
-                if not ticket.decided:
+    def _patience(self, account: _Account, now: float) -> float:
+        """Return how long to wait for the store before other routers are asked."""
+        return 0.0 if self._seems_down(now) else _PATIENCE_MS
+
+    def _seems_down(self, now: float) -> bool:
+        return now - self._failed_ms < _SEEMS_DOWN_MS
+
+    def _await(self, account: _Account, ticket: _Ticket, waiter: Waiter, until_ms: float) -> None:
+        """Wait for a decision on a ticket; call it with the account's lock held."""
+        last = min(until_ms, waiter.deadline_ms)
+        while not ticket.decided:
+            remaining = last - self._clock.monotonic_ms()
+            if remaining <= 0:
+                return
+            account.changed.wait(min(_CALLER_CHECK_S, remaining / 1_000))
+            if not ticket.decided:
+                try:
                     waiter.check_caller()
-        finally:
-            if ticket in account.waiting:
-                account.waiting.remove(ticket)
+                except AspengateError:
+                    self._give_up(account, ticket)
+                    raise
+
+    def _give_up(self, account: _Account, ticket: _Ticket) -> None:
+        if ticket in account.waiting:
+            account.waiting.remove(ticket)
+
+    def _borrowed(self, account: _Account, ticket: _Ticket) -> bool:
+        """Return whether other routers had the tokens for a request; keep what they gave."""
+        with account.changed:
+            missing = ticket.amount - max(0, account.purse.free)
+        got = self._borrow(account.name, max(0, missing))
+        now = self._clock.monotonic_ms()
+        with account.changed:
+            if got:
+                account.purse.borrow(got)
+                self._counters.count("allowances.borrowed")
+                log_change("allowance.borrowed", account=account.name, amount=got)
+            if ticket.granted:
+                return True
+            if account.purse.reserve(ticket.amount, now):
+                ticket.granted = True
+                self._give_up(account, ticket)
+            return ticket.granted
 
     def _top_up(self, account: _Account, now: float) -> None:
-        if account.document is None or account.working or now < account.short_until_ms:
+        if account.document is None or account.working:
             return
         demand = account.purse.demand(0, now)
         source = self._limit_of(account.name)
@@ -224,7 +264,7 @@
     def _surplus(self, account: _Account, now: float) -> float:
         if account.document is None or account.purse.free <= 0:
             return 0.0
-        if now < account.short_until_ms or now - account.used_ms > _IDLE_MS:
+        if now - account.used_ms > _IDLE_MS:
             return float(account.purse.free)
         demand = account.purse.demand(0, now)
         source = self._limit_of(account.name)
@@ -237,7 +277,6 @@
         if account.working:
             return
         account.working = True
-        account.recalls = 0
         self._writers.submit(self._work, account)
 
     def _work(self, account: _Account) -> None:
@@ -266,7 +305,8 @@
                 self._read(account)
             plan = self._plan(account, source)
             if plan is None:
-                return self._after_shortage(account)
+                self._refuse(account, ErrorKind.BUDGET_EXHAUSTED)
+                return False
             if plan == account.document and not account.uncertain:
                 self._grant(account, plan.allowance(self.session))
             else:
@@ -274,6 +314,7 @@
             return bool(account.waiting)
         except AspengateError as error:
             self._counters.count("allowances.store_failed")
+            self._failed_ms = self._clock.monotonic_ms()
             account.document = None
             if error.kind is ErrorKind.OUTCOME_UNKNOWN:
                 account.uncertain = True
@@ -301,11 +342,10 @@
             fitting = self._fitting(account, document, source.limit)
             if account.waiting and not fitting:
                 return None
-            short = now < account.short_until_ms
-            short = short or (not account.waiting and now - account.used_ms > _IDLE_MS)
+            idle = not account.waiting and now - account.used_ms > _IDLE_MS
             demand = purse.demand(sum(ticket.amount for ticket in fitting), now)
             target = purse.target(
-                document, self.session, source.limit, self.routers, demand, short=short
+                document, self.session, source.limit, self.routers, demand, idle=idle
             )
             purse.granted = min(purse.granted, target)
             if target == document.allowance(self.session):
@@ -315,7 +355,7 @@
     def _fitting(self, account: _Account, document: AllowanceDocument, limit: int) -> list[_Ticket]:
         """Return the waiting requests that fit, in the order in which they came."""
         most = document.most_for(self.session, limit)
-        needed = account.purse.used + account.purse.reserved
+        needed = account.purse.committed
         fitting = []
         for ticket in account.waiting:
             if needed + ticket.amount <= most:
@@ -352,8 +392,7 @@
                     "allowance.granted",
                     account=account.name,
                     granted=target,
-                    used=account.purse.used,
-                    reserved=account.purse.reserved,
+                    committed=account.purse.committed,
                     revision=account.revision,
                 )
             for ticket in list(account.waiting):
@@ -362,44 +401,26 @@
                     account.waiting.remove(ticket)
             account.changed.notify_all()
 
-    def _after_shortage(self, account: _Account) -> bool:
-        """Ask others for what they do not need, then look again; refuse where that did not help."""
+    def _refuse(self, account: _Account, kind: ErrorKind) -> None:
         with account.changed:
-            account.short_until_ms = self._clock.monotonic_ms() + _SHORT_MS
-            if account.recalls >= _MOST_RECALLS or self._nothing_to_recall(account):
+            if kind is ErrorKind.BUDGET_EXHAUSTED and account.waiting:
                 account.exhausted_until_ms = self._clock.monotonic_ms() + _EXHAUSTED_MS
                 account.exhausted_amount = min(ticket.amount for ticket in account.waiting)
-                self._refuse(account, ErrorKind.BUDGET_EXHAUSTED)
-                return False
-            account.recalls += 1
-        self._counters.count("allowances.recalls")
-        self._ask_peers(account.name)
-        self._clock.sleep_ms(_PAUSE_MS)
-        account.document = None
-        return True
-
-    def _nothing_to_recall(self, account: _Account) -> bool:
-        """Return whether no other session may hold unused tokens, as of a fresh document."""
-        document = account.document or AllowanceDocument()
-        return account.recalls > 0 and set(document.sessions) <= {self.session}
-
-    def _refuse(self, account: _Account, kind: ErrorKind) -> None:
-        with account.changed:
             for ticket in account.waiting:
                 ticket.refused = kind
             account.waiting.clear()
             account.changed.notify_all()
 
     def _close(self, account: _Account) -> None:
-        for _ in range(_MOST_RECALLS):
+        for _ in range(_CLOSE_ATTEMPTS):
             if account.document is None:
                 self._read(account)
             document = account.document or AllowanceDocument()
             if account.purse.reserved:
-                committed = account.purse.used + account.purse.reserved
+                committed = account.purse.committed
                 plan = set_allowance(document, self.session, committed, committed)
             else:
-                plan = close_session(document, self.session, account.purse.used)
+                plan = close_session(document, self.session, account.purse.settled)
             key = ALLOWANCE_PREFIX + account.name
             try:
                 self._store.transact({key: account.revision}, (Put(key, encode_document(plan)),))
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -1,5 +1,6 @@
 """Keeps in touch with the other routers, and learns from them what the store did not tell."""
 
+import random
 import threading
 import uuid
 from collections.abc import Callable, Mapping
@@ -10,8 +11,8 @@
     Beacon,
     Member,
     MemberList,
-    MirrorClient,
-    MirrorServer,
+    PeerApplication,
+    PeerClient,
     PeerNews,
     peer_addresses,
 )
@@ -24,7 +25,9 @@
 _FETCH_TIMEOUT_MS = 500.0
 _SERVER_THREADS = 2
 _SMALL_BODY = 4 * 1024
-_ASKED_WHEN_SHORT = 64
+_LOAN_TIMEOUT_MS = 100.0
+_LOAN_FACTOR = 2
+_MOST_LENDERS = 6
 
 
 class Peering:
@@ -45,18 +48,20 @@
         store: KeyValueStore,
         clock: Clock,
         counters: Counters,
-        on_shortage: Callable[[str], None],
+        lend: Callable[[str, int], int],
     ) -> None:
         self.mirrors = mirrors
-        self.server = WsgiServer(MirrorServer(mirrors), address, _SERVER_THREADS, _SMALL_BODY)
+        self.server = WsgiServer(
+            PeerApplication(mirrors, lend), address, _SERVER_THREADS, _SMALL_BODY
+        )
         self.session = f"{name}.{uuid.uuid4().hex[:8]}"
         self.members = MemberList(Member(name, self.server.address, self.session), clock)
         self._store = store
         self._clock = clock
         self._counters = counters
-        self._on_shortage = on_shortage
         self._seeds = seeds
-        self._client = MirrorClient(_FETCH_TIMEOUT_MS)
+        self._client = PeerClient(_FETCH_TIMEOUT_MS)
+        self._lenders = PeerClient(_LOAN_TIMEOUT_MS)
         self._beacon = Beacon(self.server.address, counters, self._on_news)
         self._behind: dict[str, str] = {}
         self._wake = threading.Event()
@@ -81,10 +86,21 @@
         self._beacon.close()
         self.server.close()
 
-    def ask_for_tokens(self, account: str) -> None:
-        """Ask all other routers to give back what they do not need of an account."""
-        news = PeerNews(self.members.own, shortages=(account,))
-        self._beacon.send(news, self.members.addresses(), most=_ASKED_WHEN_SHORT)
+    def borrow(self, account: str, amount: int) -> int:
+        """Ask other routers for unused tokens of an account; return how many they gave.
+
+        Each is asked for what is missing and some more, so that the next request finds some.
+        """
+        got = 0
+        peers = self.members.alive()
+        for address in random.sample(peers, min(_MOST_LENDERS, len(peers))):
+            if got >= amount:
+                break
+            try:
+                got += self._lenders.loan(address, account, (amount - got) * _LOAN_FACTOR)
+            except AspengateError:
+                self._counters.count("peers.loan_failed")
+        return got
 
     def _send(self) -> None:
         while not self._closing.wait(_BEACON_MS / 1_000):
@@ -104,8 +120,6 @@
 
     def _on_news(self, news: PeerNews) -> None:
         self.members.heard(news.member)
-        for account in news.shortages:
-            self._on_shortage(account)
         for prefix, revision in news.revisions.items():
             mirror = self.mirrors.get(prefix)
             if mirror is not None and revision > mirror.state.changed:
@@ -127,7 +141,7 @@
             return
         for address in self._sources(told):
             try:
-                snapshot = self._client.fetch(address, prefix)
+                snapshot = self._client.mirror(address, prefix)
             except AspengateError:
                 self._counters.count("peers.fetch_failed")
                 continue
--- a/src/aspengate/peers/__init__.py
+++ b/src/aspengate/peers/__init__.py
@@ -1,7 +1,7 @@
 """The other routers: who they are, that they live, and what they know of the store."""
 
 from aspengate.peers._beacon import Beacon, PeerNews
-from aspengate.peers._exchange import MirrorClient, MirrorServer
+from aspengate.peers._exchange import PeerApplication, PeerClient
 from aspengate.peers._members import MEMBER_PREFIX, Member, MemberList, peer_addresses
 
 __all__ = [
@@ -9,8 +9,8 @@
     "Beacon",
     "Member",
     "MemberList",
-    "MirrorClient",
-    "MirrorServer",
+    "PeerApplication",
+    "PeerClient",
     "PeerNews",
     "peer_addresses",
 ]
--- a/src/aspengate/peers/_beacon.py
+++ b/src/aspengate/peers/_beacon.py
@@ -18,13 +18,11 @@
 class PeerNews(msgspec.Struct, frozen=True):
     """What one router tells others.
 
-    ``revisions`` maps a prefix of the store to the newest change known below it. ``shortages``
-    names the accounts whose unused tokens the sender asks the others to give back.
+    ``revisions`` maps a prefix of the store to the newest change known below it.
     """
 
     member: Member
     revisions: dict[str, int] = {}
-    shortages: tuple[str, ...] = ()
 
 
 class Beacon:
--- a/src/aspengate/peers/_exchange.py
+++ b/src/aspengate/peers/_exchange.py
@@ -1,7 +1,7 @@
-"""Hands a mirror of the store from one router to another, for when the store refuses one."""
+"""What routers ask of each other by HTTP: a mirror of the store, or unused tokens."""
 
 import http.client
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from urllib.parse import parse_qs, urlencode
 
@@ -11,7 +11,10 @@
 from aspengate.serving import StartResponse, WsgiEnvironment
 from aspengate.store import Snapshot, StoreItem, StoreMirror
 
-MIRROR_PATH = "/mirror"
+_MIRROR_PATH = "/mirror"
+_LOAN_PATH = "/loan"
+
+Lend = Callable[[str, int], int]
 
 
 class _Item(msgspec.Struct, array_like=True):
@@ -26,48 +29,84 @@
     changed: int
 
 
-class MirrorServer:
-    """A WSGI application that answers with the present state of a mirror."""
+class _LoanBody(msgspec.Struct, array_like=True):
+    amount: int
+
+
+class PeerApplication:
+    """A WSGI application that answers other routers.
 
-    def __init__(self, mirrors: Mapping[str, StoreMirror]) -> None:
+    ``mirrors`` are handed out by prefix; ``lend`` gives up to an amount of an account's tokens.
+    """
+
+    def __init__(self, mirrors: Mapping[str, StoreMirror], lend: Lend) -> None:
         self._mirrors = mirrors
+        self._lend = lend
 
     def __call__(self, environ: WsgiEnvironment, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one peer."""
-        prefix = parse_qs(environ.get("QUERY_STRING", "")).get("prefix", [""])[0]
-        mirror = self._mirrors.get(prefix)
-        if environ["PATH_INFO"] != MIRROR_PATH or mirror is None:
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        try:
+            body = self._body(environ["PATH_INFO"], query)
+        except (KeyError, ValueError):
             start_response("404 Not Found", [("Content-Length", "0")])
             return [b""]
-        state = mirror.state
-        items = [_Item(item.key, item.value, item.revision) for item in state.items.values()]
-        body = msgspec.msgpack.encode(_MirrorBody(items, state.revision, state.changed))
         headers = [("Content-Type", "application/msgpack"), ("Content-Length", str(len(body)))]
         start_response("200 OK", headers)
         return [body]
 
+    def _body(self, path: str, query: Mapping[str, list[str]]) -> bytes:
+        if path == _LOAN_PATH:
+            given = self._lend(query["account"][0], int(query["amount"][0]))
+            return msgspec.msgpack.encode(_LoanBody(given))
+        if path != _MIRROR_PATH:
+            raise KeyError(path)
+        state = self._mirrors[query["prefix"][0]].state
+        items = [_Item(item.key, item.value, item.revision) for item in state.items.values()]
+        return msgspec.msgpack.encode(_MirrorBody(items, state.revision, state.changed))
+
 
-class MirrorClient:
-    """Asks another router for its mirror; ``timeout_ms`` bounds the call."""
+class PeerClient:
+    """Asks other routers; ``timeout_ms`` bounds each call."""
 
     def __init__(self, timeout_ms: float) -> None:
         self.timeout_ms = timeout_ms
 
-    def fetch(self, address: str, prefix: str) -> Snapshot:
+    def mirror(self, address: str, prefix: str) -> Snapshot:
         """Return the state of a peer's mirror; raises STORE_UNAVAILABLE."""
+        content = self._get(address, f"{_MIRROR_PATH}?{urlencode({'prefix': prefix})}")
+        try:
+            body = msgspec.msgpack.decode(content, type=_MirrorBody)
+        except msgspec.MsgspecError as error:
+            raise _unavailable(address, error) from error
+        items = tuple(StoreItem(each.key, each.value, each.revision) for each in body.items)
+        return Snapshot(items, body.revision, body.changed)
+
+    def loan(self, address: str, account: str, amount: int) -> int:
+        """Return how many tokens a peer gave; raises STORE_UNAVAILABLE, which loses a loan."""
+        query = urlencode({"account": account, "amount": amount})
+        content = self._get(address, f"{_LOAN_PATH}?{query}", method="POST")
+        try:
+            return msgspec.msgpack.decode(content, type=_LoanBody).amount
+        except msgspec.MsgspecError as error:
+            raise _unavailable(address, error) from error
+
+    def _get(self, address: str, target: str, method: str = "GET") -> bytes:
         connection = http.client.HTTPConnection(address, timeout=self.timeout_ms / 1_000)
         try:
-            connection.request("GET", f"{MIRROR_PATH}?{urlencode({'prefix': prefix})}")
+            connection.request(method, target)
             answer = connection.getresponse()
             content = answer.read()
-            if answer.status != HTTPStatus.OK:
-                raise AspengateError(
-                    ErrorKind.STORE_UNAVAILABLE, f"status {answer.status}", where=address
-                )
-            body = msgspec.msgpack.decode(content, type=_MirrorBody)
-        except (OSError, http.client.HTTPException, msgspec.MsgspecError) as error:
-            raise AspengateError(ErrorKind.STORE_UNAVAILABLE, repr(error), where=address) from error
+        except (OSError, http.client.HTTPException) as error:
+            raise _unavailable(address, error) from error
         finally:
             connection.close()
-        items = tuple(StoreItem(each.key, each.value, each.revision) for each in body.items)
-        return Snapshot(items, body.revision, body.changed)
+        if answer.status != HTTPStatus.OK:
+            raise AspengateError(
+                ErrorKind.STORE_UNAVAILABLE, f"status {answer.status}", where=address
+            )
+        return content
+
+
+def _unavailable(address: str, cause: Exception) -> AspengateError:
+    return AspengateError(ErrorKind.STORE_UNAVAILABLE, repr(cause), where=address)
--- a/src/aspengate/peers/_members.py
+++ b/src/aspengate/peers/_members.py
@@ -65,6 +65,16 @@
             self._heard_ms[member.name] = self._clock.monotonic_ms()
             self._members[member.name] = member
 
+    def alive(self) -> list[str]:
+        """Return the addresses of the other routers that were heard of lately."""
+        now = self._clock.monotonic_ms()
+        with self._lock:
+            return [
+                member.address
+                for name, member in self._members.items()
+                if now - self._heard_ms.get(name, float("-inf")) <= _ALIVE_MS
+            ]
+
     def addresses(self) -> list[str]:
         """Return the addresses of the other routers, those heard of lately first."""
         now = self._clock.monotonic_ms()
--- a/src/aspengate/replicas/__init__.py
+++ b/src/aspengate/replicas/__init__.py
@@ -1,6 +1,18 @@
 """The replicas that are known, how they do, and which of them a request may go to."""
 
+from aspengate.replicas._choice import Candidate, PromptShape, ReplicaChooser, read_ms
+from aspengate.replicas._parts import PartMemory
 from aspengate.replicas._registry import ReplicaRegistry, ReplicaView
 from aspengate.replicas._replica import Replica, ReplicaState
 
-__all__ = ["Replica", "ReplicaRegistry", "ReplicaState", "ReplicaView"]
+__all__ = [
+    "Candidate",
+    "PartMemory",
+    "PromptShape",
+    "Replica",
+    "ReplicaChooser",
+    "ReplicaRegistry",
+    "ReplicaState",
+    "ReplicaView",
+    "read_ms",
+]
--- a/src/aspengate/replicas/_registry.py
+++ b/src/aspengate/replicas/_registry.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from aspengate.clock import Clock
 from aspengate.replicas._replica import Replica, ReplicaState
@@ -11,11 +11,15 @@
 
 @dataclass
 class ReplicaView:
-    """A replica and this router's own experience with it; changed under the registry's lock."""
+    """A replica and this router's own experience with it; changed under the registry's lock.
+
+    ``backlog_ms`` is about how long the replica takes to read the prompts of this router's
+    requests that have no first token yet.
+    """
 
     replica: Replica
     in_flight: int = 0
-    work: dict[str, float] = field(default_factory=dict)
+    backlog_ms: float = 0.0
     failures: int = 0
     ejected_until_ms: float = 0.0
     listed: bool = True
