Notice a lost answer of the store soon; test the gateway against stand-ins of the platform

Cause: a write whose answer is lost held an account for a second, longer than its requests wait. Change: the wait for an answer follows the time that answers take and doubles with each one missed; the first draw on an account takes a reserve too. Ruled out: a fixed shorter wait, which a store sixty times slower would always miss. The scenarios on lost answers failed first (every request 503).

--- a/features/environment.py
+++ b/features/environment.py
@@ -25,3 +25,11 @@
 
 def after_scenario(context, scenario):
     context.cleanup.close()
+
+
+def after_step(context, step):
+    if step.status == "failed" and hasattr(context, "fleet"):
+        for router in context.fleet.routers:
+            print(router.name)
+            for line in router.lines:
+                print("   ", line)
--- /dev/null
+++ b/features/gateway_once.feature
@@ -0,0 +1,31 @@
+Feature: What may not be repeated runs at most once, and "not run" is true
+
+  Scenario: A call that the replica refused may go to no other where the route allows one
+    Given a gateway before two replicas of each service
+    When a status is asked for and every replica refuses it
+    Then the caller gets 503 with the time to come back, and no replica ran it
+
+  Scenario: A refusal after a run that was lost does not say that nothing ran
+    Given a gateway before two replicas of each service
+    When a receipt is asked for, the first replica loses its answer and the second refuses
+    Then the caller gets 502, which promises nothing
+
+  Scenario: A reused connection that is reset counts as sent
+    Given a gateway before one replica of each service
+    When a status is answered, and the next one is lost on the kept connection
+    Then the second caller gets 502, and the replica ran each once
+
+  Scenario: Repeats stay within the fleet's budget
+    Given a gateway before three replicas that all lose every answer
+    When 100 receipts are asked for
+    Then the replicas got at most the requests, a fifth of them and the slack
+
+  Scenario: A replica that can't be reached costs no attempt
+    Given a gateway before two replicas of each service
+    When one portal replica is gone without a word and receipts are asked for
+    Then every receipt is answered
+
+  Scenario: An address that was handed to another replica is not taken for the one that left
+    Given a gateway before one replica of each service
+    When the portal's address belongs to another replica and a status is asked for
+    Then the caller gets 503 with the time to come back, and no replica ran it
--- a/features/platform_standins/store.py
+++ b/features/platform_standins/store.py
@@ -63,11 +63,9 @@
             handler.close_connection = True
             return
         data = json.dumps(answer).encode()
-        handler.send_response(status)
-        handler.send_header("Content-Type", "application/json")
-        handler.send_header("Content-Length", str(len(data)))
-        handler.end_headers()
-        handler.wfile.write(data)
+        head = f"HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\n"
+        head += f"Content-Length: {len(data)}\r\n\r\n"
+        handler.wfile.write(head.encode() + data)
 
     def _lose(self, handler, body):
         """Do a write now or later, and never say anything more on its connection."""
--- /dev/null
+++ b/features/steps/gateway_answers_steps.py
@@ -0,0 +1,390 @@
+"""Steps on answers, repeats and the bytes that replicas and callers see."""
+
+import time
+
+from behave import given, then, when
+from platform_standins.fleet import eventually
+
+from gateway_world import REPEATS, TOKENS, in_background, start
+
+
+@given("a gateway before one replica of each service")
+def one_replica(context):
+    start(context, **REPEATS)
+
+
+@given("a gateway before two replicas of each service")
+def two_replicas(context):
+    start(context, replicas=2, **REPEATS)
+
+
+@given("a gateway before three replicas that all lose every answer")
+def three_losing(context):
+    start(context, replicas=3, retry_slack=10, retry_ratio=0.2, retry_window_s=60)
+    for replica in context.fleet.of("portal"):
+        replica.behaviour = "lose"
+
+
+@given("a gateway before replicas with long answers")
+def long_answers(context):
+    start(context, fields={"events": 2_000, "pause_s": 0.02, "work_s": 30.0}, **REPEATS)
+    context.fleet.of("engine")[0].work_s = 0.0
+
+
+@given("a gateway before replicas that say nothing")
+def mute_replicas(context):
+    start(context, **REPEATS)
+    context.fleet.of("portal")[0].behaviour = "mute"
+
+
+def ask_status(context, path="/status/1"):
+    caller = context.router.call()
+    context.identity = caller.send("POST", path, body=b"candidate")
+    return caller.read()
+
+
+def ask_receipt(context, path="/receipt/1"):
+    caller = context.router.call()
+    context.identity = caller.send("GET", path)
+    return caller.read()
+
+
+def all_of(context, service, behaviour):
+    for replica in context.fleet.of(service):
+        replica.behaviour = behaviour
+
+
+@when('a status is asked for and the replica\'s answer is "{behaviour}"')
+def status_with_behaviour(context, behaviour):
+    context.fleet.of("portal")[0].behaviours = {1: behaviour}
+    context.answer = ask_status(context)
+
+
+@then("the caller gets a whole answer {status:d} without a replica's signature")
+def own_failure(context, status):
+    assert context.answer.whole
+    assert context.answer.status == status, (context.answer.status, context.answer.body)
+    assert not context.answer.header("X-Server-Stamp")
+
+
+@then("the replica ran it once")
+def ran_once(context):
+    assert context.fleet.runs(context.identity) == 1
+
+
+@then("the next status is answered as the replica answers it")
+def next_is_answered(context):
+    answer = ask_status(context, "/status/next")
+    replica = context.fleet.of("portal")[0]
+    assert answer.status == 200 and answer.body == replica.body(replica.requests[-1])
+
+
+@when('a receipt is asked for and the first replica\'s answer is "{behaviour}"')
+def receipt_with_behaviour(context, behaviour):
+    for replica in context.fleet.of("portal"):
+        replica.behaviours = {1: behaviour}
+    context.answer = ask_receipt(context)
+    if context.answer.status != 200:
+        # The second replica's first request is spoilt as well: both were asked, as they should.
+        assert len([r for r in context.fleet.of("portal") if r.requests]) == 2
+        context.answer = ask_receipt(context)
+
+
+@then("the caller gets the other replica's whole answer")
+def other_replicas_answer(context):
+    assert context.answer.status == 200 and context.answer.whole
+    assert context.answer.header("X-Request-Id") == context.identity
+    bodies = [
+        replica.body(request)
+        for replica in context.fleet.of("portal")
+        for request in replica.requests
+        if request.identity == context.identity
+    ]
+    assert context.answer.body in bodies
+
+
+@when('40 different receipts are asked for while the replica\'s answers are "{behaviour}"')
+def many_receipts(context, behaviour):
+    all_of(context, "portal", behaviour)
+    caller = context.router.call()
+    context.answers = []
+    for number in range(40):
+        identity = caller.send("GET", f"/receipt/{number}")
+        answer = caller.read()
+        context.answers.append((identity, number, answer))
+        time.sleep(0.01)
+
+
+@then("each caller gets the answer to its own request")
+def answers_are_their_own(context):
+    for identity, number, answer in context.answers:
+        assert answer.status == 200, (number, answer.status, answer.body)
+        assert answer.header("X-Request-Id") == identity
+        assert f"/receipt/{number} ".encode() in answer.body
+
+
+@then("the caller gets the replica's answer")
+def replicas_answer(context):
+    replica = context.fleet.of("portal")[0]
+    assert context.answer.status == 200 and context.answer.whole
+    assert context.answer.body == replica.body(replica.requests[0])
+
+
+@then("the caller gets the replica's 500 with its signature and body")
+def replicas_failure(context):
+    assert context.answer.status == 500
+    assert context.answer.header("X-Server-Stamp") and context.answer.body == b"error"
+
+
+ODD_REQUESTS = (
+    ("GET", "/receipt/a%20b;c=d/../e?x=1&y=%C3%A9&z=?", b"", False),
+    ("POST", "/status/plain", b"\r\n\r\nGET /receipt/smuggled HTTP/1.1\r\nHost: x\r\n\r\n", False),
+    ("POST", "/status/chunked", bytes(range(256)) * 40, True),
+    ("PUT", "/receipt/put", b"0\r\n\r\n", True),
+    ("DELETE", "/receipt/gone", b"", False),
+)
+KEPT_HEADERS = ("X_Odd-Name: a, b", "Accept: x", "Accept: y", "Cookie: a=b; c=d")
+FORGED_HEADERS = (
+    "X-Tenant: shop",
+    "X-Expect-Instance: i-forged",
+    "X-Request-Priority: 0",
+    "Kv-From: 127.0.0.1:1/a",
+    "X-Hold: h",
+)
+
+
+@when("requests with odd paths, headers and bodies are sent, whole and in chunks")
+def odd_requests(context):
+    caller = context.router.call()
+    for method, path, body, chunked in ODD_REQUESTS:
+        headers = (*KEPT_HEADERS, *FORGED_HEADERS)
+        answer = caller.request(method, path, body=body, chunked=chunked, headers=headers)
+        assert answer.status == 200, (path, answer.status, answer.body)
+
+
+@then("the replica got each method, path, body and header unchanged")
+def unchanged(context):
+    requests = context.fleet.of("portal")[0].requests
+    got = [(each.method, each.target, each.body) for each in requests]
+    assert got == [(method, path, body) for method, path, body, _ in ODD_REQUESTS], got
+    for request in requests:
+        sent = [f"{name}: {value}" for name, value in request.headers]
+        assert all(header in sent for header in KEPT_HEADERS), sent
+
+
+@then("no header of the router's own that a caller forged")
+def nothing_forged(context):
+    replica = context.fleet.of("portal")[0]
+    for request in replica.requests:
+        names = [name.lower() for name, _ in request.headers]
+        assert [v for n, v in request.headers if n.lower() == "x-tenant"] == ["board"]
+        expected = [v for n, v in request.headers if n.lower() == "x-expect-instance"]
+        assert expected == [replica.identity]
+        assert "kv-from" not in names and "x-hold" not in names and "authorization" not in names
+        assert request.header("X-Request-Priority") != "0"
+
+
+@when("a status is asked for and every replica refuses it")
+def all_refuse(context):
+    all_of(context, "portal", "refuse")
+    context.answer = ask_status(context)
+
+
+@then("the caller gets 503 with the time to come back, and no replica ran it")
+def refused_not_run(context):
+    assert context.answer.status == 503 and context.answer.whole
+    assert float(context.answer.header("Retry-After")) >= 0
+    assert not context.fleet.runs(context.identity)
+
+
+@when("a receipt is asked for, the first replica loses its answer and the second refuses")
+def lost_then_refused(context):
+    first, second = context.fleet.of("portal")
+    seen = [first, second]
+
+    def behaviours(own, other):
+        class Once(dict):
+            def get(self, number, default):
+                return "refuse" if other.requests else "lose"
+
+        own.behaviours = Once()
+
+    behaviours(seen[0], seen[1])
+    behaviours(seen[1], seen[0])
+    context.answer = ask_receipt(context)
+
+
+@then("the caller gets 502, which promises nothing")
+def promises_nothing(context):
+    assert sum(len(replica.requests) for replica in context.fleet.of("portal")) == 2
+    assert context.answer.status in (502, 504), context.answer.status
+
+
+@when("a status is answered, and the next one is lost on the kept connection")
+def lost_on_kept_connection(context):
+    context.fleet.of("portal")[0].behaviours = {2: "lose"}
+    assert ask_status(context).status == 200
+    context.answer = ask_status(context, "/status/2")
+
+
+@then("the second caller gets 502, and the replica ran each once")
+def kept_connection_counted(context):
+    replica = context.fleet.of("portal")[0]
+    assert replica.connections == 1, "the connection was not kept"
+    assert context.answer.status == 502
+    assert set(replica.runs.values()) == {1}
+
+
+@when("100 receipts are asked for")
+def hundred_receipts(context):
+    context.statuses = [ask_receipt(context, f"/receipt/{n}").status for n in range(100)]
+
+
+@then("the replicas got at most the requests, a fifth of them and the slack")
+def within_retry_budget(context):
+    arrivals = sum(len(replica.requests) for replica in context.fleet.of("portal"))
+    assert 100 < arrivals <= 100 + 20 + 10, arrivals
+    assert set(context.statuses) <= {502, 504}, set(context.statuses)
+
+
+@when("one portal replica is gone without a word and receipts are asked for")
+def replica_gone(context):
+    context.fleet.of("portal")[0].crash()
+    context.answers = [ask_receipt(context, f"/receipt/{number}") for number in range(20)]
+
+
+@then("every receipt is answered")
+def every_receipt(context):
+    assert [answer.status for answer in context.answers] == [200] * 20
+
+
+@when("the portal's address belongs to another replica and a status is asked for")
+def address_reused(context):
+    context.fleet.of("portal")[0].identity = "i-another"
+    context.answer = ask_status(context)
+
+
+def stream(context, path, **fields):
+    caller = context.router.call()
+    context.identity = caller.send("POST", path, body=b"essay", tokens=TOKENS, **fields)
+    return caller.read()
+
+
+@when("a score is streamed and its replica breaks off within an event")
+def score_breaks(context):
+    only_the_first_breaks(context, "break off", "well")
+    context.answer = stream(context, "/score/1")
+
+
+@when("a score is streamed, breaks off, and the next replica begins again")
+def score_begins_again(context):
+    only_the_first_breaks(context, "break off", "resume twice")
+    context.answer = stream(context, "/score/1")
+
+
+def only_the_first_breaks(context, first, then_):
+    engines = context.fleet.of("engine")
+
+    class Shared(dict):
+        def get(self, number, default):
+            return first if sum(len(each.requests) for each in engines) == 1 else then_
+
+    for engine in engines:
+        engine.behaviours = Shared()
+
+
+@then("the caller gets every event once in one whole answer, with the first replica's signature")
+def every_event_once(context):
+    engines = context.fleet.of("engine")
+    assert context.answer.status == 200 and context.answer.whole
+    assert context.answer.event_ids == [1, 2, 3, 4, 5], context.answer.event_ids
+    first = next(each for each in engines if not each.requests[0].header("Last-Event-Id"))
+    assert context.answer.header("X-Server-Stamp").startswith(first.identity)
+
+
+@then("the second replica was asked to go on after the last event that the caller has")
+def asked_to_go_on(context):
+    resumed = [r.header("Last-Event-Id") for e in context.fleet.of("engine") for r in e.requests]
+    assert sorted(resumed) == ["", "2"], resumed
+
+
+@when("a review is streamed and its replica breaks off within an event")
+def review_breaks(context):
+    all_of(context, "engine", "break off")
+    context.answer = stream(context, "/review/1")
+
+
+@when("a review is streamed and its replica ends early")
+def review_ends_early(context):
+    all_of(context, "engine", "end early")
+    context.answer = stream(context, "/review/1")
+
+
+@then("the caller gets whole events and an answer that does not look complete")
+def cut_stream(context):
+    assert not context.answer.whole
+    assert context.answer.event_ids == [1, 2], context.answer.event_ids
+    assert context.answer.body.endswith(b"\n\n")
+
+
+@then("only one replica ran it")
+def one_run(context):
+    assert context.fleet.runs(context.identity) == 1
+
+
+@when("a caller leaves in the middle of a score")
+def leaves_in_the_middle(context):
+    caller = context.router.call()
+    context.identity = caller.send("POST", "/score/1", body=b"x", tokens=TOKENS)
+    assert caller.read_head()[0] == 200
+    caller.close()
+
+
+@when("a caller leaves while a receipt is worked on")
+def leaves_before_first_byte(context):
+    caller = context.router.call()
+    context.identity = caller.send("GET", "/receipt/1", deadline_ms=60_000)
+    assert eventually(lambda: context.fleet.runs(context.identity))
+    caller.close()
+
+
+@then("the replica's run is cancelled")
+def run_is_cancelled(context):
+    assert eventually(lambda: sum(r.cancelled[context.identity] for r in context.fleet.replicas))
+
+
+@when("a status with a timeout of 300 ms is asked for by a caller that would wait a minute")
+def timeout(context):
+    def shorten(configuration):
+        configuration["routes"][0]["timeoutMs"] = 300
+
+    version = context.fleet.operator.change(shorten)
+    assert eventually(lambda: context.router.find("configuration.applied", version=version))
+    caller = context.router.call()
+    context.identity = caller.send("POST", "/status/1", body=b"x", deadline_ms=60_000)
+    context.answer = in_background(caller.read)()
+
+
+@then("the caller gets a whole answer 504 long before its deadline")
+def final_answer(context):
+    assert context.answer.status == 504 and context.answer.whole
+    assert context.answer.seconds < 30
+
+
+@when("a receipt with 2000 ms to go is lost at the first replica")
+def deadline_passed_on(context):
+    context.fleet.of("portal")[0].behaviours = {1: "lose"}
+    context.fleet.of("portal")[1].behaviours = {1: "lose"}
+    caller = context.router.call()
+    context.identity = caller.send("GET", "/receipt/1", deadline_ms=2_000)
+    caller.read()
+
+
+@then("both replicas were given less than 2000 ms, and the second less than the first")
+def less_and_less(context):
+    given_ms = [
+        int(request.header("X-Deadline-Ms"))
+        for replica in context.fleet.of("portal")
+        for request in replica.requests
+    ]
+    assert len(given_ms) == 2 and max(given_ms) <= 2_000, given_ms
--- a/src/aspengate/allowances/_purse.py
+++ b/src/aspengate/allowances/_purse.py
@@ -74,7 +74,7 @@
             committed=self.committed,
             waiting=waiting,
             per_second=self._rate * math.log(2) * 1_000 / _HALF_LIFE_MS,
-            request=int(self._request),
+            request=int(self._request) or waiting,
         )
 
     def target(
--- a/src/aspengate/allowances/_sizing.py
+++ b/src/aspengate/allowances/_sizing.py
@@ -7,7 +7,8 @@
 class Demand:
     """What a router's requests need: ``committed`` is used or reserved, ``waiting`` waits.
 
-    ``per_second`` is the rate at which it reserved lately, ``request`` a usual request's size.
+    ``per_second`` is the rate at which it reserved lately, ``request`` the size of a usual
+    request, or of the first one.
     """
 
     committed: int
@@ -20,17 +21,19 @@
 class AllowanceSizing:
     """Sizes of the reserve that lets a router go on while the store does not answer.
 
-    The reserve covers ``horizon_ms`` of the demand seen. It takes at most one part in
-    ``share_divisor`` x routers of what nobody holds yet, so that it shrinks as an account's
-    tokens run out; what a router that dies held is lost to the account.
+    The reserve covers ``horizon_ms`` of the demand seen and ``least_requests``. It takes at
+    most one part in ``share_divisor`` x routers of what nobody holds yet, so that it shrinks as
+    an account's tokens run out; what a router that dies held is lost to the account.
     """
 
     horizon_ms: float = 10_000.0
     share_divisor: int = 2
+    least_requests: int = 3
     refill_part: float = 0.5
 
     def reserve(self, demand: Demand, unheld: int, routers: int) -> int:
         """Return the tokens to keep at hand, where ``unheld`` are held by nobody."""
         share = max(0, unheld) // (self.share_divisor * max(1, routers))
-        wanted = int(demand.per_second * self.horizon_ms / 1_000) + demand.request
+        wanted = int(demand.per_second * self.horizon_ms / 1_000)
+        wanted += self.least_requests * demand.request
         return min(wanted, share)
--- a/src/aspengate/deployed.py
+++ b/src/aspengate/deployed.py
@@ -25,8 +25,9 @@
         signal.signal(number, lambda *_: stop.set())
     signal.signal(signal.SIGHUP, lambda *_: None)
     log_to_stream(sys.stdout)
-    deployment = PlatformDeployment(settings.store, settings.store_timeout_ms)
-    gateway = Gateway(settings, deployment, SystemClock(), NullCounters())
+    clock = SystemClock()
+    deployment = PlatformDeployment(settings.store, settings.store_timeout_ms, clock)
+    gateway = Gateway(settings, deployment, clock, NullCounters())
     gateway.start()
     while not stop.is_set():
         stop.wait(60.0)
--- a/src/aspengate/gateway/_settings.py
+++ b/src/aspengate/gateway/_settings.py
@@ -79,7 +79,7 @@
         unit="calls/s",
         default=100.0,
     )
-    store_timeout_ms: float = _milliseconds("store", "longest wait for an answer", 1_000)
+    store_timeout_ms: float = _milliseconds("store", "longest wait for an answer", 2_000)
     memory_mb: int = setting(
         "limits",
         whole_number(1, 2**20),
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -11,8 +11,10 @@
 
 import msgspec
 
+from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.store import (
+    AdaptiveTimeout,
     Changes,
     ConditionFailedError,
     HistoryLostError,
@@ -79,13 +81,14 @@
 class PlatformStore:
     """Calls the store at ``address`` over HTTP, on connections that are kept for more calls.
 
-    ``timeout_ms`` bounds the wait for one answer, which comes within some milliseconds unless
-    the store is slow or down. It may be called from any thread.
+    ``timeout_ms`` bounds the wait for one answer; the wait follows the time that answers take.
+    It may be called from any thread.
     """
 
-    def __init__(self, address: str, timeout_ms: float) -> None:
+    def __init__(self, address: str, timeout_ms: float, clock: Clock) -> None:
         self.address = address
-        self.timeout_ms = timeout_ms
+        self.timeout = AdaptiveTimeout(timeout_ms)
+        self.clock = clock
         self._idle: list[http.client.HTTPConnection] = []
         self._lock = threading.Lock()
 
@@ -162,15 +165,20 @@
     ) -> tuple[int, bytes]:
         connection = self._take()
         unknown = ErrorKind.OUTCOME_UNKNOWN if is_write else ErrorKind.STORE_UNAVAILABLE
+        begun_ms = self.clock.monotonic_ms()
         try:
-            connection.sock.settimeout(wait_s or self.timeout_ms / 1_000)
+            connection.sock.settimeout(wait_s or self.timeout.value_ms / 1_000)
             headers = {"Content-Type": "application/json"} if body is not None else {}
             connection.request(method, target, body, headers)
             answer = connection.getresponse()
             content = answer.read()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
+            if wait_s is None and isinstance(error, TimeoutError):
+                self.timeout.missed()
             raise AspengateError(unknown, repr(error), where=target.partition("?")[0]) from error
+        if wait_s is None:
+            self.timeout.answered(self.clock.monotonic_ms() - begun_ms)
         self._give_back(connection)
         if answer.status in _NOTHING_DONE:
             raise AspengateError(
--- a/src/aspengate/platform/_deployment.py
+++ b/src/aspengate/platform/_deployment.py
@@ -1,5 +1,6 @@
 """The users' platform as a place for the product to run in."""
 
+from aspengate.clock import Clock
 from aspengate.configuration import FleetConfiguration
 from aspengate.platform._client import PlatformStore
 from aspengate.platform._headers import PlatformSpelling
@@ -19,8 +20,8 @@
     configuration_key = CONFIGURATION_KEY
     replica_prefix = REPLICA_PREFIX
 
-    def __init__(self, address: str, timeout_ms: float) -> None:
-        self.store: KeyValueStore = PlatformStore(address, timeout_ms)
+    def __init__(self, address: str, timeout_ms: float, clock: Clock) -> None:
+        self.store: KeyValueStore = PlatformStore(address, timeout_ms, clock)
         self.spelling = PlatformSpelling()
 
     def read_configuration(self, item: StoreItem) -> FleetConfiguration:
--- a/src/aspengate/store/__init__.py
+++ b/src/aspengate/store/__init__.py
@@ -11,8 +11,10 @@
     Snapshot,
     StoreItem,
 )
+from aspengate.store._timeout import AdaptiveTimeout
 
 __all__ = [
+    "AdaptiveTimeout",
     "Changes",
     "ConditionFailedError",
     "HistoryLostError",
