--- a/src/aspengate/cli/_pages.py
+++ b/src/aspengate/cli/_pages.py
@@ -10,6 +10,7 @@
 from aspengate.agent import AgentSettings
 from aspengate.errors import ANSWERS, ErrorKind
 from aspengate.experiments import capacity_page
+from aspengate.gateway import GatewaySettings
 from aspengate.router import RouterSettings
 from aspengate.settings import settings_page
 from aspengate.standins import StandInSettings
@@ -25,6 +26,7 @@
     slopes = msgspec.json.decode((folder / SLOPES_FILE).read_bytes(), type=dict[str, float])
     sections = [
         settings_page("Router", RouterSettings),
+        settings_page("Gateway", GatewaySettings),
         settings_page("Agent", AgentSettings),
         settings_page("Stand-ins", StandInSettings),
     ]
