Give up on a store connection that has gone silent, and prove a watch before trusting it

Ruled out: the size of the configuration (220 routes are read in a few ms) and the peers (they were as blind). Change: unacknowledged bytes and missed probes end a connection in 2 to 3 s; after a failure the first watch asks for an answer at once; a failed call drops the idle connections beside it. Conclusion: traced and mended.

--- a/features/gateway_configuration.feature
+++ b/features/gateway_configuration.feature
@@ -46,3 +46,13 @@
     Given a gateway before one replica of each service
     When another portal replica is listed and the first one is unlisted
     Then all receipts go to the new one
+
+  Scenario: A router that lost the store makes sure of the next watch before it trusts it
+    Given a mirror of a store that fails once
+    When it follows the store
+    Then watches are short ones until one is answered, and the mirror is connected after it
+
+  Scenario: Connections notice another side that has gone silent
+    Given a stand-in store and a stand-in replica
+    When connections to both are opened
+    Then the system gives up on both after seconds, with and without bytes under way
--- a/src/aspengate/connections/__init__.py
+++ b/src/aspengate/connections/__init__.py
@@ -3,6 +3,7 @@
 from aspengate.connections._answer import ReplicaAnswer
 from aspengate.connections._connection import ReplicaConnection, RequestHead
 from aspengate.connections._pool import ConnectionPool
+from aspengate.connections._silence import detect_silence
 from aspengate.connections._waiter import CallerGoneError, Waiter
 
 __all__ = [
@@ -12,4 +13,5 @@
     "ReplicaConnection",
     "RequestHead",
     "Waiter",
+    "detect_silence",
 ]
--- a/src/aspengate/connections/_connection.py
+++ b/src/aspengate/connections/_connection.py
@@ -7,12 +7,12 @@
 import h11
 
 from aspengate.clock import Clock
+from aspengate.connections._silence import detect_silence
 from aspengate.connections._waiter import Waiter
 from aspengate.errors import AspengateError, ErrorKind
 
 _RECEIVE_BYTES = 64 * 1024
 _SEND_BYTES = 64 * 1024
-_UNACKNOWLEDGED_MS = 2_000
 
 
 @dataclass(frozen=True)
@@ -44,8 +44,7 @@
             self.socket = socket.create_connection((host, int(port)), timeout_ms / 1_000)
         except OSError as error:
             raise AspengateError(ErrorKind.NO_UPSTREAM, repr(error), where=address) from error
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+        detect_silence(self.socket)
         self.socket.setblocking(False)
 
     @property
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -25,7 +25,7 @@
 from aspengate.telemetry import Counters, log_change
 
 _READY_THREADS = 2
-_WATCH_MS = 20_000
+_WATCH_MS = 10_000
 _LONGEST_REST_MS = 4_000.0
 _RESERVED_DESCRIPTORS = 200
 _DRAIN_POLL_MS = 50.0
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from aspengate.clock import Clock
+from aspengate.connections import detect_silence
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.store import (
     AdaptiveTimeout,
@@ -27,9 +28,6 @@
 _CONNECT_TIMEOUT_S = 1.0
 _WATCH_MARGIN_S = 2.0
 _IDLE_CONNECTIONS = 4
-_KEEPALIVE_IDLE_S = 2
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
 
 
 class _Item(msgspec.Struct):
@@ -99,7 +97,7 @@
             return None
         return _decode(body, _Item).to_item()
 
-    def list(self, prefix: str) -> Snapshot:
+    def list_items(self, prefix: str) -> Snapshot:
         """Return the items whose keys begin with ``prefix``.
 
         Pages form no snapshot, so the first page's revision is the one that holds for all.
@@ -174,6 +172,7 @@
             content = answer.read()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
+            self._drop_idle()
             if wait_s is None and isinstance(error, TimeoutError):
                 self.timeout.missed()
             raise AspengateError(unknown, repr(error), where=target.partition("?")[0]) from error
@@ -196,7 +195,7 @@
         connection = http.client.HTTPConnection(self.address, timeout=_CONNECT_TIMEOUT_S)
         try:
             connection.connect()
-            _detect_silence(connection.sock)
+            detect_silence(connection.sock)
         except OSError as error:
             connection.close()
             raise AspengateError(
@@ -204,6 +203,18 @@
             ) from error
         return connection
 
+    def idle_sockets(self) -> list[socket.socket]:
+        """Return the sockets of the connections that wait for a call."""
+        with self._lock:
+            return [connection.sock for connection in self._idle]
+
+    def _drop_idle(self) -> None:
+        """Close what waits for a call, since it probably failed along with another one."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
     def _give_back(self, connection: http.client.HTTPConnection) -> None:
         with self._lock:
             if connection.sock is not None and len(self._idle) < _IDLE_CONNECTIONS:
@@ -218,15 +229,6 @@
 )
 
 
-def _detect_silence(connected: socket.socket) -> None:
-    """Have the system end a connection whose other side is gone, also while nothing is sent."""
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-
-
 def _decode(body: bytes, kind: type[_Body]) -> _Body:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/src/aspengate/store/_mirror.py
+++ b/src/aspengate/store/_mirror.py
@@ -13,6 +13,9 @@
 _FIRST_PAUSE_MS = 50.0
 _LONGEST_PAUSE_MS = 1_000.0
 _PAUSE_GROWTH = 2.0
+# A watch that waits long tells late whether the store hears it: the first one after a failure
+# asks for an early answer.
+_PROBE_MS = 50
 
 
 @dataclass(frozen=True)
@@ -84,9 +87,8 @@
         while not self._closing.is_set():
             try:
                 if not listed:
-                    self.offer(self._store.list(self.prefix))
+                    self.offer(self._store.list_items(self.prefix))
                     listed = True
-                    self._note_connected()
                 self._follow()
                 self._note_connected()
                 pause_ms = _FIRST_PAUSE_MS
@@ -101,7 +103,8 @@
                 pause_ms = min(pause_ms * _PAUSE_GROWTH, _LONGEST_PAUSE_MS)
 
     def _follow(self) -> None:
-        changes = self._store.changes(self.prefix, self.state.revision, self.wait_ms)
+        wait_ms = self.wait_ms if self.connected else _PROBE_MS
+        changes = self._store.changes(self.prefix, self.state.revision, wait_ms)
         with self._lock:
             if changes.revision <= self.state.revision:
                 return
--- a/src/aspengate/store/_port.py
+++ b/src/aspengate/store/_port.py
@@ -78,7 +78,7 @@
     def get(self, key: str) -> StoreItem | None:
         """Return the item under ``key``, if any; the read is linearizable."""
 
-    def list(self, prefix: str) -> Snapshot:
+    def list_items(self, prefix: str) -> Snapshot:
         """Return the items whose keys begin with ``prefix``."""
 
     def changes(self, prefix: str, since: int, wait_ms: int) -> Changes:
