--- a/src/aspengate/allowances/__init__.py
+++ b/src/aspengate/allowances/__init__.py
@@ -8,6 +8,7 @@
     close_session,
     decode_document,
     encode_document,
+    session_name,
     set_allowance,
 )
 from aspengate.allowances._purse import Purse
@@ -21,5 +22,6 @@
     "close_session",
     "decode_document",
     "encode_document",
+    "session_name",
     "set_allowance",
 ]
--- a/src/aspengate/allowances/_document.py
+++ b/src/aspengate/allowances/_document.py
@@ -29,11 +29,28 @@
         """Return what ``session`` may use in its life."""
         return self.sessions.get(session, 0)
 
+    def part_of(self, session: str) -> float:
+        """Return the part, 0 to 1, of the router of ``session`` in what all sessions may use."""
+        router = router_of(session)
+        own = sum(value for name, value in self.sessions.items() if router_of(name) == router)
+        everyone = sum(self.sessions.values())
+        return min(1.0, max(0.0, own / everyone)) if everyone > 0 else 0.0
+
     def most_for(self, session: str, limit: int) -> int:
         """Return the highest allowance that ``session`` can have within ``limit``."""
         return limit - (self.committed - self.allowance(session))
 
 
+def session_name(router: str, life: str) -> str:
+    """Return the name of one run, ``life``, of a router."""
+    return f"{router}.{life}"
+
+
+def router_of(session: str) -> str:
+    """Return the router that a session is a run of."""
+    return session.rpartition(".")[0]
+
+
 def set_allowance(
     document: AllowanceDocument, session: str, allowance: int, limit: int
 ) -> AllowanceDocument:
--- a/src/aspengate/allowances/_purse.py
+++ b/src/aspengate/allowances/_purse.py
@@ -98,7 +98,8 @@
             return demand.committed
         if idle:
             return needed
-        return needed + self.sizing.reserve(demand, most - needed, routers)
+        part = document.part_of(session)
+        return needed + self.sizing.reserve(demand, most - needed, routers, part)
 
     def _note_demand(self, amount: int, now_ms: float) -> None:
         self._age(now_ms)
--- a/src/aspengate/gateway/_money.py
+++ b/src/aspengate/gateway/_money.py
@@ -252,7 +252,8 @@
         if source is None:
             return
         unheld = source.limit - account.document.committed
-        wanted = self._sizing.reserve(demand, unheld, self.routers)
+        part = account.document.part_of(self.session)
+        wanted = self._sizing.reserve(demand, unheld, self.routers, part)
         if account.purse.free < wanted * self._sizing.refill_part:
             self._schedule(account)
 
@@ -264,7 +265,8 @@
         demand = account.purse.demand(0, now)
         source = self._limit_of(account.name)
         unheld = (source.limit if source else 0) - account.document.committed
-        wanted = self._sizing.reserve(demand, unheld + account.purse.free, self.routers)
+        part = account.document.part_of(self.session)
+        wanted = self._sizing.reserve(demand, unheld + account.purse.free, self.routers, part)
         return account.purse.free - wanted * _SURPLUS_FACTOR
 
     def _schedule(self, account: _Account) -> None:
@@ -300,6 +302,7 @@
                 self._read(account)
             plan = self._plan(account, source)
             if plan is None:
+                self._note_exhausted(account, source)
                 self._refuse(account, ErrorKind.BUDGET_EXHAUSTED)
                 return False
             if plan == account.document and not account.uncertain:
@@ -396,6 +399,19 @@
                     account.waiting.remove(ticket)
             account.changed.notify_all()
 
+    def _note_exhausted(self, account: _Account, source: LimitSource) -> None:
+        document = account.document or AllowanceDocument()
+        log_change(
+            "allowance.exhausted",
+            account=account.name,
+            limit=source.limit,
+            unheld=source.limit - document.committed,
+            closed=document.closed,
+            sessions=document.sessions,
+            needed=min((ticket.amount for ticket in account.waiting), default=0),
+            revision=account.revision,
+        )
+
     def _refuse(self, account: _Account, kind: ErrorKind) -> None:
         with account.changed:
             if kind is ErrorKind.BUDGET_EXHAUSTED and account.waiting:
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -5,6 +5,7 @@
 import uuid
 from collections.abc import Callable, Mapping
 
+from aspengate.allowances import session_name
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
 from aspengate.peers import (
@@ -54,7 +55,7 @@
         self.server = WsgiServer(
             PeerApplication(mirrors, lend), address, _SERVER_THREADS, _SMALL_BODY
         )
-        self.session = f"{name}.{uuid.uuid4().hex[:8]}"
+        self.session = session_name(name, uuid.uuid4().hex[:8])
         self.members = MemberList(Member(name, self.server.address, self.session), clock)
         self._store = store
         self._clock = clock
