Tell each request in one line, figures on an address, and learn from outcomes

Cause: a failure could not be explained afterwards; failing and silent replicas were chosen like sound ones. Change: one log line a request with its attempts and what decided, written by a thread of its own from a bounded queue; counters and histograms for scrapers; each router remembers how its replicas do (failures, silence, pace) and gives up an attempt that says nothing where it may be repeated. Ruled out: statsd for scrapers' figures (kept for the product's own deployment).

--- a/src/aspengate/connections/_answer.py
+++ b/src/aspengate/connections/_answer.py
@@ -1,5 +1,6 @@
 """The answer to one request, read from its connection as it comes."""
 
+import re
 from collections.abc import Callable
 
 import h11
@@ -12,6 +13,8 @@
 _LENGTH = b"content-length"
 _CODING = b"transfer-encoding"
 
+_REST_PATTERN = re.compile(r"timeout=(\d+)")
+
 BelongsTo = Callable[[tuple[tuple[str, str], ...]], bool]
 
 
@@ -68,6 +71,12 @@
         lowered = name.lower()
         return next((value for key, value in self.headers if key.lower() == lowered), "")
 
+    @property
+    def rest_ms(self) -> float | None:
+        """How long the connection may rest after this answer, where the answer tells."""
+        found = _REST_PATTERN.search(self.header("keep-alive"))
+        return float(found.group(1)) * 1_000 if found else None
+
     def next_data(self, waiter: Waiter, until_ms: float | None = None) -> bytes | None:
         """Return more of the body, empty at its end; None where ``until_ms`` comes first.
 
--- a/src/aspengate/connections/_pool.py
+++ b/src/aspengate/connections/_pool.py
@@ -7,6 +7,7 @@
 
 _CONNECT_TIMEOUT_MS = 1_000.0
 _MOST_IDLE = 32
+_REST_PART = 0.6
 
 
 class ConnectionPool:
@@ -43,9 +44,16 @@
         self.opened += 1
         return ReplicaConnection(address, self.clock, min(timeout_ms, _CONNECT_TIMEOUT_MS))
 
-    def give_back(self, identity: str, connection: ReplicaConnection) -> None:
-        """Keep a connection whose answer was whole, or close it where it can't go on."""
+    def give_back(
+        self, identity: str, connection: ReplicaConnection, rest_ms: float | None
+    ) -> None:
+        """Keep a connection whose answer was whole, or close it where it can't go on.
+
+        ``rest_ms`` is how long the replica lets it rest, where the replica says so.
+        """
         if connection.make_ready():
+            if rest_ms is not None:
+                connection.idle_until_ms = self.clock.monotonic_ms() + rest_ms * _REST_PART
             with self._lock:
                 idle = self._idle.setdefault(identity, [])
                 if len(idle) < _MOST_IDLE:
--- a/src/aspengate/gateway/_application.py
+++ b/src/aspengate/gateway/_application.py
@@ -13,8 +13,9 @@
 from aspengate.gateway._ports import RequestSpelling
 from aspengate.gateway._progress import Progress
 from aspengate.gateway._request import CallerRequest
+from aspengate.gateway._story import RequestLog
 from aspengate.serving import CallerConnection
-from aspengate.telemetry import Counters, log_change
+from aspengate.telemetry import log_change
 
 ADMISSION = ("route", "authenticate", "reserve")
 _LONGEST_MS = 600_000.0
@@ -31,7 +32,7 @@
         admission: tuple[Filter, ...],
         dispatcher: Dispatcher,
         clock: Clock,
-        counters: Counters,
+        log: RequestLog,
         refusing: Callable[[], bool],
     ) -> None:
         self.spelling = spelling
@@ -39,43 +40,50 @@
         self.admission = admission
         self.dispatcher = dispatcher
         self.clock = clock
-        self.counters = counters
+        self.log = log
         self.refusing = refusing
 
     def __call__(self, caller: CallerConnection) -> None:
         """Answer one request; raises CallerGoneError where nobody waits for the answer."""
-        request_id = ""
-        progress = Progress()
+        handling = _Handling(self, caller)
         try:
-            request = self.spelling.caller_request(caller.request)
-            request_id = request.request_id
-            self._serve(request, caller, progress)
-            self.counters.count("gateway.answered")
-        except CallerGoneError:
-            self.counters.count("gateway.caller_gone")
+            handling.serve()
+        except CallerGoneError as error:
+            handling.tell(error)
             raise
         except AspengateError as error:
-            self._fail(caller, error, request_id, progress)
+            handling.fail(error)
         except Exception as error:
-            log_change("gateway.request_failed", request_id=request_id, error=repr(error))
-            internal = AspengateError(ErrorKind.INTERNAL, "a fault of the router's own")
-            self._fail(caller, internal, request_id, progress)
-
-    def _serve(self, request: CallerRequest, caller: CallerConnection, progress: Progress) -> None:
-        if self.refusing():
+            log_change("request.fault", request_id=handling.request_id, error=repr(error))
+            handling.fail(AspengateError(ErrorKind.INTERNAL, "a fault of the router's own"))
+        else:
+            handling.tell(None)
+
+
+class _Handling:
+    """The handling of one request."""
+
+    def __init__(self, application: GatewayApplication, caller: CallerConnection) -> None:
+        self.application = application
+        self.caller = caller
+        self.request_id = ""
+        self.progress = Progress()
+        self.exchange: Exchange | None = None
+
+    def serve(self) -> None:
+        """Read, admit and dispatch the request; raises AspengateError."""
+        request = self.application.spelling.caller_request(self.caller.request)
+        self.request_id = request.request_id
+        if self.application.refusing():
             raise AspengateError(ErrorKind.LEAVING, "this router is being stopped")
-        deadline = request.deadline_ms
-        if deadline is None:
-            deadline = request.received_ms + _LONGEST_MS
-        waiter = Waiter(self.clock, caller.socket, deadline)
-        exchange = Exchange(request, self.holder.current, waiter)
+        self.exchange = self._new_exchange(request)
         passed: list[Filter] = []
         failure: ErrorKind | None = None
         try:
-            for step in self.admission:
-                exchange = step.apply(exchange)
+            for step in self.application.admission:
+                self.exchange = step.apply(self.exchange)
                 passed.append(step)
-            self.dispatcher.run(exchange, caller, progress)
+            self.application.dispatcher.run(self.exchange, self.caller, self.progress)
         except AspengateError as error:
             failure = error.kind
             raise
@@ -83,38 +91,48 @@
             failure = ErrorKind.INTERNAL
             raise
         finally:
-            outcome = progress.outcome(failure, _event_tokens(exchange))
+            outcome = self.progress.outcome(failure, _event_tokens(self.exchange))
             for step in reversed(passed):
-                step.finish(exchange, outcome)
+                step.finish(self.exchange, outcome)
 
-    def _fail(
-        self,
-        caller: CallerConnection,
-        error: AspengateError,
-        request_id: str,
-        progress: Progress,
-    ) -> None:
-        truthful = _truthful(error, progress)
-        self.counters.count(f"gateway.errors.{truthful.kind.value}")
-        log_change(
-            "gateway.refused",
-            request_id=request_id,
-            kind=truthful.kind.value,
-            reason=str(error),
-            attempts=progress.attempts,
-            may_have_run=progress.may_have_run,
+    def fail(self, error: AspengateError) -> None:
+        """Tell the caller an error, or cut an answer that has begun."""
+        truthful = _truthful(error, self.progress)
+        try:
+            self._answer(truthful)
+        finally:
+            self.tell(truthful)
+
+    def tell(self, error: AspengateError | None) -> None:
+        """Write the request's line in the log."""
+        self.application.log.ended(
+            self.request_id,
+            self.caller.request.received_ms,
+            self.exchange,
+            self.progress,
+            error,
         )
-        if caller.started:
-            caller.cut()
+
+    def _new_exchange(self, request: CallerRequest) -> Exchange:
+        deadline = request.deadline_ms
+        if deadline is None:
+            deadline = request.received_ms + _LONGEST_MS
+        waiter = Waiter(self.application.clock, self.caller.socket, deadline)
+        return Exchange(request, self.application.holder.current, waiter)
+
+    def _answer(self, error: AspengateError) -> None:
+        if self.caller.started:
+            self.caller.cut()
             return
-        body = msgspec.json.encode({"error": truthful.body(request_id)})
+        self.progress.status = error.answer.status
+        body = msgspec.json.encode({"error": error.body(self.request_id)})
         headers = [
             ("Content-Type", "application/json"),
-            *self.spelling.error_headers(request_id),
+            *self.application.spelling.error_headers(self.request_id),
         ]
-        if truthful.answer.retry_after_s is not None:
-            headers.append(("Retry-After", str(truthful.answer.retry_after_s)))
-        caller.answer(truthful.answer.status, truthful.kind.value, headers, body)
+        if error.answer.retry_after_s is not None:
+            headers.append(("Retry-After", str(error.answer.retry_after_s)))
+        self.caller.answer(error.answer.status, error.kind.value, headers, body)
 
 
 def _event_tokens(exchange: Exchange) -> int:
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from aspengate.clock import Clock
 from aspengate.connections import (
     ConnectionPool,
     ReplicaAnswer,
@@ -10,11 +11,27 @@
 )
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._exchange import Exchange
+from aspengate.gateway._patience import Patience
 from aspengate.gateway._ports import RequestSpelling
-from aspengate.replicas import ReplicaView
+from aspengate.replicas import Candidate
 
 _LEAST_URGENT = 9
 _ROUTE_PRIORITIES = 3
+_UNREACHED_PAUSE_MS = 1_000.0
+
+
+class TryAnotherError(Exception):
+    """An attempt failed in a way that lets another replica be tried.
+
+    ``sent`` tells whether the replica may have received the request; ``paid`` whether the
+    repeat was taken from the retry budget already.
+    """
+
+    def __init__(self, cause: AspengateError, *, sent: bool, paid: bool = False) -> None:
+        super().__init__(str(cause))
+        self.cause = cause
+        self.sent = sent
+        self.paid = paid
 
 
 @dataclass(frozen=True)
@@ -23,77 +40,140 @@
 
     spelling: RequestSpelling
     pool: ConnectionPool
+    clock: Clock
 
 
-def urgency(exchange: Exchange) -> int:
-    """Return how urgent a request is to a replica, from 0, the most urgent, to 9.
+class Attempt:
+    """A request at one replica, counted there until ``end``.
 
-    The account's priority comes first, then the route's.
+    ``release`` keeps its connection after a whole answer; otherwise ``end`` closes it, which
+    ends the run. Times are in the clock's monotonic milliseconds.
     """
-    account = exchange.account.priority if exchange.account else 0
-    return max(0, min(_LEAST_URGENT, account * _ROUTE_PRIORITIES + exchange.known_route.priority))
-
 
-class Attempt:
-    """A request at one replica; ``close`` it, or ``release`` it after a whole answer."""
-
-    def __init__(self, parts: AttemptParts, exchange: Exchange, view: ReplicaView) -> None:
+    def __init__(
+        self, parts: AttemptParts, exchange: Exchange, candidate: Candidate, patience: Patience
+    ) -> None:
         self.parts = parts
         self.exchange = exchange
-        self.view = view
+        self.candidate = candidate
+        self.view = candidate.view
+        self.patience = patience
         self.sent = False
+        self.reused = False
+        self.outcome = ""
+        self.begun_ms = parts.clock.monotonic_ms()
+        self.first_ms: float | None = None
+        self.ended_ms: float | None = None
         self.connection: ReplicaConnection | None = None
-        self.answer: ReplicaAnswer | None = None
+        self._in_flight = self.view.in_flight
+        self._work = self.view.begin(self.begun_ms, candidate.read_ms)
 
     def begin(self, last_event_id: str) -> ReplicaAnswer:
         """Send the request and return the answer, of which the head has come.
 
-        Raises NO_UPSTREAM where nothing has left, else UPSTREAM_FAILED, DEADLINE_EXCEEDED or
-        CallerGoneError.
+        Raises TryAnotherError where the replica was not reached, or is given up because it says
+        nothing; otherwise UPSTREAM_FAILED, DEADLINE_EXCEEDED or CallerGoneError.
         """
-        waiter = self.exchange.waiter
-        request = self.exchange.request
         connection = self._connect()
         head = self._head(last_event_id)
         self.sent = True
         try:
-            connection.send(head, request.body, waiter)
+            connection.send(head, self.exchange.request.body, self.exchange.waiter)
         except AspengateError as error:
-            self.sent = error.kind is not ErrorKind.NO_UPSTREAM
-            raise
-        answer = ReplicaAnswer.await_head(
-            connection,
-            waiter,
-            lambda headers: self.parts.spelling.answers_request(headers, request.request_id),
-        )
-        if answer is None:
-            raise AspengateError(ErrorKind.DEADLINE_EXCEEDED, "no answer in time")
-        self.answer = answer
+            if error.kind is not ErrorKind.NO_UPSTREAM:
+                raise
+            self.sent = False
+            raise TryAnotherError(error, sent=False) from error
+        answer = self._await_head(connection)
+        self.note_first()
         return answer
 
-    def release(self) -> None:
+    def note_first(self) -> None:
+        """Note that the answer has begun."""
+        if self.first_ms is None:
+            now = self.parts.clock.monotonic_ms()
+            self.first_ms = now - self.begun_ms
+            self.view.first_answer(self._work, self.candidate.first_ms, now)
+
+    def note_sign(self) -> None:
+        """Note that more of the answer has come."""
+        self.view.sign_of_life(self.parts.clock.monotonic_ms())
+
+    def release(self, answer: ReplicaAnswer) -> None:
         """Keep the connection for further requests; the answer was whole."""
         if self.connection is not None:
-            self.parts.pool.give_back(self.view.identity, self.connection)
+            self.parts.pool.give_back(self.view.identity, self.connection, answer.rest_ms)
             self.connection = None
 
-    def close(self) -> None:
-        """End the run, if it still goes on."""
+    def end(self, outcome: str, *, failed: bool) -> None:
+        """End the attempt, and the run if it still goes on; a replica's failure is remembered."""
+        if self.ended_ms is not None:
+            return
+        self.ended_ms = self.parts.clock.monotonic_ms()
+        self.outcome = outcome
+        self.view.end(self._work)
+        if failed:
+            self.view.failed(self.ended_ms)
+        elif self.connection is None and self.sent:
+            whole_ms = self.ended_ms - self.begun_ms
+            plain = self.exchange.known_service.engine is None
+            self.view.succeeded(self.ended_ms, whole_ms if plain else None)
         if self.connection is not None:
             self.connection.close()
             self.connection = None
 
+    def told(self) -> dict[str, object]:
+        """Return what the log tells of this attempt; durations are in milliseconds."""
+        ended_ms = self.ended_ms if self.ended_ms is not None else self.parts.clock.monotonic_ms()
+        return {
+            "replica": self.view.identity,
+            "cost_ms": round(self.candidate.cost_ms),
+            "in_flight": self._in_flight,
+            "failing": round(self.view.failure_rate(ended_ms), 2),
+            "pace": round(self.view.pace, 1),
+            "reused": self.reused,
+            "first_ms": None if self.first_ms is None else round(self.first_ms),
+            "held_ms": round(ended_ms - self.begun_ms),
+            "outcome": self.outcome,
+        }
+
+    def _await_head(self, connection: ReplicaConnection) -> ReplicaAnswer:
+        identity = self.exchange.request.request_id
+        spelling = self.parts.spelling
+        while True:
+            answer = ReplicaAnswer.await_head(
+                connection,
+                self.exchange.waiter,
+                lambda headers: spelling.answers_request(headers, identity),
+                self.patience.next_look_ms,
+            )
+            if answer is not None:
+                return answer
+            if self.patience.is_over():
+                silent = AspengateError(
+                    ErrorKind.UPSTREAM_FAILED, "says nothing", where=connection.address
+                )
+                raise TryAnotherError(silent, sent=True, paid=True)
+
     def _connect(self) -> ReplicaConnection:
         self.exchange.waiter.check_caller()
         connection = self.parts.pool.take(self.view.identity)
+        self.reused = connection is not None
         if connection is None:
-            remaining = self.exchange.waiter.remaining_ms
-            if remaining <= 0:
-                raise AspengateError(ErrorKind.DEADLINE_EXCEEDED, "no time is left")
-            connection = self.parts.pool.open(self.view.replica.address, remaining)
+            connection = self._open()
         self.connection = connection
         return connection
 
+    def _open(self) -> ReplicaConnection:
+        remaining = self.exchange.waiter.remaining_ms
+        if remaining <= 0:
+            raise AspengateError(ErrorKind.DEADLINE_EXCEEDED, "no time is left")
+        try:
+            return self.parts.pool.open(self.view.replica.address, remaining)
+        except AspengateError as error:
+            self.view.unreached(self.parts.clock.monotonic_ms(), _UNREACHED_PAUSE_MS)
+            raise TryAnotherError(error, sent=False) from error
+
     def _head(self, last_event_id: str) -> RequestHead:
         request = self.exchange.request
         account = self.exchange.account
@@ -106,3 +186,12 @@
             last_event_id=last_event_id,
         )
         return RequestHead(request.method, request.target, headers)
+
+
+def urgency(exchange: Exchange) -> int:
+    """Return how urgent a request is to a replica, from 0, the most urgent, to 9.
+
+    The account's priority comes first, then the route's.
+    """
+    account = exchange.account.priority if exchange.account else 0
+    return max(0, min(_LEAST_URGENT, account * _ROUTE_PRIORITIES + exchange.known_route.priority))
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -16,6 +16,7 @@
 from aspengate.gateway._ready import ReadyApplication
 from aspengate.gateway._settings import GatewaySettings
 from aspengate.gateway._stop import StopPlan
+from aspengate.gateway._story import RequestLog
 from aspengate.gateway.filters import FilterParts, make_filters
 from aspengate.peers import MEMBER_PREFIX
 from aspengate.replicas import PartMemory, ReplicaChooser, ReplicaRegistry
@@ -26,7 +27,7 @@
 
 _READY_THREADS = 2
 _WATCH_MS = 10_000
-_LONGEST_REST_MS = 4_000.0
+_LONGEST_REST_MS = 6_000.0
 _RESERVED_DESCRIPTORS = 200
 _DRAIN_POLL_MS = 50.0
 _TICK_S = 0.5
@@ -88,6 +89,20 @@
             peers=self.peering.server.address,
         )
 
+    def gauges(self) -> dict[str, float]:
+        """Return what holds at this moment, for scrapers."""
+        return {
+            "configuration_version": self.holder.version,
+            "configuration_connected": self.configuration.connected,
+            "replicas_revision": self.replicas.state.revision,
+            "replicas_connected": self.replicas.connected,
+            "routers_known": self.peering.members.count,
+            "requests_in_progress": self.server.in_progress,
+            "connections": len(self.server.active_channels),
+            "connections_opened": self.pool.opened,
+            **self.tokens.gauges(),
+        }
+
     def leave(self) -> bool:
         """Finish what is in progress and stop; return whether all of it was finished.
 
@@ -179,14 +194,14 @@
             holder=self.holder,
             admission=make_filters(ADMISSION, FilterParts(self.clock, self.counters, self.tokens)),
             dispatcher=Dispatcher(
-                AttemptParts(spelling, self.pool),
+                AttemptParts(spelling, self.pool, self.clock),
                 self.registry,
+                ReplicaChooser(self.parts, self.settings.failure_domain),
                 self.retries,
                 self.counters,
-                ReplicaChooser(self.parts, self.settings.failure_domain),
             ),
             clock=self.clock,
-            counters=self.counters,
+            log=RequestLog(self.clock, self.counters, self.settings.log_lines_per_second),
             refusing=lambda: self.refusing,
         )
 
@@ -224,7 +239,7 @@
                 replicas.append(self.deployment.read_replica(item))
             except AspengateError as error:
                 log_change("replica.unreadable", key=item.key, error=str(error))
-        self.registry.update(replicas)
+        self.registry.update(replicas, state.revision)
 
     def _on_replica_gone(self, identity: str) -> None:
         self.pool.forget(identity)
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -2,13 +2,13 @@
 
 import random
 
-from aspengate.connections import CallerGoneError, ReplicaAnswer
+from aspengate.connections import ReplicaAnswer
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.gateway._attempt import Attempt, AttemptParts
+from aspengate.gateway._attempt import Attempt, AttemptParts, TryAnotherError
 from aspengate.gateway._exchange import Exchange
-from aspengate.gateway._load import Load
+from aspengate.gateway._patience import Patience
 from aspengate.gateway._progress import Progress
-from aspengate.gateway._relay import AnswerRelay, TryAnotherError
+from aspengate.gateway._relay import AnswerRelay
 from aspengate.gateway._request import CallerRequest
 from aspengate.replicas import Candidate, PromptShape, ReplicaChooser, ReplicaRegistry
 from aspengate.retries import SharedRetryBudget
@@ -18,6 +18,7 @@
 _SUCCESS = range(200, 300)
 _SERVER_ERROR = range(500, 600)
 _MOST_UNREACHED = 4
+_REPLICA_FAILURES = frozenset({ErrorKind.UPSTREAM_FAILED, ErrorKind.DEADLINE_EXCEEDED})
 
 
 class Dispatcher:
@@ -27,47 +28,48 @@
         self,
         parts: AttemptParts,
         registry: ReplicaRegistry,
+        chooser: ReplicaChooser,
         retries: SharedRetryBudget,
         counters: Counters,
-        chooser: ReplicaChooser,
     ) -> None:
         self.parts = parts
-        self.chooser = chooser
         self.registry = registry
+        self.chooser = chooser
         self.retries = retries
         self.counters = counters
-        self.relay = AnswerRelay(parts.spelling)
+        self.relay = AnswerRelay(parts.spelling, counters)
 
     def run(self, exchange: Exchange, caller: CallerConnection, progress: Progress) -> None:
         """Answer the caller with a replica's answer; raises AspengateError where none serves."""
         self.retries.note_request(exchange.known_service.name)
         progress.last_event_id = exchange.request.last_event_id
         while True:
-            candidate = self._choose(exchange, progress)
-            attempt = Attempt(self.parts, exchange, candidate.view)
-            load = Load(self.registry, candidate)
+            attempt = self._attempt(exchange, progress)
             try:
-                self._serve(attempt, load, exchange, caller, progress)
+                self._serve(attempt, exchange, caller, progress)
+                attempt.end("answered", failed=False)
                 return
             except TryAnotherError as failure:
-                progress.excluded.add(candidate.view.identity)
-                attempt.close()
+                refused = failure.cause.kind is ErrorKind.OVERLOADED
+                attempt.end(str(failure), failed=failure.sent and not refused)
+                progress.excluded.add(attempt.view.identity)
                 self._check_another(exchange, progress, failure)
+            except AspengateError as error:
+                attempt.end(str(error), failed=error.kind in _REPLICA_FAILURES)
+                raise
             finally:
-                load.end()
-                attempt.close()
+                attempt.end("fault", failed=False)
 
-    def _check_another(
-        self, exchange: Exchange, progress: Progress, failure: TryAnotherError
-    ) -> None:
-        """Raise the cause of a failure where no further attempt may be made."""
-        if not failure.sent:
-            progress.unreached += 1
-            if progress.unreached >= _MOST_UNREACHED:
-                raise failure.cause
-            return
-        if not failure.paid and not self._may_repeat(exchange, progress):
-            raise failure.cause
+    def _attempt(self, exchange: Exchange, progress: Progress) -> Attempt:
+        candidate = self._choose(exchange, progress)
+
+        def may_repeat() -> bool:
+            return self._may_repeat(exchange, progress, attempts=progress.attempts + 1)
+
+        patience = Patience(exchange.known_route, candidate, self.parts.clock, may_repeat)
+        attempt = Attempt(self.parts, exchange, candidate, patience)
+        progress.made.append(attempt)
+        return attempt
 
     def _choose(self, exchange: Exchange, progress: Progress) -> Candidate:
         ready = self.registry.ready(exchange.known_service.name, progress.excluded)
@@ -76,7 +78,7 @@
                 ErrorKind.NO_UPSTREAM, "no replica is ready", where=exchange.known_service.name
             )
         prompt = _prompt_shape(exchange.request)
-        now = self.registry.clock.monotonic_ms()
+        now = self.parts.clock.monotonic_ms()
         candidate = self.chooser.choose(ready, prompt, random.random(), now)
         for part, _ in prompt.shared:
             self.chooser.parts.note(part, candidate.view.identity, now)
@@ -85,14 +87,12 @@
     def _serve(
         self,
         attempt: Attempt,
-        load: Load,
         exchange: Exchange,
         caller: CallerConnection,
         progress: Progress,
     ) -> None:
         ran_before = progress.may_have_run
         answer = self._begin(attempt, exchange, progress)
-        load.answered()
         if self.parts.spelling.is_not_executed(answer.status, answer.headers):
             progress.may_have_run = ran_before
             refused = AspengateError(ErrorKind.OVERLOADED, f"refused with {answer.status}")
@@ -105,19 +105,16 @@
         if caller.started:
             raise AspengateError(ErrorKind.UPSTREAM_FAILED, f"resumed with {answer.status}")
         failed = answer.status in _SERVER_ERROR and exchange.known_route.repeatable
-        if failed and self._may_repeat(exchange, progress):
+        if failed and self._may_repeat(exchange, progress, attempts=progress.attempts):
             cause = AspengateError(ErrorKind.UPSTREAM_FAILED, f"answered {answer.status}")
             raise TryAnotherError(cause, sent=True, paid=True)
         self.relay.whole(attempt, answer, caller)
+        progress.status = answer.status
 
     def _begin(self, attempt: Attempt, exchange: Exchange, progress: Progress) -> ReplicaAnswer:
         try:
             return attempt.begin(progress.last_event_id)
-        except CallerGoneError:
-            raise
         except AspengateError as error:
-            if error.kind is ErrorKind.NO_UPSTREAM:
-                raise TryAnotherError(error, sent=False) from error
             if error.kind is ErrorKind.UPSTREAM_FAILED and exchange.known_route.repeatable:
                 raise TryAnotherError(error, sent=True) from error
             raise
@@ -126,9 +123,28 @@
                 progress.attempts += 1
                 progress.may_have_run = True
 
-    def _may_repeat(self, exchange: Exchange, progress: Progress) -> bool:
-        """Take one more attempt from the route's bound and the retry budget, if there is one."""
-        if progress.attempts >= exchange.known_route.max_attempts:
+    def _check_another(
+        self, exchange: Exchange, progress: Progress, failure: TryAnotherError
+    ) -> None:
+        """Raise the cause of a failure where no further attempt may be made."""
+        if not failure.sent:
+            progress.unreached += 1
+            if progress.unreached >= _MOST_UNREACHED:
+                raise failure.cause
+            return
+        if not failure.paid and not self._may_repeat(
+            exchange, progress, attempts=progress.attempts
+        ):
+            raise failure.cause
+
+    def _may_repeat(self, exchange: Exchange, progress: Progress, *, attempts: int) -> bool:
+        """Take one more attempt from the route's bound and the retry budget, if there is one.
+
+        ``attempts`` counts those that were sent, with the one in hand.
+        """
+        if attempts >= exchange.known_route.max_attempts:
+            return False
+        if not self.registry.ready(exchange.known_service.name, progress.excluded):
             return False
         if not self.retries.take(exchange.known_service.name):
             self.counters.count("gateway.retry_budget_spent")
--- a/src/aspengate/gateway/_money.py
+++ b/src/aspengate/gateway/_money.py
@@ -174,6 +174,17 @@
                 account.exhausted_until_ms = 0.0
                 self._schedule(account)
 
+    def gauges(self) -> dict[str, float]:
+        """Return what all purses together hold, in tokens."""
+        purses = [account.purse for account in self._all()]
+        return {
+            "tokens_granted": sum(purse.granted for purse in purses),
+            "tokens_used": sum(purse.used for purse in purses),
+            "tokens_reserved": sum(purse.reserved for purse in purses),
+            "tokens_borrowed": sum(purse.borrowed for purse in purses),
+            "tokens_lent": sum(purse.lent for purse in purses),
+        }
+
     def tick(self) -> None:
         """Give back what is no longer needed; call it some times in ten seconds."""
         now = self._clock.monotonic_ms()
--- a/src/aspengate/gateway/_progress.py
+++ b/src/aspengate/gateway/_progress.py
@@ -1,27 +1,48 @@
 """What has happened to one request so far."""
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from aspengate.errors import ErrorKind
 from aspengate.gateway._exchange import Outcome
 
+if TYPE_CHECKING:
+    from aspengate.gateway._attempt import Attempt
+
 
 @dataclass
 class Progress:
     """Counts attempts, and remembers how far a stream has come.
 
-    ``attempts`` were sent to a replica, ``unreached`` were not. ``last_event_id`` is that of the
-    last event that the caller got; ``events`` is how many it got.
+    ``made`` are all attempts; ``attempts`` of them were sent to a replica, ``unreached`` were
+    not. ``last_event_id`` is that of the last event that the caller got; ``events`` is how many
+    it got, and ``longest_gap_ms`` the longest pause between two of them.
     """
 
     attempts: int = 0
     unreached: int = 0
     may_have_run: bool = False
     excluded: set[str] = field(default_factory=set)
+    made: "list[Attempt]" = field(default_factory=list)
+    status: int = 0
     last_event_id: str = ""
     events: int = 0
+    first_event_ms: float = 0.0
+    last_event_ms: float = 0.0
+    longest_gap_ms: float = 0.0
     whole: bool = False
 
+    def note_event(self, identity: str, now_ms: float) -> None:
+        """Count an event that the caller got."""
+        if self.events:
+            self.longest_gap_ms = max(self.longest_gap_ms, now_ms - self.last_event_ms)
+        else:
+            self.first_event_ms = now_ms
+        self.last_event_ms = now_ms
+        self.events += 1
+        if identity:
+            self.last_event_id = identity
+
     def outcome(self, error: ErrorKind | None, event_tokens: int) -> Outcome:
         """Return how the request ended; each event holds at most ``event_tokens``."""
         output = self.events * event_tokens if self.whole and self.attempts == 1 else None
--- a/src/aspengate/gateway/_relay.py
+++ b/src/aspengate/gateway/_relay.py
@@ -1,35 +1,23 @@
 """Hands a replica's answer to the caller."""
 
-from aspengate.connections import CallerGoneError, ReplicaAnswer
+from aspengate.connections import ReplicaAnswer
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.gateway._attempt import Attempt
+from aspengate.gateway._attempt import Attempt, TryAnotherError
 from aspengate.gateway._events import EventSplitter, StreamEvent
 from aspengate.gateway._ports import RequestSpelling
 from aspengate.gateway._progress import Progress
 from aspengate.serving import CallerConnection
+from aspengate.telemetry import Counters
 
 _WHOLE_ANSWER_BYTES = 256 * 1024
 
 
-class TryAnotherError(Exception):
-    """An attempt failed in a way that lets another replica be tried.
-
-    ``sent`` tells whether the replica may have received the request; ``paid`` whether the
-    repeat was taken from the retry budget already.
-    """
-
-    def __init__(self, cause: AspengateError, *, sent: bool, paid: bool = False) -> None:
-        super().__init__(str(cause))
-        self.cause = cause
-        self.sent = sent
-        self.paid = paid
-
-
 class AnswerRelay:
     """Relays whole answers and streams of events."""
 
-    def __init__(self, spelling: RequestSpelling) -> None:
+    def __init__(self, spelling: RequestSpelling, counters: Counters) -> None:
         self.spelling = spelling
+        self.counters = counters
 
     def whole(self, attempt: Attempt, answer: ReplicaAnswer, caller: CallerConnection) -> None:
         """Read an answer to its end, then send it, so that a broken one is never begun.
@@ -38,18 +26,19 @@
         AspengateError.
         """
         body = b""
+        waiter = attempt.exchange.waiter
         try:
-            while data := answer.next_data(attempt.exchange.waiter):
+            while data := answer.next_data(waiter):
                 body += data
                 if len(body) > _WHOLE_ANSWER_BYTES:
                     self._begin(answer, caller)
-                    caller.write(body, attempt.exchange.waiter)
+                    caller.write(body, waiter)
                     body = b""
         except AspengateError as error:
             raise _broken(attempt, error, resumable=not caller.started) from error
-        attempt.release()
+        attempt.release(answer)
         if caller.started:
-            caller.write(body, attempt.exchange.waiter)
+            caller.write(body, waiter)
             caller.finish()
             return
         headers = self.spelling.answer_headers(answer.headers)
@@ -64,8 +53,10 @@
     ) -> None:
         """Pass events on as they come, each one whole; raises as ``whole`` does."""
         splitter = EventSplitter()
+        progress.status = answer.status
         try:
-            while data := answer.next_data(attempt.exchange.waiter):
+            while data := self._next_data(attempt, answer):
+                attempt.note_sign()
                 for event in splitter.feed(data):
                     self._pass_on(event, attempt, answer, caller, progress)
             if splitter.rest:
@@ -75,11 +66,22 @@
         except AspengateError as error:
             resumable = not caller.started or attempt.exchange.known_route.resumable
             raise _broken(attempt, error, resumable=resumable) from error
-        attempt.release()
+        attempt.release(answer)
         self._begin(answer, caller)
         caller.finish()
         progress.whole = True
 
+    def _next_data(self, attempt: Attempt, answer: ReplicaAnswer) -> bytes:
+        """Return more of a stream; raises TryAnotherError where its replica went silent."""
+        while True:
+            until_ms = attempt.patience.gap_until_ms()
+            data = answer.next_data(attempt.exchange.waiter, until_ms)
+            if data is not None:
+                return data
+            if attempt.patience.gap_is_over():
+                silent = AspengateError(ErrorKind.UPSTREAM_FAILED, "went silent")
+                raise TryAnotherError(silent, sent=True, paid=True)
+
     def _pass_on(
         self,
         event: StreamEvent,
@@ -89,12 +91,11 @@
         progress: Progress,
     ) -> None:
         if _is_repeated(event, progress):
+            self.counters.count("gateway.events_repeated")
             return
         self._begin(answer, caller)
         caller.write(event.data, attempt.exchange.waiter)
-        progress.events += 1
-        if event.identity:
-            progress.last_event_id = event.identity
+        progress.note_event(event.identity, attempt.parts.clock.monotonic_ms())
 
     def _begin(self, answer: ReplicaAnswer, caller: CallerConnection) -> None:
         """Send the head, once; a resumed stream keeps that of its first replica."""
@@ -105,7 +106,7 @@
 
 def _broken(attempt: Attempt, error: AspengateError, *, resumable: bool) -> Exception:
     """Return what to raise after an answer broke off."""
-    lost = error.kind is ErrorKind.UPSTREAM_FAILED and not isinstance(error, CallerGoneError)
+    lost = error.kind is ErrorKind.UPSTREAM_FAILED
     if lost and resumable and attempt.exchange.known_route.repeatable:
         return TryAnotherError(error, sent=True)
     return error
--- a/src/aspengate/gateway/_settings.py
+++ b/src/aspengate/gateway/_settings.py
@@ -128,3 +128,18 @@
     settle_ms: float = _milliseconds(
         "bounds", "time within which an ended request's tokens are settled", 1_500
     )
+    metrics_listen: str = setting(
+        "metrics",
+        address,
+        "where scrapers read figures; nowhere where it is empty",
+        accepts="IP:port",
+        default="",
+    )
+    log_lines_per_second: int = setting(
+        "log",
+        whole_number(1, 1_000_000),
+        "most lines a second for requests that were answered",
+        accepts="1 to 1000000",
+        unit="lines/s",
+        default=200,
+    )
--- /dev/null
+++ b/src/aspengate/gateway/_story.py
@@ -0,0 +1,90 @@
+"""One line of the log for each request: what was asked, what decided, and what came of it."""
+
+from aspengate.clock import Clock
+from aspengate.errors import AspengateError
+from aspengate.gateway._exchange import Exchange
+from aspengate.gateway._progress import Progress
+from aspengate.telemetry import Counters, log_change
+
+
+class RequestLog:
+    """Tells the end of each request, and counts it.
+
+    A routine success is one line, like any other end, as long as there are fewer than
+    ``most_lines`` in a second; beyond that successes are only counted, and the count is in the
+    next line that is written.
+    """
+
+    def __init__(self, clock: Clock, counters: Counters, most_lines: int = 200) -> None:
+        self.clock = clock
+        self.counters = counters
+        self.most_lines = most_lines
+        self._second = 0
+        self._lines = 0
+        self._folded = 0
+
+    def ended(
+        self,
+        request_id: str,
+        received_ms: float,
+        exchange: Exchange | None,
+        progress: Progress,
+        error: AspengateError | None,
+    ) -> None:
+        """Tell the end of a request; ``error`` is what its caller was told, if anything failed."""
+        now = self.clock.monotonic_ms()
+        outcome = error.kind.value if error else "answered"
+        self.counters.count(f"request.{outcome}")
+        self.counters.timing("request.held", now - received_ms)
+        if progress.first_event_ms:
+            self.counters.timing("request.first_event", progress.first_event_ms - received_ms)
+            self.counters.timing("request.longest_gap", progress.longest_gap_ms)
+        if error is None and self._is_folded(now):
+            return
+        log_change(
+            "request.ended",
+            request_id=request_id,
+            outcome=outcome,
+            reason=str(error) if error else "",
+            status=progress.status,
+            held_ms=round(now - received_ms),
+            may_have_run=progress.may_have_run,
+            attempts=[attempt.told() for attempt in progress.made],
+            folded=self._take_folded(),
+            **_circumstances(exchange, progress, received_ms),
+        )
+
+    def _is_folded(self, now_ms: float) -> bool:
+        second = int(now_ms // 1_000)
+        if second != self._second:
+            self._second, self._lines = second, 0
+        self._lines += 1
+        if self._lines <= self.most_lines:
+            return False
+        self._folded += 1
+        return True
+
+    def _take_folded(self) -> int:
+        folded, self._folded = self._folded, 0
+        return folded
+
+
+def _circumstances(
+    exchange: Exchange | None, progress: Progress, received_ms: float
+) -> dict[str, object]:
+    """Return what was known of the request when it was decided on."""
+    if exchange is None:
+        return {}
+    first = progress.first_event_ms
+    return {
+        "route": exchange.route.name if exchange.route else "",
+        "service": exchange.service.name if exchange.service else "",
+        "account": exchange.account.name if exchange.account else "",
+        "tokens": exchange.request.tokens.most if exchange.request.tokens else 0,
+        "version": exchange.configuration.version,
+        "time_ms": round(exchange.waiter.deadline_ms - received_ms),
+        "events": progress.events,
+        "first_event_ms": round(first - received_ms) if first else None,
+        "longest_gap_ms": round(progress.longest_gap_ms),
+        "resumed_from": exchange.request.last_event_id,
+    }
--- a/src/aspengate/replicas/__init__.py
+++ b/src/aspengate/replicas/__init__.py
@@ -2,8 +2,9 @@
 
 from aspengate.replicas._choice import Candidate, PromptShape, ReplicaChooser, read_ms
 from aspengate.replicas._parts import PartMemory
-from aspengate.replicas._registry import ReplicaRegistry, ReplicaView
+from aspengate.replicas._registry import ReplicaRegistry
 from aspengate.replicas._replica import Replica, ReplicaState
+from aspengate.replicas._view import ReplicaView, Work
 
 __all__ = [
     "Candidate",
@@ -14,5 +15,6 @@
     "ReplicaRegistry",
     "ReplicaState",
     "ReplicaView",
+    "Work",
     "read_ms",
 ]
--- a/src/aspengate/replicas/_choice.py
+++ b/src/aspengate/replicas/_choice.py
@@ -6,16 +6,19 @@
 import xxhash
 
 from aspengate.replicas._parts import PartMemory
-from aspengate.replicas._registry import ReplicaView
+from aspengate.replicas._view import ReplicaView
 
 # A prompt token takes an engine about this long to read; the users' sheet gives 50.7 a
 # millisecond. Only the proportion to the other terms matters.
 _READ_MS_A_TOKEN = 1 / 50.0
+_FIRST_TOKEN_MS = 25.0
 _RUNNING_MS = 4.0
-_PLAIN_RUNNING_MS = 20.0
 _OTHER_DOMAIN_MS = 2.0
 _RANK_PART = 0.35
 _MEMORY_MS = 30_000.0
+_FAILURE_MS = 2_000.0
+_PLAIN_FAILURE_MS = 500.0
+_AVOIDED_MS = 10_000.0
 
 
 @dataclass(frozen=True)
@@ -30,14 +33,24 @@
         """The deepest shared part, which decides where requests that share it meet."""
         return self.shared[-1][0] if self.shared else ""
 
+    @property
+    def tokens(self) -> int:
+        """The tokens of the whole prompt."""
+        return self.own_tokens + sum(tokens for _, tokens in self.shared)
+
 
 @dataclass(frozen=True)
 class Candidate:
-    """A replica with the expected cost of a request there, in milliseconds."""
+    """A replica with the expected cost of a request there.
+
+    ``cost_ms`` is what replicas are compared by; ``first_ms`` is when the first token is
+    expected, and ``read_ms`` how much of that the request's own prompt takes.
+    """
 
     view: ReplicaView
     cost_ms: float
-    unread_tokens: int
+    first_ms: float = 0.0
+    read_ms: float = 0.0
 
 
 class ReplicaChooser:
@@ -51,21 +64,32 @@
         self, views: Sequence[ReplicaView], prompt: PromptShape, tie: float, now_ms: float
     ) -> Candidate:
         """Return the cheapest of ``views``, which are never empty; ``tie`` in [0, 1) rotates."""
-        ranks = _ranks(views, prompt.anchor)
-        held = {part: self._fresh_holders(part, now_ms) for part, _ in prompt.shared}
         start = int(tie * len(views))
         rotated = (*views[start:], *views[:start])
-        candidates = [
-            self._candidate(view, prompt, held, ranks.get(view.identity, 0)) for view in rotated
-        ]
+        if not prompt.tokens:
+            candidates = [self._plain(view, now_ms) for view in rotated]
+        else:
+            ranks = _ranks(views, prompt.anchor)
+            held = {part: self._fresh_holders(part, now_ms) for part, _ in prompt.shared}
+            candidates = [
+                self._engine(view, prompt, held, ranks.get(view.identity, 0), now_ms)
+                for view in rotated
+            ]
         return min(candidates, key=lambda each: each.cost_ms)
 
-    def _candidate(
+    def _plain(self, view: ReplicaView, now_ms: float) -> Candidate:
+        waiting = view.in_flight / max(1, view.replica.slots)
+        first_ms = view.answer_ms * (1 + waiting)
+        cost = first_ms + self._distance_ms(view)
+        return Candidate(view, cost + _trouble_ms(view, now_ms, _PLAIN_FAILURE_MS), first_ms)
+
+    def _engine(
         self,
         view: ReplicaView,
         prompt: PromptShape,
         held: dict[str, frozenset[str]],
         rank: int,
+        now_ms: float,
     ) -> Candidate:
         unread = 0
         still_held = True
@@ -73,15 +97,19 @@
             still_held = still_held and view.identity in held[part]
             if not still_held:
                 unread += tokens
-        shared_ms = sum(tokens for _, tokens in prompt.shared) * _READ_MS_A_TOKEN
-        unread_ms = unread * _READ_MS_A_TOKEN
+        shared_ms = read_ms(prompt.tokens - prompt.own_tokens)
+        own_ms = read_ms(prompt.own_tokens)
         rank_ms = _RANK_PART * shared_ms * min(rank, 2)
-        distance_ms = (
-            0.0 if view.replica.failure_domain == self.failure_domain else _OTHER_DOMAIN_MS
-        )
-        running_ms = _RUNNING_MS if prompt.own_tokens else _PLAIN_RUNNING_MS
-        cost = unread_ms + rank_ms + distance_ms + view.backlog_ms + running_ms * view.in_flight
-        return Candidate(view, cost, unread + prompt.own_tokens)
+        backlog_ms = view.backlog_ms
+        cost = read_ms(unread) + rank_ms + backlog_ms * view.pace + self._distance_ms(view)
+        cost += _RUNNING_MS * view.in_flight + own_ms * (view.pace - 1.0)
+        cost += _trouble_ms(view, now_ms, _FAILURE_MS)
+        prompt_ms = read_ms(unread) + own_ms
+        return Candidate(view, cost, _FIRST_TOKEN_MS + backlog_ms + prompt_ms, prompt_ms)
+
+    def _distance_ms(self, view: ReplicaView) -> float:
+        is_near = view.replica.failure_domain == self.failure_domain
+        return 0.0 if is_near else _OTHER_DOMAIN_MS
 
     def _fresh_holders(self, part: str, now_ms: float) -> frozenset[str]:
         holders = self.parts.holders(part)
@@ -93,6 +121,12 @@
     return tokens * _READ_MS_A_TOKEN
 
 
+def _trouble_ms(view: ReplicaView, now_ms: float, failure_ms: float) -> float:
+    """Return what a replica's recent failures and silence add to its cost."""
+    avoided = now_ms < view.avoid_until_ms or view.is_silent(now_ms)
+    return view.failure_rate(now_ms) * failure_ms + (_AVOIDED_MS if avoided else 0.0)
+
+
 def _ranks(views: Sequence[ReplicaView], anchor: str) -> dict[str, int]:
     """Return each replica's place for a part, the same at every router (rendezvous hashing)."""
     if not anchor:
--- a/src/aspengate/replicas/_registry.py
+++ b/src/aspengate/replicas/_registry.py
@@ -1,74 +1,39 @@
-"""The replicas of each service with what this router knows of each."""
+"""The replicas of each service that are listed."""
 
 import threading
 from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass
 
 from aspengate.clock import Clock
 from aspengate.replicas._replica import Replica, ReplicaState
+from aspengate.replicas._view import ReplicaView
 from aspengate.telemetry import log_change
 
 
-@dataclass
-class ReplicaView:
-    """A replica and this router's own experience with it; changed under the registry's lock.
-
-    ``backlog_ms`` is about how long the replica takes to read the prompts of this router's
-    requests that have no first token yet.
-    """
-
-    replica: Replica
-    in_flight: int = 0
-    backlog_ms: float = 0.0
-    failures: int = 0
-    ejected_until_ms: float = 0.0
-    listed: bool = True
-    gone_ms: float = 0.0
-
-    @property
-    def identity(self) -> str:
-        """The replica's own id."""
-        return self.replica.identity
-
-
 class ReplicaRegistry:
-    """All replicas that are listed, by service."""
+    """All replicas that are listed; ``on_gone`` is called with the id of each that left."""
 
     def __init__(self, clock: Clock, on_gone: Callable[[str], None]) -> None:
         self.clock = clock
-        self.lock = threading.Lock()
+        self.revision = 0
         self._views: dict[str, ReplicaView] = {}
         self._on_gone = on_gone
+        self._lock = threading.Lock()
 
-    def update(self, replicas: Iterable[Replica]) -> None:
-        """Take over the list of replicas."""
+    def update(self, replicas: Iterable[Replica], revision: int = 0) -> None:
+        """Take over the list of replicas as of the store's ``revision``."""
         listed = {replica.identity: replica for replica in replicas}
-        gone = []
-        with self.lock:
-            for identity in set(self._views) - set(listed):
-                gone.append(self._views.pop(identity))
-            for identity, replica in listed.items():
-                view = self._views.get(identity)
-                if view is None:
-                    self._views[identity] = ReplicaView(replica)
-                    log_change(
-                        "replica.listed",
-                        replica=identity,
-                        service=replica.service,
-                        address=replica.address,
-                        state=replica.state.value,
-                    )
-                elif view.replica != replica:
-                    if view.replica.state is not replica.state:
-                        log_change("replica.state", replica=identity, state=replica.state.value)
-                    view.replica = replica
+        with self._lock:
+            self.revision = revision
+            gone = [self._views.pop(each) for each in set(self._views) - set(listed)]
+            for replica in listed.values():
+                self._take(replica)
         for view in gone:
-            log_change("replica.gone", replica=view.identity)
+            log_change("replica.gone", replica=view.identity, revision=revision)
             self._on_gone(view.identity)
 
     def ready(self, service: str, excluded: Collection[str] = ()) -> list[ReplicaView]:
         """Return the views of a service's replicas that take new requests."""
-        with self.lock:
+        with self._lock:
             return [
                 view
                 for view in self._views.values()
@@ -76,3 +41,25 @@
                 and view.replica.state is ReplicaState.READY
                 and view.identity not in excluded
             ]
+
+    def _take(self, replica: Replica) -> None:
+        view = self._views.get(replica.identity)
+        if view is None:
+            self._views[replica.identity] = ReplicaView(replica)
+            log_change(
+                "replica.listed",
+                replica=replica.identity,
+                service=replica.service,
+                address=replica.address,
+                state=replica.state.value,
+                revision=self.revision,
+            )
+            return
+        if view.replica.state is not replica.state:
+            log_change(
+                "replica.state",
+                replica=replica.identity,
+                state=replica.state.value,
+                revision=self.revision,
+            )
+        view.replica = replica
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -120,6 +120,11 @@
         """Whether no request is in progress and every answer is written out."""
         return all(channel.is_idle for channel in list(self.active_channels.values()))
 
+    @property
+    def in_progress(self) -> int:
+        """How many requests are being answered, or wait for a thread."""
+        return sum(1 for channel in list(self.active_channels.values()) if channel.requests)
+
     def start(self) -> None:
         """Begin to serve."""
         self._thread.start()
--- a/src/aspengate/telemetry/__init__.py
+++ b/src/aspengate/telemetry/__init__.py
@@ -1,6 +1,14 @@
-"""Counters and the log of state changes."""
+"""Counters, figures for scrapers, and the log of decisions and changes of state."""
 
+from aspengate.telemetry._background_log import BackgroundLog
 from aspengate.telemetry._counters import Counters, NullCounters, StatsdCounters
 from aspengate.telemetry._log import log_change, log_to_stream
 
-__all__ = ["Counters", "NullCounters", "StatsdCounters", "log_change", "log_to_stream"]
+__all__ = [
+    "BackgroundLog",
+    "Counters",
+    "NullCounters",
+    "StatsdCounters",
+    "log_change",
+    "log_to_stream",
+]
