Scale up the demand seen by a young purse; weigh prompt parts over pace

Cause: the first cut from the store comes six seconds after the first request, when a rate with a half-life of ten seconds knows a third of the demand; and pace moved prompts from their holders.

--- a/src/aspengate/allowances/_purse.py
+++ b/src/aspengate/allowances/_purse.py
@@ -7,6 +7,7 @@
 
 _HALF_LIFE_MS = 10_000.0
 _SIZE_WEIGHT = 0.2
+_LEAST_AGE_MS = 3_000.0
 
 
 class Purse:
@@ -27,6 +28,7 @@
         self.borrowed = 0
         self._rate = 0.0
         self._rate_ms = 0.0
+        self._first_ms: float | None = None
         self._request = 0.0
 
     @property
@@ -73,7 +75,7 @@
         return Demand(
             committed=self.committed,
             waiting=waiting,
-            per_second=self._rate * math.log(2) * 1_000 / _HALF_LIFE_MS,
+            per_second=self._per_second(now_ms),
             request=int(self._request) or waiting,
         )
 
@@ -101,7 +103,17 @@
         part = document.part_of(session)
         return needed + self.sizing.reserve(demand, most - needed, routers, part)
 
+    def _per_second(self, now_ms: float) -> float:
+        """Return the rate of demand; what is seen of a young purse is scaled up."""
+        if self._first_ms is None:
+            return 0.0
+        age_ms = max(_LEAST_AGE_MS, now_ms - self._first_ms)
+        seen = 1.0 - 0.5 ** (age_ms / _HALF_LIFE_MS)
+        return float(self._rate * math.log(2) * 1_000 / _HALF_LIFE_MS / seen)
+
     def _note_demand(self, amount: int, now_ms: float) -> None:
+        if self._first_ms is None:
+            self._first_ms = now_ms
         self._age(now_ms)
         self._rate += amount
         if not self._request:
--- a/src/aspengate/replicas/_choice.py
+++ b/src/aspengate/replicas/_choice.py
@@ -14,7 +14,7 @@
 _FIRST_TOKEN_MS = 25.0
 _RUNNING_MS = 4.0
 _OTHER_DOMAIN_MS = 2.0
-_RANK_PART = 0.35
+_RANK_PART = 1.0
 _MEMORY_MS = 30_000.0
 _FAILURE_MS = 2_000.0
 _PLAIN_FAILURE_MS = 500.0
@@ -102,7 +102,7 @@
         rank_ms = _RANK_PART * shared_ms * min(rank, 2)
         backlog_ms = view.backlog_ms
         cost = read_ms(unread) + rank_ms + backlog_ms * view.pace + self._distance_ms(view)
-        cost += _RUNNING_MS * view.in_flight + own_ms * (view.pace - 1.0)
+        cost += _RUNNING_MS * view.in_flight
         cost += _trouble_ms(view, now_ms, _FAILURE_MS)
         prompt_ms = read_ms(unread) + own_ms
         return Candidate(view, cost, _FIRST_TOKEN_MS + backlog_ms + prompt_ms, prompt_ms)
