Read settings again on SIGHUP and when the file changes

Cause: SIGHUP was taken and ignored, and settings may also change without a signal. Change: what can change while a router runs is applied, the rest is named for the next start; a file that is not accepted leaves the settings before in force. Tests: three scenarios, which failed first.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -15,3 +15,19 @@
     Given a gateway before replicas of both services
     When some streams are answered and the gateway is stopped
     Then the store counts just their tokens, and no session is open
+
+  Scenario: SIGHUP applies changed settings and cuts nothing
+    Given a gateway before replicas of both services
+    When its settings file changes and SIGHUP comes while a stream runs
+    Then the stream's answer is whole, and the connection goes on
+    And the new settings are in force
+
+  Scenario: Settings that are not accepted leave those before in force
+    Given a gateway before replicas of both services
+    When its settings file is spoilt and SIGHUP comes
+    Then it says what is wrong and serves on
+
+  Scenario: Settings that change without a signal are found
+    Given a gateway before replicas of both services
+    When its settings file changes without a signal
+    Then the new settings are in force
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,5 +1,7 @@
 """Steps that start gateways against the stand-ins, and look at what callers and replicas saw."""
 
+import signal
+
 from behave import given, then, when
 from platform_standins import Caller
 from platform_standins.fleet import eventually
@@ -80,3 +82,53 @@
 def settled_exactly(context):
     document = context.fleet.store.value("aspengate/allowances/board")
     assert document == {"closed": 3 * (1_000 + 30 * 3), "sessions": {}}, document
+
+
+def rewrite(context, **bounds):
+    router = context.router
+    router.bounds = {**router.bounds, **bounds}
+    router.write_settings(context.fleet.peer_port)
+
+
+@when("its settings file changes and SIGHUP comes while a stream runs")
+def hang_up_during_stream(context):
+    context.caller = context.router.call()
+    running = in_background(
+        lambda: context.caller.request("POST", "/score/1", body=b"x", tokens=TOKENS)
+    )
+    engine = context.fleet.of("engine")[0]
+    assert eventually(lambda: engine.runs)
+    rewrite(context, retry_slack=77)
+    context.router.process.send_signal(signal.SIGHUP)
+    assert eventually(lambda: context.router.find("gateway.reloaded"))
+    context.answer = running()
+
+
+@then("the stream's answer is whole, and the connection goes on")
+def whole_and_kept(context):
+    assert context.answer.status == 200 and context.answer.whole
+    assert context.caller.request("GET", "/receipt/1").status == 200
+
+
+@then("the new settings are in force")
+def settings_in_force(context):
+    reloaded = eventually(lambda: context.router.find("gateway.reloaded"))
+    assert reloaded["changed"] == ["retry_slack"] and not reloaded["at_next_start"], reloaded
+
+
+@when("its settings file is spoilt and SIGHUP comes")
+def spoilt_settings(context):
+    rewrite(context, retry_slack="many")
+    context.router.process.send_signal(signal.SIGHUP)
+
+
+@then("it says what is wrong and serves on")
+def says_what_is_wrong(context):
+    refused = eventually(lambda: context.router.find("gateway.reload_refused"))
+    assert "[bounds] retry_slack" in refused["error"], refused
+    assert context.router.call().request("GET", "/receipt/1").status == 200
+
+
+@when("its settings file changes without a signal")
+def changes_without_signal(context):
+    rewrite(context, retry_slack=77)
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from aspengate.clock import Clock
 from aspengate.configuration import ConfigurationHolder, FleetConfiguration
@@ -33,6 +34,17 @@
 _TICK_S = 0.5
 _SMALL_BODY = 64 * 1024
 
+_RELOADED = frozenset(
+    {
+        "seeds",
+        "stop_s",
+        "retry_ratio",
+        "retry_slack",
+        "retry_window_s",
+        "log_lines_per_second",
+    }
+)
+
 
 class Gateway:
     """Make it, ``start`` it, and ``leave`` for a planned stop."""
@@ -60,6 +72,7 @@
         self.routers = self._mirror(MEMBER_PREFIX, self._on_members)
         self.peering = self._make_peering()
         self.tokens = self._make_tokens()
+        self.log = RequestLog(clock, counters, settings.log_lines_per_second)
         self.server = self._make_server()
         self.ready_server = WsgiServer(
             ReadyApplication(self._is_ready), settings.ready_listen, _READY_THREADS, _SMALL_BODY
@@ -89,6 +102,24 @@
             peers=self.peering.server.address,
         )
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Put changed settings into force, as far as they can change while it runs.
+
+        Addresses, names and limits of the process hold until its next start.
+        """
+        changed = [
+            name
+            for name in settings.__dataclass_fields__
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        fixed = [name for name in changed if name not in _RELOADED]
+        kept = {name: getattr(self.settings, name) for name in fixed}
+        self.settings = replace(settings, **kept)
+        self.retries.policy = _retry_policy(self.settings)
+        self.peering.seeds = self.settings.seeds
+        self.log.most_lines = self.settings.log_lines_per_second
+        log_change("gateway.reloaded", changed=changed, at_next_start=fixed)
+
     def gauges(self) -> dict[str, float]:
         """Return what holds at this moment, for scrapers."""
         return {
@@ -201,7 +232,7 @@
                 self.counters,
             ),
             clock=self.clock,
-            log=RequestLog(self.clock, self.counters, self.settings.log_lines_per_second),
+            log=self.log,
             refusing=lambda: self.refusing,
         )
 
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -60,7 +60,7 @@
         self._store = store
         self._clock = clock
         self._counters = counters
-        self._seeds = seeds
+        self.seeds = seeds
         self._client = PeerClient(_FETCH_TIMEOUT_MS)
         self._lenders = PeerClient(_LOAN_TIMEOUT_MS)
         self._beacon = Beacon(self.server.address, counters, self._on_news)
@@ -156,6 +156,6 @@
     def _sources(self, told: str) -> list[str]:
         """Return the peers to ask, the one that knows something new first."""
         port = int(self.members.own.address.rpartition(":")[2])
-        known = self.members.addresses() or peer_addresses(self._seeds, port)
+        known = self.members.addresses() or peer_addresses(self.seeds, port)
         others = [each for each in known if each not in (told, self.members.own.address)]
         return ([told] if told else []) + others[:2]
