--- /dev/null
+++ b/features/allowances.feature
@@ -0,0 +1,20 @@
+Feature: Allowances never add up to more than was prepaid
+
+  Scenario: No order of events overspends
+    Given routers that spend from one account through a store that loses answers
+    When any of these events come in any order
+    Then what all of them used or may still use never exceeds the limit
+    And what is known to be unused can be had again
+
+  Scenario: A late write does not raise what was lowered
+    Given a router whose write without an answer is done later
+    When it lowers its allowance after that and another router takes the rest
+    Then the late write finds its condition broken
+
+  Scenario: Each protective rule of allowances is needed
+    When events come that a rule protects from, with the rule and without it
+    Then nothing breaks with the rules, and something does without each
+
+  Scenario: Documents survive their stored form, and old sessions are folded
+    When any documents are written to their stored form and read again
+    Then they are as they were, and folding loses no committed token
--- a/features/gateway_answers.feature
+++ b/features/gateway_answers.feature
@@ -64,3 +64,8 @@
     When requests with odd paths, headers and bodies are sent, whole and in chunks
     Then the replica got each method, path, body and header unchanged
     And no header of the router's own that a caller forged
+
+  Scenario: A replica that answers before it has read a long request gets no other bytes for it
+    Given a gateway before one replica of each service
+    When long requests are refused before they are read, and others follow
+    Then the others are answered, and no replica read other bytes as the rest of a long one
--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 RESET = struct.pack("ii", 1, 0)
+LONG_BYTES = 100_000
 _numbers = itertools.count(1)
 
 
@@ -45,6 +46,8 @@
         self.slots = slots
         self.behaviour = "well"
         self.behaviours = {}
+        self.early = False
+        self.early_bodies = []
         self.requests = []
         self.runs = Counter()
         self.cancelled = Counter()
@@ -108,7 +111,16 @@
     def _serve(self, connection):
         reader = connection.makefile("rb")
         try:
-            while (request := read_request(reader)) is not None:
+            while (request := read_head(reader)) is not None:
+                if self.early and int(request.header("Content-Length") or 0) > LONG_BYTES:
+                    connection.sendall(
+                        self.head(request, 503, length=0, extra=["X-Not-Executed: 1"])
+                    )
+                    time.sleep(0.1)
+                    read_body(reader, request)
+                    self.early_bodies.append(request.body)
+                    continue
+                read_body(reader, request)
                 with self._lock:
                     self.requests.append(request)
                     number = len(self.requests)
@@ -167,7 +179,7 @@
             connection.settimeout(None)
 
 
-def read_request(reader):
+def read_head(reader):
     line = reader.readline().decode("latin-1").strip()
     if not line:
         return None
@@ -176,10 +188,11 @@
     while (line := reader.readline().decode("latin-1").rstrip("\r\n")) != "":
         name, _, value = line.partition(":")
         headers.append((name, value.strip()))
-    request = Request(method, target, headers, b"")
-    length = int(request.header("Content-Length") or 0)
-    request.body = reader.read(length)
-    return request
+    return Request(method, target, headers, b"")
+
+
+def read_body(reader, request):
+    request.body = reader.read(int(request.header("Content-Length") or 0))
 
 
 BEHAVIOURS = {}
--- /dev/null
+++ b/features/steps/allowance_steps.py
@@ -0,0 +1,218 @@
+"""Steps on allowances: any order of events, and the rules that each of them needs."""
+
+import msgspec
+from behave import given, then, when
+from hypothesis import given as given_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from allowance_world import KEY, World
+from aspengate.allowances import AllowanceDocument, decode_document, encode_document, set_allowance
+from aspengate.errors import AspengateError
+
+LIMIT = 10_000
+ROUTER = st.integers(0, 2)
+AMOUNT = st.integers(1, 4_000)
+EVENT = st.one_of(
+    st.tuples(st.just("reserve"), ROUTER, AMOUNT),
+    st.tuples(st.just("reserve"), ROUTER, AMOUNT),
+    st.tuples(st.just("finish"), ROUTER, st.sampled_from([0.0, 0.3, 1.0])),
+    st.tuples(st.just("restart"), ROUTER),
+    st.tuples(st.just("lose"), st.sampled_from(["late", "never", "lost", "late, then down"])),
+    st.tuples(st.just("late write")),
+    st.tuples(st.just("down"), st.booleans()),
+    st.tuples(st.just("lose loan")),
+    st.tuples(st.just("limit"), st.integers(0, 20_000)),
+    st.tuples(st.just("hear"), ROUTER),
+    st.tuples(st.just("time"), st.integers(1, 30_000)),
+    st.tuples(st.just("tick"), ROUTER),
+    st.tuples(st.just("close"), ROUTER),
+)
+
+
+def play(world, event):
+    name, *values = event
+    if name == "reserve":
+        world.reserve(*values)
+    elif name == "finish":
+        world.finish(*values)
+    elif name == "restart":
+        world.restart(*values)
+    elif name == "lose":
+        world.store.next_write = values[0]
+    elif name == "late write":
+        world.store.do_late_write()
+    elif name == "down":
+        world.store.down = values[0]
+    elif name == "lose loan":
+        world.lose_loan = True
+    elif name == "limit":
+        world.set_limit(*values)
+    elif name == "hear":
+        world.hear(*values)
+    elif name == "time":
+        world.clock.advance(*values)
+    elif name == "tick":
+        world.accounts[values[0]].tick()
+    elif name == "close":
+        number = values[0]
+        for _ in list(world.running[number]):
+            world.finish(number, 1.0)
+        world.accounts[number].close()
+        world.restart(number)
+
+
+def overspends(events, **rules):
+    """Return whether some of the events let more be used than the highest limit."""
+    world = World(LIMIT, **rules)
+    for event in events:
+        play(world, event)
+        if world.most_used > world.highest:
+            return True
+    return False
+
+
+@given("routers that spend from one account through a store that loses answers")
+def routers(context):
+    context.world = World(LIMIT)
+
+
+@when("any of these events come in any order")
+def any_events(context):
+    pass
+
+
+@then("what all of them used or may still use never exceeds the limit")
+def never_exceeds(context):
+    @settings(max_examples=400)
+    @given_any(st.lists(EVENT, max_size=40))
+    def check(events):
+        assert not overspends(events)
+
+    check()
+
+
+@then("what is known to be unused can be had again")
+def can_be_had_again(context):
+    @settings(max_examples=100)
+    @given_any(st.lists(st.tuples(st.just("reserve"), ROUTER, AMOUNT), max_size=20))
+    def check(events):
+        world = World(LIMIT)
+        for event in events:
+            play(world, event)
+        for number in range(3):
+            while world.running[number]:
+                world.finish(number, 0.1)
+            world.accounts[number].close()
+            world.restart(number)
+        left = LIMIT - world.used
+        assert world.reserve(0, left), (left, decode_document(world.store.items[KEY].value))
+
+    check()
+
+
+@given("a router whose write without an answer is done later")
+def late_write(context):
+    context.world = World(LIMIT)
+    context.world.store.next_write = "late"
+    context.granted = context.world.reserve(0, 3_000)
+
+
+@when("it lowers its allowance after that and another router takes the rest")
+def lowers(context):
+    world = context.world
+    world.finish(0, 0.0)
+    world.accounts[0].close()
+    world.restart(0)
+    context.rest = world.reserve(1, LIMIT)
+
+
+@then("the late write finds its condition broken")
+def condition_broken(context):
+    assert context.granted and context.rest
+    assert context.world.store.do_late_write() is False
+    assert context.world.most_used == LIMIT
+
+
+@when("events come that a rule protects from, with the rule and without it")
+def with_and_without(context):
+    context.results = {}
+
+    def believe_after_loss(self, account):
+        account.uncertain = False
+        return type(self)._step(self, account)
+
+    def grant_before_answer(self, account, plan, source):
+        account.purse.granted = max(account.purse.granted, plan.allowance(self.session))
+        type(self)._write(self, account, plan, source)
+
+    late_lowering = [
+        ("reserve", 0, LIMIT),
+        ("finish", 0, 0.0),
+        ("time", 30_000),
+        ("lose", "late, then down"),
+        ("tick", 0),
+        ("down", False),
+        ("reserve", 0, LIMIT),
+        ("late write",),
+        ("reserve", 1, LIMIT),
+    ]
+    lost_raise = [
+        ("reserve", 1, 4_000),
+        ("lose", "never"),
+        ("reserve", 0, 4_000),
+        ("down", True),
+        ("reserve", 0, 4_000),
+        ("down", False),
+        ("reserve", 1, 4_000),
+        ("reserve", 2, 4_000),
+        ("reserve", 1, 2_000),
+    ]
+    cases = {
+        "another write before a document is believed": (
+            late_lowering,
+            "_step",
+            believe_after_loss,
+        ),
+        "granted only after the answer": (lost_raise, "_write", grant_before_answer),
+    }
+    for rule, (events, method, broken) in cases.items():
+        context.results[rule] = (overspends(events), overspends(events, **{method: broken}))
+
+
+@then("nothing breaks with the rules, and something does without each")
+def each_is_needed(context):
+    for rule, (with_rule, without) in context.results.items():
+        assert not with_rule, rule
+        assert without, f"nothing broke without: {rule}"
+
+
+@when("any documents are written to their stored form and read again")
+def stored_form(context):
+    pass
+
+
+@then("they are as they were, and folding loses no committed token")
+def as_they_were(context):
+    names = st.text(st.characters(codec="utf-8", exclude_characters="\x00"), min_size=1, max_size=9)
+    documents = st.builds(
+        AllowanceDocument,
+        closed=st.integers(-(2**40), 2**40),
+        sessions=st.dictionaries(names, st.integers(-(2**40), 2**40), max_size=5),
+    )
+
+    @given_any(documents)
+    def check(document):
+        assert decode_document(encode_document(document)) == document
+
+    check()
+    many = AllowanceDocument(0, {f"r.{n}": n for n in range(300)})
+    folded = set_allowance(many, "r.new", 5, 10**9)
+    assert folded.committed == many.committed + 5 and len(folded.sessions) <= 200
+    try:
+        decode_document(b"\xff not a document")
+    except AspengateError as error:
+        assert error.kind.value == "internal"
+    else:
+        raise AssertionError("garbage was read")
+    assert msgspec.json.decode(encode_document(many)) == {"closed": 0, "sessions": many.sessions}
--- /dev/null
+++ b/features/steps/allowance_world.py
@@ -0,0 +1,186 @@
+"""Routers' token accounts against a store in memory that loses and delays answers."""
+
+from concurrent.futures import Executor, Future
+
+from aspengate.allowances import AllowanceSizing
+from aspengate.clock import ManualClock
+from aspengate.configuration import ClientAccount
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.gateway._money import ALLOWANCE_PREFIX, LimitSource, TokenAccounts
+from aspengate.store import ConditionFailedError, StoreItem
+from aspengate.telemetry import NullCounters
+
+ACCOUNT = ClientAccount("board", ("key",), 0, 0)
+KEY = ALLOWANCE_PREFIX + "board"
+LIMIT_KEY = "limits"
+
+
+class InlineExecutor(Executor):
+    """Runs what is submitted at once, on the same thread."""
+
+    def submit(self, function, /, *arguments, **named):
+        future = Future()
+        future.set_result(function(*arguments, **named))
+        return future
+
+
+class Waiter:
+    """Waits on behalf of nobody; a wait that would block ends the request's time."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.deadline_ms = clock.monotonic_ms()
+
+    def check_caller(self):
+        pass
+
+
+class DelayingStore:
+    """Keeps items; writes may be lost, or be done later while their conditions hold."""
+
+    def __init__(self, limit):
+        self.items = {LIMIT_KEY: StoreItem(LIMIT_KEY, b"%d" % limit, 1)}
+        self.revision = 1
+        self.down = False
+        self.next_write = "done"
+        self.late = []
+
+    @property
+    def limit(self):
+        return int(self.items[LIMIT_KEY].value)
+
+    def set_limit(self, limit):
+        self.revision += 1
+        self.items[LIMIT_KEY] = StoreItem(LIMIT_KEY, b"%d" % limit, self.revision)
+
+    def get(self, key):
+        self._check()
+        return self.items.get(key)
+
+    def transact(self, conditions, puts):
+        self._check()
+        how, self.next_write = self.next_write, "done"
+        if how == "late, then down":
+            how, self.down = "late", True
+        if how == "late":
+            self.late.append((dict(conditions), puts))
+        if how in ("late", "never"):
+            raise AspengateError(ErrorKind.OUTCOME_UNKNOWN, "lost")
+        revision = self._apply(conditions, puts)
+        if how == "lost":
+            raise AspengateError(ErrorKind.OUTCOME_UNKNOWN, "lost")
+        return revision
+
+    def do_late_write(self):
+        if self.late:
+            try:
+                self._apply(*self.late.pop(0))
+            except ConditionFailedError:
+                return False
+            return True
+        return None
+
+    def _apply(self, conditions, puts):
+        for key, revision in conditions.items():
+            item = self.items.get(key)
+            if (item.revision if item else 0) != revision:
+                present = {k: self.items[k] for k in conditions if k in self.items}
+                raise ConditionFailedError(present)
+        self.revision += 1
+        for put in puts:
+            self.items[put.key] = StoreItem(put.key, put.value, self.revision)
+        return self.revision
+
+    def _check(self):
+        if self.down:
+            raise AspengateError(ErrorKind.STORE_UNAVAILABLE, "down")
+
+
+class World:
+    """Some routers, what they truly used, and what runs."""
+
+    def __init__(self, limit, routers=3, **rules):
+        self.clock = ManualClock()
+        self.store = DelayingStore(limit)
+        self.highest = limit
+        self.used = 0
+        self.lose_loan = False
+        self.rules = rules
+        self.lives = 0
+        self.accounts = []
+        self.known = []
+        self.running = []
+        for number in range(routers):
+            self.accounts.append(None)
+            self.known.append((limit, 1))
+            self.running.append([])
+            self.restart(number)
+
+    def restart(self, number):
+        """A router dies: what ran may have used its most; a new life begins."""
+        self.used += sum(self.running[number])
+        self.running[number] = []
+        self.lives += 1
+        self.known[number] = (self.store.limit, self.store.items[LIMIT_KEY].revision)
+        self.accounts[number] = TokenAccounts(
+            session=f"router-{number}.{self.lives}",
+            store=self.store,
+            clock=self.clock,
+            counters=NullCounters(),
+            limit_of=lambda _: self._limit_of(number),
+            on_conflict=lambda items: self._learn(number, items),
+            borrow=lambda account, amount: self._borrow(number, account, amount),
+            sizing=AllowanceSizing(),
+            executor=InlineExecutor(),
+        )
+        self.accounts[number].routers = len(self.accounts)
+        for rule, broken in self.rules.items():
+            setattr(self.accounts[number], rule, broken.__get__(self.accounts[number]))
+
+    def reserve(self, number, amount):
+        try:
+            self.accounts[number].reserve(ACCOUNT, amount, Waiter(self.clock))
+        except AspengateError:
+            return False
+        self.running[number].append(amount)
+        return True
+
+    def finish(self, number, share):
+        if self.running[number]:
+            amount = self.running[number].pop()
+            used = int(amount * share)
+            self.used += used
+            self.accounts[number].settle(ACCOUNT, amount, used)
+
+    def set_limit(self, limit):
+        self.highest = max(self.highest, limit)
+        self.store.set_limit(limit)
+
+    def hear(self, number):
+        """A router hears of the present limit."""
+        self.known[number] = (self.store.limit, self.store.items[LIMIT_KEY].revision)
+        self.accounts[number].limits_changed()
+
+    @property
+    def most_used(self):
+        return self.used + sum(sum(amounts) for amounts in self.running)
+
+    def _limit_of(self, number):
+        limit, revision = self.known[number]
+        return LimitSource(limit, LIMIT_KEY, revision)
+
+    def _learn(self, number, items):
+        if LIMIT_KEY in items:
+            item = items[LIMIT_KEY]
+            self.known[number] = (int(item.value), item.revision)
+
+    def _borrow(self, number, account, amount):
+        got = 0
+        for other, lender in enumerate(self.accounts):
+            if other != number and lender is not None and got < amount:
+                given = lender.lend(account, amount - got)
+                if self.lose_loan:
+                    self.lose_loan = False
+                    continue
+                got += given
+        return got
--- a/features/steps/gateway_answers_steps.py
+++ b/features/steps/gateway_answers_steps.py
@@ -388,3 +388,30 @@
         for request in replica.requests
     ]
     assert len(given_ms) == 2 and max(given_ms) <= 2_000, given_ms
+
+
+@when("long requests are refused before they are read, and others follow")
+def long_requests(context):
+    def allow_long(configuration):
+        configuration["limits"]["maxBodyBytes"] = 16 * 1024 * 1024
+
+    version = context.fleet.operator.change(allow_long)
+    assert eventually(lambda: context.router.find("configuration.applied", version=version))
+    replica = context.fleet.of("portal")[0]
+    replica.early = True
+    caller = context.router.call()
+    body = b"long " * 1_600_000
+    context.answers = []
+    for number in range(3):
+        answer = caller.request("POST", f"/status/long{number}", body=body, deadline_ms=30_000)
+        assert answer.status == 503 and answer.whole, answer.status
+        context.answers.append(caller.request("POST", f"/status/{number}", body=b"short"))
+
+
+@then("the others are answered, and no replica read other bytes as the rest of a long one")
+def no_other_bytes(context):
+    replica = context.fleet.of("portal")[0]
+    assert [answer.status for answer in context.answers] == [200] * 3
+    assert [request.body for request in replica.requests] == [b"short"] * 3
+    for body in replica.early_bodies:
+        assert not body.replace(b"long ", b"").strip(b"long "), body[-200:]
--- a/src/aspengate/gateway/_money.py
+++ b/src/aspengate/gateway/_money.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections.abc import Callable, Mapping
-from concurrent.futures import ThreadPoolExecutor, wait
+from concurrent.futures import Executor, ThreadPoolExecutor, wait
 from dataclasses import dataclass, field
 
 from aspengate.allowances import (
@@ -87,7 +87,7 @@
 
     ``limit_of`` finds an account's limit by name; ``on_conflict`` is handed the items that a
     write found changed; ``borrow`` asks other routers for tokens of an account that they hold
-    unused, and returns how many it got.
+    unused, and returns how many it got. ``executor`` runs the calls to the store.
     """
 
     def __init__(
@@ -101,6 +101,7 @@
         on_conflict: Callable[[Mapping[str, StoreItem]], None],
         borrow: Callable[[str, int], int],
         sizing: AllowanceSizing | None = None,
+        executor: Executor | None = None,
     ) -> None:
         self.session = session
         self.routers = 1
@@ -114,7 +115,7 @@
         self._failed_ms = float("-inf")
         self._accounts: dict[str, _Account] = {}
         self._lock = threading.Lock()
-        self._writers = ThreadPoolExecutor(_WRITERS, thread_name_prefix="allowances")
+        self._writers = executor or ThreadPoolExecutor(_WRITERS, thread_name_prefix="allowances")
 
     def reserve(self, client: ClientAccount, amount: int, waiter: Waiter) -> None:
         """Set ``amount`` tokens aside; raises BUDGET_EXHAUSTED or BUDGET_UNAVAILABLE.
