--- a/src/aspengate/allowances/__init__.py
+++ b/src/aspengate/allowances/__init__.py
@@ -12,12 +12,13 @@
     set_allowance,
 )
 from aspengate.allowances._purse import Purse
-from aspengate.allowances._sizing import AllowanceSizing, Demand
+from aspengate.allowances._sizing import AllowanceSizing, Demand, Holding
 
 __all__ = [
     "AllowanceDocument",
     "AllowanceSizing",
     "Demand",
+    "Holding",
     "Purse",
     "close_session",
     "decode_document",
--- a/src/aspengate/allowances/_document.py
+++ b/src/aspengate/allowances/_document.py
@@ -29,6 +29,11 @@
         """Return what ``session`` may use in its life."""
         return self.sessions.get(session, 0)
 
+    @property
+    def lost_sessions(self) -> int:
+        """How many sessions ended without settling, as far as their router runs again."""
+        return len(self.sessions) - len({router_of(session) for session in self.sessions})
+
     def part_of(self, session: str) -> float:
         """Return the part, 0 to 1, of the router of ``session`` in what all sessions may use."""
         router = router_of(session)
--- a/src/aspengate/allowances/_purse.py
+++ b/src/aspengate/allowances/_purse.py
@@ -3,11 +3,11 @@
 import math
 
 from aspengate.allowances._document import AllowanceDocument
-from aspengate.allowances._sizing import AllowanceSizing, Demand
+from aspengate.allowances._sizing import AllowanceSizing, Demand, Holding
 
 _HALF_LIFE_MS = 10_000.0
 _SIZE_WEIGHT = 0.2
-_LEAST_AGE_MS = 3_000.0
+_LEAST_AGE_MS = 5_000.0
 
 
 class Purse:
@@ -100,8 +100,14 @@
             return demand.committed
         if idle:
             return needed
-        part = document.part_of(session)
-        return needed + self.sizing.reserve(demand, most - needed, routers, part)
+        holding = Holding(
+            limit=limit,
+            unheld=most - needed,
+            routers=routers,
+            part=document.part_of(session),
+            lost_sessions=document.lost_sessions,
+        )
+        return needed + self.sizing.reserve(demand, holding)
 
     def _per_second(self, now_ms: float) -> float:
         """Return the rate of demand; what is seen of a young purse is scaled up."""
--- a/src/aspengate/gateway/_money.py
+++ b/src/aspengate/gateway/_money.py
@@ -8,6 +8,7 @@
 from aspengate.allowances import (
     AllowanceDocument,
     AllowanceSizing,
+    Holding,
     Purse,
     close_session,
     decode_document,
@@ -263,9 +264,7 @@
         source = self._limit_of(account.name)
         if source is None:
             return
-        unheld = source.limit - account.document.committed
-        part = account.document.part_of(self.session)
-        wanted = self._sizing.reserve(demand, unheld, self.routers, part)
+        wanted = self._sizing.reserve(demand, self._holding(account.document, source.limit, 0))
         if account.purse.free < wanted * self._sizing.refill_part:
             self._schedule(account)
 
@@ -276,11 +275,21 @@
             return float(account.purse.free)
         demand = account.purse.demand(0, now)
         source = self._limit_of(account.name)
-        unheld = (source.limit if source else 0) - account.document.committed
-        part = account.document.part_of(self.session)
-        wanted = self._sizing.reserve(demand, unheld + account.purse.free, self.routers, part)
+        limit = source.limit if source else 0
+        holding = self._holding(account.document, limit, account.purse.free)
+        wanted = self._sizing.reserve(demand, holding)
         return account.purse.free - wanted * _SURPLUS_FACTOR
 
+    def _holding(self, document: AllowanceDocument, limit: int, own: int) -> Holding:
+        """Return how an account stands, where ``own`` unused tokens could be given back."""
+        return Holding(
+            limit=limit,
+            unheld=limit - document.committed + own,
+            routers=self.routers,
+            part=document.part_of(self.session),
+            lost_sessions=document.lost_sessions,
+        )
+
     def _schedule(self, account: _Account) -> None:
         """Have a writer look after the account; call it with the account's lock held."""
         if account.working:
@@ -318,7 +327,7 @@
                 self._refuse(account, ErrorKind.BUDGET_EXHAUSTED)
                 return False
             if plan == account.document and not account.uncertain:
-                self._grant(account, plan.allowance(self.session))
+                self._grant(account, plan, source)
             else:
                 self._write(account, plan, source)
             return bool(account.waiting)
@@ -391,10 +400,11 @@
         account.uncertain = False
         account.document = plan
         account.revision = revision
-        self._grant(account, target)
+        self._grant(account, plan, source)
 
-    def _grant(self, account: _Account, target: int) -> None:
+    def _grant(self, account: _Account, document: AllowanceDocument, source: LimitSource) -> None:
         now = self._clock.monotonic_ms()
+        target = document.allowance(self.session)
         with account.changed:
             if target != account.purse.granted:
                 account.purse.granted = target
@@ -403,6 +413,8 @@
                     account=account.name,
                     granted=target,
                     committed=account.purse.committed,
+                    limit=source.limit,
+                    unheld=source.limit - document.committed,
                     revision=account.revision,
                 )
             for ticket in list(account.waiting):
