Have peers witness what a router uses, and draw from the store for those it turns away

Cause: what a killed router held unused was lost to its account for good, so that reserves had to stay too small for a cut of 8 s; and a router cut from the store borrowed only what peers held. Change: gateway/prepaid (was _money.py) in four modules; a witness accepts a session's ceiling before it is used, and closes it once the router runs again; lenders draw what they do not hold; reserves shrink with the square of what is left, with one standard deviation on top. A death of all routers still takes all reserves along.

--- a/features/gateway_prepaid.feature
+++ b/features/gateway_prepaid.feature
@@ -21,6 +21,18 @@
     When the first one is killed after some requests and the second spends until it is refused
     Then the replicas never gave more than was prepaid
 
+  Scenario: What a killed router held unused comes back once it runs again
+    Given two gateways and an account with 100000 prepaid tokens
+    When the first one is killed while it holds 10000 tokens or more, and started again
+    And the requests of both are sent until they are refused
+    Then the replicas never gave more than was prepaid
+    And no more than 6000 tokens are left unused
+
+  Scenario: A router that the store turns away draws through one that reaches it
+    Given two gateways and an account with 200000 prepaid tokens
+    When the store turns the first one away and it is sent more requests than it holds tokens for
+    Then all of them were served
+
   Scenario: While the store is away routers go on, also with what others hold
     Given two gateways and an account with 1000000 prepaid tokens
     When both have served some requests and the store goes down for both
--- a/features/platform_standins/fleet.py
+++ b/features/platform_standins/fleet.py
@@ -189,6 +189,16 @@
             assert eventually(router.is_ready), router.lines
         return router
 
+    def start_again(self, router):
+        """Start a router that has ended once more, under its name and address; return it."""
+        again = RouterProcess(
+            self.folder, router.name, router.host, router.door, self.peer_port, **router.bounds
+        )
+        self.cleanup.callback(again.kill)
+        self.routers[self.routers.index(router)] = again
+        assert eventually(again.is_ready), again.lines
+        return again
+
     def runs(self, identity):
         return sum(replica.runs[identity] for replica in self.replicas)
 
--- a/features/steps/allowance_steps.py
+++ b/features/steps/allowance_steps.py
@@ -27,6 +27,8 @@
     st.tuples(st.just("time"), st.integers(1, 30_000)),
     st.tuples(st.just("tick"), ROUTER),
     st.tuples(st.just("close"), ROUTER),
+    st.tuples(st.just("witness"), ROUTER, st.sampled_from(["lost", "answer lost"])),
+    st.tuples(st.just("close silent"), ROUTER),
 )
 
 
@@ -54,6 +56,10 @@
         world.clock.advance(*values)
     elif name == "tick":
         world.accounts[values[0]].tick()
+    elif name == "witness":
+        world.witnesses[values[0]].next = values[1]
+    elif name == "close silent":
+        world.close_silent(*values)
     elif name == "close":
         number = values[0]
         for _ in list(world.running[number]):
@@ -146,6 +152,16 @@
         account.purse.granted = max(account.purse.granted, plan.allowance(self.session))
         type(self)._write(self, account, plan, source)
 
+    def grant_beyond_ceiling(self, account, document, source):
+        type(self)._grant(self, account, document, source)
+        account.purse.ceiling = None
+
+    def accept_closed(self, session, ceilings, now_ms):
+        entry = self._entries.get(session)
+        if entry is not None:
+            entry.closed = False
+        return type(self).accept(self, session, ceilings, now_ms)
+
     late_lowering = [
         ("reserve", 0, LIMIT),
         ("finish", 0, 0.0),
@@ -168,7 +184,14 @@
         ("reserve", 2, 4_000),
         ("reserve", 1, 2_000),
     ]
+    spending = [("reserve", 0, 1_000), ("reserve", 0, 500)]
+    going_on = [("reserve", 0, 500)] * 10
+    taking_the_rest = [("reserve", 1, 3_000), ("reserve", 2, 3_000)]
+    beyond_ceiling = [*spending, *going_on, ("restart", 0), *taking_the_rest]
+    closed_goes_on = [*spending, ("close silent", 0), *going_on, *taking_the_rest]
     cases = {
+        "no use beyond the ceiling": (beyond_ceiling, "_grant", grant_beyond_ceiling),
+        "a closed session's ceilings are final": (closed_goes_on, "accept", accept_closed),
         "another write before a document is believed": (
             late_lowering,
             "_step",
@@ -199,6 +222,7 @@
         AllowanceDocument,
         closed=st.integers(-(2**40), 2**40),
         sessions=st.dictionaries(names, st.integers(-(2**40), 2**40), max_size=5),
+        witnesses=st.dictionaries(names, names, max_size=5),
     )
 
     @given_any(documents)
@@ -206,13 +230,19 @@
         assert decode_document(encode_document(document)) == document
 
     check()
-    many = AllowanceDocument(0, {f"r.{n}": n for n in range(300)})
+    sessions = {f"r.{n}": n for n in range(300)}
+    many = AllowanceDocument(0, sessions, dict.fromkeys(sessions, "w.1"))
     folded = set_allowance(many, "r.new", 5, 10**9)
     assert folded.committed == many.committed + 5 and len(folded.sessions) <= 200
+    assert set(folded.witnesses) <= set(folded.sessions)
     try:
         decode_document(b"\xff not a document")
     except AspengateError as error:
         assert error.kind.value == "internal"
     else:
         raise AssertionError("garbage was read")
-    assert msgspec.json.decode(encode_document(many)) == {"closed": 0, "sessions": many.sessions}
+    assert msgspec.json.decode(encode_document(many)) == {
+        "closed": 0,
+        "sessions": many.sessions,
+        "witnesses": many.witnesses,
+    }
--- a/features/steps/allowance_world.py
+++ b/features/steps/allowance_world.py
@@ -6,7 +6,7 @@
 from aspengate.clock import ManualClock
 from aspengate.configuration import ClientAccount
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.gateway._money import ALLOWANCE_PREFIX, LimitSource, TokenAccounts
+from aspengate.gateway.prepaid import ALLOWANCE_PREFIX, LimitSource, TokenAccounts
 from aspengate.store import ConditionFailedError, StoreItem
 from aspengate.telemetry import NullCounters
 
@@ -96,6 +96,56 @@
             raise AspengateError(ErrorKind.STORE_UNAVAILABLE, "down")
 
 
+class WorldWitness:
+    """Has the next router witness; what is told or answered may get lost."""
+
+    def __init__(self, world, number, session):
+        self.world = world
+        self.number = number
+        self.session = session
+        self.bond = None
+        self.known = {}
+        self.next = "told"
+
+    def want(self, account, ceiling):
+        """Tell a ceiling at once; the session hears whether it was accepted, or does not."""
+        if self.bond is None:
+            self.bond = self.world.session_of(self.number + 1)
+            self.known = {}
+        how, self.next = self.next, "told"
+        lives = self.world.session_of(self.number + 1) == self.bond
+        if how == "lost":
+            return
+        book = self.world.accounts[(self.number + 1) % len(self.world.accounts)].book
+        accepted = lives and book.accept(self.session, {account: ceiling}, self._now())
+        if how == "answer lost":
+            return
+        if not accepted:
+            self.bond = None
+            return
+        self.known[account] = max(ceiling, self.known.get(account, ceiling))
+        self.world.accounts[self.number].take_accepted(self.bond, {account: ceiling})
+
+    def ensure(self, account, ceiling):
+        if self.bond is None or self.known.get(account, -1) < ceiling:
+            self.want(account, ceiling)
+        if self.bond is None or self.known.get(account, -1) < ceiling:
+            return "", 0
+        return self.bond, self.known[account]
+
+    def accepted(self, account, witness):
+        return self.known.get(account, 0) if witness == self.bond else 0
+
+    def close_session(self, session, witness):
+        for number, accounts in enumerate(self.world.accounts):
+            if self.world.session_of(number) == witness:
+                return accounts.close_witnessed(session)
+        return None
+
+    def _now(self):
+        return self.world.clock.monotonic_ms()
+
+
 class World:
     """Some routers, what they truly used, and what runs."""
 
@@ -108,6 +158,8 @@
         self.rules = rules
         self.lives = 0
         self.accounts = []
+        self.sessions = [""] * routers
+        self.witnesses = [None] * routers
         self.known = []
         self.running = []
         for number in range(routers):
@@ -121,21 +173,38 @@
         self.used += sum(self.running[number])
         self.running[number] = []
         self.lives += 1
+        session = f"router-{number}.{self.lives}"
+        self.sessions[number] = session
+        self.witnesses[number] = WorldWitness(self, number, session)
         self.known[number] = (self.store.limit, self.store.items[LIMIT_KEY].revision)
         self.accounts[number] = TokenAccounts(
-            session=f"router-{number}.{self.lives}",
+            session=session,
             store=self.store,
             clock=self.clock,
             counters=NullCounters(),
             limit_of=lambda _: self._limit_of(number),
             on_conflict=lambda items: self._learn(number, items),
             borrow=lambda account, amount: self._borrow(number, account, amount),
+            witness=self.witnesses[number],
+            sessions=self,
             sizing=AllowanceSizing(),
             executor=InlineExecutor(),
         )
         self.accounts[number].routers = len(self.accounts)
+        parts = (self.accounts[number], self.accounts[number].writer, self.accounts[number].book)
         for rule, broken in self.rules.items():
-            setattr(self.accounts[number], rule, broken.__get__(self.accounts[number]))
+            part = next(each for each in parts if hasattr(each, rule))
+            setattr(part, rule, broken.__get__(part))
+
+    def session_of(self, number):
+        return self.sessions[number % len(self.sessions)]
+
+    def is_superseded(self, session):
+        router, _, _ = session.rpartition(".")
+        return self.sessions[int(router.rpartition("-")[2])] != session
+
+    def is_alive(self, session):
+        return False
 
     def reserve(self, number, amount):
         try:
@@ -152,6 +221,11 @@
             self.used += used
             self.accounts[number].settle(ACCOUNT, amount, used)
 
+    def close_silent(self, number):
+        """The witness of a router that still runs takes it for gone."""
+        session = self.session_of(number)
+        self.accounts[(number + 1) % len(self.accounts)]._close_silent(session, ("board",))
+
     def set_limit(self, limit):
         self.highest = max(self.highest, limit)
         self.store.set_limit(limit)
--- a/features/steps/gateway_prepaid_steps.py
+++ b/features/steps/gateway_prepaid_steps.py
@@ -111,6 +111,54 @@
     assert context.statuses[-1] == 402, context.statuses
 
 
+@when("the first one is killed while it holds {held:d} tokens or more, and started again")
+def killed_and_started(context, held):
+    first, _ = context.fleet.routers
+    while not any(granted["granted"] - granted["committed"] >= held for granted in grants(first)):
+        assert ask(first).status == 200
+    assert eventually(lambda: grants(first)[-1]["witness"]), grants(first)
+    first.kill()
+    again = context.fleet.start_again(first)
+    second = context.fleet.routers[1]
+    session = again.find("gateway.started")["session"]
+    assert eventually(lambda: second.find("member.runs_again", session=session))
+
+
+def grants(router):
+    """Return what the store granted a router, as its log tells."""
+    return [
+        line
+        for line in list(router.lines)
+        if line.get("message_type") == "aspengate.allowance.granted"
+    ]
+
+
+@when("the requests of both are sent until they are refused")
+def both_until_refused(context):
+    context.served, context.statuses = spend(context.fleet.routers)
+
+
+@then("no more than {most:d} tokens are left unused")
+def left_unused(context, most):
+    assert context.prepaid - given_tokens(context) <= most, given_tokens(context)
+
+
+@when("the store turns the first one away and it is sent more requests than it holds tokens for")
+def sent_more_than_held(context):
+    first, second = context.fleet.routers
+    assert ask(first).status == 200
+    assert eventually(lambda: second.find("member.heard", name=first.name))
+    first.door.fault = "busy"
+    assert eventually(lambda: first.find("store.lost"))
+    held = grants(first)[-1]["granted"]
+    context.statuses = [ask(first).status for _ in range(2 * held // PROMPT)]
+
+
+@then("all of them were served")
+def all_served(context):
+    assert set(context.statuses) == {200}, context.statuses
+
+
 @when("both have served some requests and the store goes down for both")
 def store_down(context):
     for router in context.fleet.routers * 4:
--- /dev/null
+++ b/features/witness.feature
@@ -0,0 +1,22 @@
+Feature: Another router witnesses how much a router will use
+
+  Scenario: What a witness has not accepted is told again, and does not count before
+    Given a router with one peer
+    When the first notices to the peer are lost
+    Then the ceiling counts once a repeated notice is answered
+
+  Scenario: A later life of a witness does not stand in for it
+    Given a router with one peer
+    When the peer answers in another life
+    Then the router has no ceiling, and knows that it lost its witness
+
+  Scenario: A silent witness is replaced
+    Given a router with two peers
+    When the one that it chose does not answer
+    Then the other one becomes its witness
+
+  Scenario: A closed session's ceilings are final
+    Given a book that holds a session's ceilings
+    When the session is closed
+    Then no more is accepted from it, and its ceilings stay as they were
+    And a book that is full takes no new session
--- a/src/aspengate/allowances/__init__.py
+++ b/src/aspengate/allowances/__init__.py
@@ -8,11 +8,13 @@
     close_session,
     decode_document,
     encode_document,
+    router_of,
     session_name,
     set_allowance,
 )
 from aspengate.allowances._purse import Purse
 from aspengate.allowances._sizing import AllowanceSizing, Demand, Holding
+from aspengate.allowances._witness import WitnessBook
 
 __all__ = [
     "AllowanceDocument",
@@ -20,9 +22,11 @@
     "Demand",
     "Holding",
     "Purse",
+    "WitnessBook",
     "close_session",
     "decode_document",
     "encode_document",
+    "router_of",
     "session_name",
     "set_allowance",
 ]
--- a/src/aspengate/allowances/_document.py
+++ b/src/aspengate/allowances/_document.py
@@ -3,22 +3,33 @@
 A *session* is one run of one router. Its *allowance* is the most tokens that it may use in its
 whole life. The one rule is that what closed sessions used and what all others may use stays
 within the account's limit whenever an allowance is raised. It holds in one value that is changed
-by compare-and-swap, so that neither a pause, a cut nor a lost answer can break it: a session that
-is never heard of again keeps what it was allowed, whether it used that or not.
+by compare-and-swap, so that neither a pause, a cut nor a lost answer can break it.
+
+A session that is never heard of again keeps what it was allowed, unless the document names a
+*witness* for it: another router that was told the most that the session may use, its *ceiling*,
+before it was used. See ``WitnessBook``.
 """
 
+from typing import TypeVar
+
 import msgspec
 
 from aspengate.errors import AspengateError, ErrorKind
 
 _MOST_SESSIONS = 200
 
+_Value = TypeVar("_Value")
+
 
 class AllowanceDocument(msgspec.Struct, frozen=True):
-    """What closed sessions used, and the allowance of each other session, in tokens."""
+    """What closed sessions used, and the allowance of each other session, in tokens.
+
+    ``witnesses`` maps a session to the session of the router that witnesses it.
+    """
 
     closed: int = 0
     sessions: dict[str, int] = {}
+    witnesses: dict[str, str] = {}
 
     @property
     def committed(self) -> int:
@@ -29,6 +40,10 @@
         """Return what ``session`` may use in its life."""
         return self.sessions.get(session, 0)
 
+    def witness(self, session: str) -> str:
+        """Return the session that witnesses ``session``; empty where none does."""
+        return self.witnesses.get(session, "")
+
     @property
     def lost_sessions(self) -> int:
         """How many sessions ended without settling, as far as their router runs again."""
@@ -57,7 +72,7 @@
 
 
 def set_allowance(
-    document: AllowanceDocument, session: str, allowance: int, limit: int
+    document: AllowanceDocument, session: str, allowance: int, limit: int, witness: str = ""
 ) -> AllowanceDocument:
     """Return the document with a session's allowance raised or lowered.
 
@@ -68,13 +83,19 @@
     if allowance > before and allowance > document.most_for(session, limit):
         raise AspengateError(ErrorKind.CONFLICT, "allowance above the account's limit")
     sessions = {**document.sessions, session: allowance}
-    return _fold(msgspec.structs.replace(document, sessions=sessions))
+    witnesses = _without(document.witnesses, {session})
+    if witness:
+        witnesses[session] = witness
+    return _fold(AllowanceDocument(document.closed, sessions, witnesses))
 
 
 def close_session(document: AllowanceDocument, session: str, used: int) -> AllowanceDocument:
     """Return the document with a session's tokens settled as ``used``; it uses none any more."""
-    sessions = {name: value for name, value in document.sessions.items() if name != session}
-    return AllowanceDocument(document.closed + used, sessions)
+    return AllowanceDocument(
+        document.closed + used,
+        _without(document.sessions, {session}),
+        _without(document.witnesses, {session}),
+    )
 
 
 def encode_document(document: AllowanceDocument) -> bytes:
@@ -93,13 +114,18 @@
 def _fold(document: AllowanceDocument) -> AllowanceDocument:
     """Count the oldest sessions as closed where there are many, with all they were allowed.
 
-    One that still lives comes back with its next write, and is then counted twice, which
-    refuses too early but never too late.
+    One that still lives finds its session gone, and goes on under the rest of its allowance.
     """
     surplus = len(document.sessions) - _MOST_SESSIONS
     if surplus <= 0:
         return document
-    oldest = list(document.sessions)[:surplus]
-    closed = document.closed + sum(document.sessions[name] for name in oldest)
-    kept = {name: value for name, value in document.sessions.items() if name not in oldest}
-    return AllowanceDocument(closed, kept)
+    oldest = set(list(document.sessions)[:surplus])
+    return AllowanceDocument(
+        document.closed + sum(document.sessions[name] for name in oldest),
+        _without(document.sessions, oldest),
+        _without(document.witnesses, oldest),
+    )
+
+
+def _without(entries: dict[str, _Value], names: set[str]) -> dict[str, _Value]:
+    return {name: value for name, value in entries.items() if name not in names}
--- a/src/aspengate/allowances/_purse.py
+++ b/src/aspengate/allowances/_purse.py
@@ -14,9 +14,10 @@
     """Counts what a session may use of one account, what it reserved, and what it used.
 
     ``granted`` is what the store is known to allow; it is lowered before a lower allowance is
-    written, and raised only after a higher one was confirmed. ``lent`` went to other routers
-    and ``borrowed`` came from them, both without the store: what one lends it can never use
-    itself, so that the sum over all routers stays what the store granted.
+    written, and raised only after a higher one was confirmed. ``ceiling`` is what the session's
+    witness has accepted, None where there is no witness: both bound what is committed. ``lent``
+    went to other routers and ``borrowed`` came from them, both without the store: what one lends
+    it can never use itself, so that the sum over all routers stays what the store granted.
     """
 
     def __init__(self, sizing: AllowanceSizing) -> None:
@@ -24,6 +25,7 @@
         self.used = 0
         self.reserved = 0
         self.granted = 0
+        self.ceiling: int | None = None
         self.lent = 0
         self.borrowed = 0
         self._rate = 0.0
@@ -34,8 +36,18 @@
     @property
     def free(self) -> int:
         """What a new request could take at once."""
+        return self.bound - self.committed
+
+    @property
+    def held(self) -> int:
+        """What is granted beyond what is committed, whether the ceiling reaches there or not."""
         return self.granted - self.committed
 
+    @property
+    def bound(self) -> int:
+        """The most that may be committed."""
+        return self.granted if self.ceiling is None else min(self.granted, self.ceiling)
+
     @property
     def committed(self) -> int:
         """What the store must allow for what is used, reserved and lent."""
@@ -65,10 +77,24 @@
         self.lent += given
         return given
 
+    def lend_reserved(self, amount: int) -> None:
+        """Give what was set aside to another router."""
+        self.reserved -= amount
+        self.lent += amount
+
     def borrow(self, amount: int) -> None:
         """Take in what another router gave."""
         self.borrowed += amount
 
+    def count_as_closed(self) -> None:
+        """Begin anew after the store has counted the session as closed at ``bound`` or more.
+
+        What the session may still use of that stays at hand, without any grant.
+        """
+        self.used -= self.bound
+        self.granted = 0
+        self.ceiling = None
+
     def demand(self, waiting: int, now_ms: float) -> Demand:
         """Return what this router's requests need, with ``waiting`` tokens waited for."""
         self._age(now_ms)
--- a/src/aspengate/allowances/_sizing.py
+++ b/src/aspengate/allowances/_sizing.py
@@ -1,5 +1,6 @@
 """How many tokens a router keeps at hand beyond what its requests need."""
 
+import math
 from dataclasses import dataclass
 
 
@@ -36,31 +37,44 @@
 class AllowanceSizing:
     """Sizes of the reserve that lets a router go on while the store does not answer.
 
-    The reserve covers ``horizon_ms`` of the demand seen and ``least_requests``. Of what nobody
-    holds yet it takes at most ``demand_part`` of the router's part in the account's use so far,
-    or ``equal_part`` of an equal part, so that it shrinks as an account's tokens run out; and of
-    the limit at most ``limit_part`` of its part or of an equal one.
+    The reserve covers ``horizon_ms`` of the demand seen, with ``spread`` standard deviations of
+    what as many requests may need, and ``least_requests``. It is bounded by what nobody holds:
+    by ``demand_part`` of the router's part in the account's use so far, or ``equal_part`` of an
+    equal part, times the part of the limit that is left. What all routers hold is lost when all
+    of them die at once. While most of an account is left that costs nobody a request, near its
+    end each lost token does: so the reserve shrinks with the square of what is left.
 
-    What a router that dies held is lost to the account: for each time that as many sessions
-    were lost as there are routers the reserve is smaller by ``loss_factor``, so that any number
-    of deaths takes a bounded part of the account along.
+    For each time that as many sessions were lost as there are routers the reserve is smaller by
+    ``loss_factor``, so that any number of deaths takes a bounded part of the account along.
     """
 
     horizon_ms: float = 10_000.0
-    demand_part: float = 0.5
+    spread: float = 1.0
+    least_requests: int = 2
+    demand_part: float = 0.8
     equal_part: float = 0.25
-    limit_part: float = 0.15
-    least_requests: int = 3
     loss_factor: float = 0.1
-    refill_part: float = 0.5
+    refill_part: float = 0.8
+    ahead_ms: float = 1_000.0
+    ahead_requests: int = 2
+
+    def ahead(self, demand: Demand) -> int:
+        """Return how far a ceiling is raised above what is committed.
+
+        That much is lost with a router whose witness survives it.
+        """
+        wanted = demand.per_second * self.ahead_ms / 1_000
+        return int(wanted + self.ahead_requests * demand.request)
 
     def reserve(self, demand: Demand, holding: Holding) -> int:
         """Return the tokens to keep at hand."""
+        if holding.limit <= 0 or holding.unheld <= 0:
+            return 0
+        expected = demand.per_second * self.horizon_ms / 1_000
+        wanted = expected + self.spread * math.sqrt(expected * demand.request)
+        wanted += self.least_requests * demand.request
         routers = max(1, holding.routers)
         part = max(holding.part * self.demand_part, self.equal_part / routers)
-        bound = holding.limit * self.limit_part * max(holding.part, 1 / routers)
-        most = min(holding.unheld * part, bound)
-        wanted = demand.per_second * self.horizon_ms / 1_000
-        wanted += self.least_requests * demand.request
+        most = holding.unheld * part * min(1.0, holding.unheld / holding.limit)
         caution = self.loss_factor ** (holding.lost_sessions / routers)
-        return int(max(0.0, min(wanted * caution, most)))
+        return int(min(wanted * caution, most))
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -11,7 +11,6 @@
 from aspengate.gateway._application import ADMISSION, GatewayApplication
 from aspengate.gateway._attempt import AttemptParts
 from aspengate.gateway._dispatcher import Dispatcher
-from aspengate.gateway._money import LimitSource, TokenAccounts
 from aspengate.gateway._peering import Peering
 from aspengate.gateway._ports import Deployment
 from aspengate.gateway._ready import ReadyApplication
@@ -19,7 +18,8 @@
 from aspengate.gateway._stop import StopPlan
 from aspengate.gateway._story import RequestLog
 from aspengate.gateway.filters import FilterParts, make_filters
-from aspengate.peers import MEMBER_PREFIX
+from aspengate.gateway.prepaid import LimitSource, RemoteWitness, TokenAccounts
+from aspengate.peers import MEMBER_PREFIX, CeilingNotice
 from aspengate.replicas import PartMemory, ReplicaChooser, ReplicaRegistry
 from aspengate.retries import RetryPolicy, SharedRetryBudget
 from aspengate.serving import RelayServer, WsgiServer
@@ -71,7 +71,10 @@
         self.replicas = self._mirror(deployment.replica_prefix, self._on_replicas)
         self.routers = self._mirror(MEMBER_PREFIX, self._on_members)
         self.peering = self._make_peering()
+        self.witness = self._make_witness()
         self.tokens = self._make_tokens()
+        self.witness.on_accepted = self.tokens.take_accepted
+        self.witness.on_lost = self.tokens.take_lost_witness
         self.log = RequestLog(clock, counters, settings.log_lines_per_second)
         self.server = self._make_server()
         self.ready_server = WsgiServer(
@@ -91,6 +94,7 @@
         for mirror in self.mirrors:
             mirror.start()
         self.peering.start()
+        self.witness.start()
         self.server.start()
         self.ready_server.start()
         self._ticker.start()
@@ -100,6 +104,7 @@
             listen=self.server.address,
             ready=self.ready_server.address,
             peers=self.peering.server.address,
+            session=self.peering.session,
         )
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -163,11 +168,25 @@
         self.server.stop()
         self.ready_server.close()
         self.tokens.close()
+        self.witness.close()
         for mirror in self.mirrors:
             mirror.close()
         self.peering.close()
         self.pool.close()
 
+    def lend(self, account: str, amount: int) -> int:
+        """Give another router up to ``amount`` of an account's unused tokens."""
+        return self.tokens.lend(account, amount)
+
+    def accept_ceilings(self, notice: CeilingNotice) -> bool:
+        """Witness the most that another router's session will use."""
+        now = self.clock.monotonic_ms()
+        return self.tokens.book.accept(notice.session, notice.ceilings, now)
+
+    def close_witnessed(self, session: str) -> dict[str, int] | None:
+        """Accept no more of a session; return its ceilings by account, None if not known."""
+        return self.tokens.close_witnessed(session)
+
     def _is_ready(self) -> bool:
         return self.holder.known and bool(self.replicas.state.revision) and not self.leaving
 
@@ -193,8 +212,20 @@
             store=self.deployment.store,
             clock=self.clock,
             counters=self.counters,
-            lend=lambda account, amount: self.tokens.lend(account, amount),
+            services=self,
+        )
+
+    def _make_witness(self) -> RemoteWitness:
+        witness = RemoteWitness(
+            self.peering.session,
+            self.clock,
+            self.counters,
+            alive=self.peering.members.alive,
+            send=self.peering.send_notice,
+            ask_to_close=self.peering.close_witnessed,
         )
+        self.peering.on_reply = witness.take_reply
+        return witness
 
     def _make_tokens(self) -> TokenAccounts:
         return TokenAccounts(
@@ -205,6 +236,8 @@
             limit_of=self._limit_of,
             on_conflict=self._on_conflict,
             borrow=self.peering.borrow,
+            witness=self.witness,
+            sessions=self.peering.members,
         )
 
     def _make_server(self) -> RelayServer:
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -9,12 +9,16 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
 from aspengate.peers import (
-    Beacon,
+    CeilingNotice,
+    CeilingReply,
+    Datagram,
+    DatagramPort,
     Member,
     MemberList,
     PeerApplication,
     PeerClient,
     PeerNews,
+    PeerServices,
     peer_addresses,
 )
 from aspengate.serving import WsgiServer
@@ -26,9 +30,10 @@
 _FETCH_TIMEOUT_MS = 500.0
 _SERVER_THREADS = 2
 _SMALL_BODY = 4 * 1024
-_LOAN_TIMEOUT_MS = 100.0
+_LOAN_TIMEOUT_MS = 200.0
 _LOAN_FACTOR = 2
 _MOST_LENDERS = 6
+_NEWS_RECEIVERS = 4
 
 
 class Peering:
@@ -36,7 +41,8 @@
 
     ``mirrors`` are the parts of the store that peers help each other with, by prefix. A router
     whose store does not answer asks a peer for them; one that hears of a newer change than it
-    knows asks the peer that spoke of it.
+    knows asks the peer that spoke of it. ``services`` is what it does for its peers;
+    ``on_reply`` is called with what its witness answers.
     """
 
     def __init__(
@@ -49,11 +55,13 @@
         store: KeyValueStore,
         clock: Clock,
         counters: Counters,
-        lend: Callable[[str, int], int],
+        services: PeerServices,
     ) -> None:
         self.mirrors = mirrors
+        self.services = services
+        self.on_reply: Callable[[CeilingReply], None] = lambda _: None
         self.server = WsgiServer(
-            PeerApplication(mirrors, lend), address, _SERVER_THREADS, _SMALL_BODY
+            PeerApplication(mirrors, services), address, _SERVER_THREADS, _SMALL_BODY
         )
         self.session = session_name(name, uuid.uuid4().hex[:8])
         self.members = MemberList(Member(name, self.server.address, self.session), clock)
@@ -63,7 +71,7 @@
         self.seeds = seeds
         self._client = PeerClient(_FETCH_TIMEOUT_MS)
         self._lenders = PeerClient(_LOAN_TIMEOUT_MS)
-        self._beacon = Beacon(self.server.address, counters, self._on_news)
+        self._datagrams = DatagramPort(self.server.address, counters, self._on_datagram)
         self._behind: dict[str, str] = {}
         self._wake = threading.Event()
         self._closing = threading.Event()
@@ -75,7 +83,7 @@
     def start(self) -> None:
         """Begin to send and to listen."""
         self.server.start()
-        self._beacon.start()
+        self._datagrams.start()
         for thread in self._threads:
             thread.start()
 
@@ -84,7 +92,7 @@
         self._closing.set()
         self._wake.set()
         self.members.withdraw(self._store)
-        self._beacon.close()
+        self._datagrams.close()
         self.server.close()
 
     def borrow(self, account: str, amount: int) -> int:
@@ -93,23 +101,43 @@
         Each is asked for what is missing and some more, so that the next request finds some.
         """
         got = 0
-        peers = self.members.alive()
-        for address in random.sample(peers, min(_MOST_LENDERS, len(peers))):
+        for member in self.members.lenders(_MOST_LENDERS):
             if got >= amount:
                 break
             try:
-                got += self._lenders.loan(address, account, (amount - got) * _LOAN_FACTOR)
+                got += self._lenders.loan(member.address, account, (amount - got) * _LOAN_FACTOR)
             except AspengateError:
                 self._counters.count("peers.loan_failed")
         return got
 
+    def send_notice(self, notice: CeilingNotice, address: str) -> None:
+        """Tell a witness ceilings."""
+        self._datagrams.send(notice, address)
+
+    def close_witnessed(self, witness: str, session: str) -> Mapping[str, int] | None:
+        """Have the router that runs ``witness`` close a session; None where it can't tell."""
+        member = self.members.runs(witness)
+        if member is None:
+            return None
+        if member is self.members.own:
+            return self.services.close_witnessed(session)
+        try:
+            return self._client.close_witnessed(member.address, session)
+        except AspengateError as error:
+            log_change("witness.not_asked", witness=witness, session=session, error=str(error))
+            return None
+
     def _send(self) -> None:
         while not self._closing.wait(_BEACON_MS / 1_000):
             revisions = {prefix: each.state.changed for prefix, each in self.mirrors.items()}
-            self._beacon.send(PeerNews(self.members.own, revisions), self.members.addresses())
+            known = self.members.addresses()
+            receivers = random.sample(known, min(_NEWS_RECEIVERS, len(known)))
+            connected = all(each.connected for each in self.mirrors.values())
+            news = PeerNews(self.members.own, revisions, connected)
+            self._datagrams.send(news, *receivers)
             if not self.members.registered:
                 self._register()
-            if not all(each.connected for each in self.mirrors.values()):
+            if not connected:
                 self._wake.set()
 
     def _register(self) -> None:
@@ -119,8 +147,18 @@
             self._counters.count("members.not_registered")
             log_change("member.not_registered", error=str(error))
 
+    def _on_datagram(self, datagram: Datagram, address: str) -> None:
+        if isinstance(datagram, PeerNews):
+            self._on_news(datagram)
+        elif isinstance(datagram, CeilingNotice):
+            accepted = datagram.witness == self.session and self.services.accept_ceilings(datagram)
+            reply = CeilingReply(datagram.number, datagram.session, self.session, accepted)
+            self._datagrams.send(reply, address)
+        else:
+            self.on_reply(datagram)
+
     def _on_news(self, news: PeerNews) -> None:
-        self.members.heard(news.member)
+        self.members.heard(news.member, reaches_store=news.reaches_store)
         for prefix, revision in news.revisions.items():
             mirror = self.mirrors.get(prefix)
             if mirror is not None and revision > mirror.state.changed:
--- a/src/aspengate/gateway/filters/_registry.py
+++ b/src/aspengate/gateway/filters/_registry.py
@@ -6,7 +6,7 @@
 
 from aspengate.clock import Clock
 from aspengate.gateway._exchange import Filter
-from aspengate.gateway._money import TokenAccounts
+from aspengate.gateway.prepaid import TokenAccounts
 from aspengate.telemetry import Counters
 
 
--- /dev/null
+++ b/src/aspengate/gateway/prepaid/__init__.py
@@ -0,0 +1,15 @@
+"""Prepaid tokens for requests: reserved before a run, settled after it, drawn from the store."""
+
+from aspengate.gateway.prepaid._account import ALLOWANCE_PREFIX, LimitSource
+from aspengate.gateway.prepaid._accounts import TokenAccounts
+from aspengate.gateway.prepaid._witness import NoWitness, RemoteWitness, SessionList, Witness
+
+__all__ = [
+    "ALLOWANCE_PREFIX",
+    "LimitSource",
+    "NoWitness",
+    "RemoteWitness",
+    "SessionList",
+    "TokenAccounts",
+    "Witness",
+]
--- /dev/null
+++ b/src/aspengate/gateway/prepaid/_writer.py
@@ -0,0 +1,307 @@
+"""Reads and writes accounts' documents in the store."""
+
+from collections.abc import Callable, Mapping
+
+from aspengate.allowances import (
+    AllowanceDocument,
+    AllowanceSizing,
+    Holding,
+    close_session,
+    decode_document,
+    encode_document,
+    set_allowance,
+)
+from aspengate.clock import Clock
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.gateway.prepaid._account import Account, LimitSource, Ticket
+from aspengate.gateway.prepaid._witness import Witness
+from aspengate.store import ConditionFailedError, KeyValueStore, Put, StoreItem
+from aspengate.telemetry import Counters, log_change
+
+_SEEMS_DOWN_MS = 1_000.0
+_CLOSE_ATTEMPTS = 3
+_EXHAUSTED_MS = 400.0
+_IDLE_MS = 20_000.0
+
+
+class DocumentWriter:
+    """Changes accounts' documents; one call for an account at a time.
+
+    ``is_dead`` tells of a session and its witness whether that session may be settled.
+    """
+
+    def __init__(
+        self,
+        *,
+        session: str,
+        store: KeyValueStore,
+        clock: Clock,
+        counters: Counters,
+        limit_of: Callable[[str], LimitSource | None],
+        on_conflict: Callable[[Mapping[str, StoreItem]], None],
+        sizing: AllowanceSizing,
+        witness: Witness,
+        is_dead: Callable[[str, str], bool],
+    ) -> None:
+        self.session = session
+        self.routers = 1
+        self._store = store
+        self._clock = clock
+        self._counters = counters
+        self._limit_of = limit_of
+        self._on_conflict = on_conflict
+        self._sizing = sizing
+        self._witness = witness
+        self._is_dead = is_dead
+        self._failed_ms = float("-inf")
+
+    def seems_down(self, now: float) -> bool:
+        """Return whether the store failed to answer a moment ago."""
+        return now - self._failed_ms < _SEEMS_DOWN_MS
+
+    def holding(self, account: Account, limit: int, own: int) -> Holding:
+        """Return how an account stands, where ``own`` unused tokens could be given back."""
+        document = account.document or AllowanceDocument()
+        return Holding(
+            limit=limit,
+            unheld=limit - document.committed + own,
+            routers=self.routers,
+            part=document.part_of(self.session),
+            lost_sessions=document.lost_sessions,
+        )
+
+    def work(self, account: Account) -> None:
+        """Write the account's document until nothing is left to do."""
+        try:
+            while self._step(account):
+                pass
+        except Exception as error:
+            self._counters.count("allowances.failed")
+            log_change("allowance.failed", account=account.name, error=repr(error))
+            self._refuse(account, ErrorKind.BUDGET_UNAVAILABLE)
+
+    def raise_ceiling(self, account: Account, witness: str, ceiling: int) -> bool:
+        """Use a ceiling that a witness accepted; return whether the document names it.
+
+        Call it with the account's lock held.
+        """
+        document = account.document
+        if document is None or account.uncertain or not account.listed:
+            return False
+        if document.witness(self.session) != witness or account.purse.ceiling is None:
+            return False
+        account.purse.ceiling = max(ceiling, account.purse.ceiling)
+        return True
+
+    def settle_for_good(self, account: Account) -> None:
+        """Count what the session used of an account, and that it will use no more."""
+        with account.changed:
+            account.working = True
+            account.purse.granted = account.purse.committed
+        try:
+            self._close(account)
+        except AspengateError as error:
+            log_change("allowance.not_closed", account=account.name, error=str(error))
+
+    def _step(self, account: Account) -> bool:
+        """Make one call to the store, if one is needed; return whether to go on."""
+        source = self._limit_of(account.name)
+        if source is None:
+            self._refuse(account, ErrorKind.BUDGET_UNAVAILABLE)
+            return False
+        try:
+            if account.document is None:
+                self._read(account)
+            document = self._without_dead(account.name, account.document or AllowanceDocument())
+            plan = self._plan(account, document, source)
+            if plan is None:
+                self._note_exhausted(account, source)
+                self._refuse(account, ErrorKind.BUDGET_EXHAUSTED)
+                return False
+            if plan == account.document and not account.uncertain:
+                self._grant(account, plan, source)
+            else:
+                self._write(account, plan, source)
+            return bool(account.waiting)
+        except AspengateError as error:
+            self._counters.count("allowances.store_failed")
+            self._failed_ms = self._clock.monotonic_ms()
+            account.document = None
+            if error.kind is ErrorKind.OUTCOME_UNKNOWN:
+                account.uncertain = True
+                return True
+            self._refuse(account, ErrorKind.BUDGET_UNAVAILABLE)
+            return False
+
+    def _read(self, account: Account) -> None:
+        self._take(account, self._store.get(account.key))
+
+    def _take(self, account: Account, item: StoreItem | None) -> None:
+        document = decode_document(item.value) if item else AllowanceDocument()
+        with account.changed:
+            account.take(document, item)
+            if account.listed and self.session not in document.sessions:
+                account.listed = False
+                account.purse.count_as_closed()
+                log_change("allowance.closed_elsewhere", account=account.name)
+
+    def _without_dead(self, name: str, document: AllowanceDocument) -> AllowanceDocument:
+        """Return the document with dead sessions settled, as far as their witnesses tell."""
+        for session, allowance in list(document.sessions.items()):
+            witness = document.witness(session)
+            if not witness or not self._is_dead(session, witness):
+                continue
+            ceilings = self._witness.close_session(session, witness)
+            if ceilings is not None and name in ceilings:
+                used = min(allowance, ceilings[name])
+                document = close_session(document, session, used)
+                log_change(
+                    "allowance.reclaimed",
+                    account=name,
+                    session=session,
+                    amount=allowance - used,
+                )
+        return document
+
+    def _plan(
+        self, account: Account, document: AllowanceDocument, source: LimitSource
+    ) -> AllowanceDocument | None:
+        """Return the document to write; None where requests wait and none of them fits.
+
+        An allowance that is to be lowered is lowered here before it is in the store.
+        """
+        now = self._clock.monotonic_ms()
+        with account.changed:
+            purse = account.purse
+            fitting = self._fitting(account, document, source.limit)
+            if account.waiting and not fitting:
+                return None
+            idle = not account.waiting and now - account.used_ms > _IDLE_MS
+            demand = purse.demand(sum(ticket.amount for ticket in fitting), now)
+            target = purse.target(
+                document, self.session, source.limit, self.routers, demand, idle=idle
+            )
+            purse.granted = min(purse.granted, target)
+            ceiling = min(target, demand.committed + demand.waiting + self._sizing.ahead(demand))
+        witness = self._bind(account, max(0, ceiling))
+        if (
+            target == document.allowance(self.session)
+            and witness == document.witness(self.session)
+            and self.session in document.sessions
+        ):
+            return document
+        return set_allowance(document, self.session, target, source.limit, witness)
+
+    def _bind(self, account: Account, ceiling: int) -> str:
+        """Have the present witness accept a ceiling; return its session, empty without one.
+
+        From here on no more is used than both the witness that the document names and the
+        present one have accepted, until the store confirms which of them holds.
+        """
+        witness, accepted = self._witness.ensure(account.name, ceiling)
+        if not witness:
+            return ""
+        with account.changed:
+            purse = account.purse
+            purse.ceiling = accepted if purse.ceiling is None else min(purse.ceiling, accepted)
+            committed = purse.committed
+        if committed <= accepted:
+            return witness
+        again, accepted = self._witness.ensure(account.name, max(0, committed))
+        return again if again == witness else ""
+
+    def _fitting(self, account: Account, document: AllowanceDocument, limit: int) -> list[Ticket]:
+        """Return the waiting requests that fit, in the order in which they came."""
+        most = document.most_for(self.session, limit)
+        needed = account.purse.committed
+        fitting = []
+        for ticket in account.waiting:
+            if needed + ticket.amount <= most:
+                needed += ticket.amount
+                fitting.append(ticket)
+        return fitting
+
+    def _write(self, account: Account, plan: AllowanceDocument, source: LimitSource) -> None:
+        key = account.key
+        conditions = {key: account.revision}
+        before = account.document.allowance(self.session) if account.document else 0
+        if source.key and plan.allowance(self.session) > before:
+            conditions[source.key] = source.revision
+        try:
+            revision = self._store.transact(conditions, (Put(key, encode_document(plan)),))
+        except ConditionFailedError as failure:
+            self._counters.count("allowances.conflicts")
+            self._on_conflict(failure.items)
+            self._take(account, failure.items.get(key))
+            return
+        self._counters.count("allowances.writes")
+        with account.changed:
+            account.uncertain = False
+            account.document = plan
+            account.revision = revision
+        self._grant(account, plan, source)
+
+    def _grant(self, account: Account, document: AllowanceDocument, source: LimitSource) -> None:
+        """Use what the store confirmed."""
+        target = document.allowance(self.session)
+        witness = document.witness(self.session)
+        accepted = self._witness.accepted(account.name, witness) if witness else 0
+        now = self._clock.monotonic_ms()
+        with account.changed:
+            purse = account.purse
+            account.listed = self.session in document.sessions
+            if target != purse.granted:
+                purse.granted = target
+                log_change(
+                    "allowance.granted",
+                    account=account.name,
+                    granted=target,
+                    committed=purse.committed,
+                    limit=source.limit,
+                    unheld=source.limit - document.committed,
+                    witness=witness,
+                    revision=account.revision,
+                )
+            purse.ceiling = max(accepted, purse.ceiling or 0) if witness else None
+            account.grant_waiting(now)
+
+    def _note_exhausted(self, account: Account, source: LimitSource) -> None:
+        document = account.document or AllowanceDocument()
+        log_change(
+            "allowance.exhausted",
+            account=account.name,
+            limit=source.limit,
+            unheld=source.limit - document.committed,
+            closed=document.closed,
+            sessions=document.sessions,
+            needed=min((ticket.amount for ticket in account.waiting), default=0),
+            revision=account.revision,
+        )
+
+    def _refuse(self, account: Account, kind: ErrorKind) -> None:
+        with account.changed:
+            if kind is ErrorKind.BUDGET_EXHAUSTED and account.waiting:
+                account.exhausted_until_ms = self._clock.monotonic_ms() + _EXHAUSTED_MS
+                account.exhausted_amount = min(ticket.amount for ticket in account.waiting)
+            account.refuse_waiting(kind)
+
+    def _close(self, account: Account) -> None:
+        for _ in range(_CLOSE_ATTEMPTS):
+            if account.document is None:
+                self._read(account)
+            document = account.document or AllowanceDocument()
+            if account.purse.reserved:
+                committed = account.purse.committed
+                plan = set_allowance(document, self.session, committed, committed)
+            else:
+                plan = close_session(document, self.session, account.purse.settled)
+            try:
+                put = Put(account.key, encode_document(plan))
+                self._store.transact({account.key: account.revision}, (put,))
+                return
+            except ConditionFailedError as failure:
+                self._take(account, failure.items.get(account.key))
+            except AspengateError as error:
+                if error.kind is not ErrorKind.OUTCOME_UNKNOWN:
+                    raise
+                account.document = None
--- a/src/aspengate/peers/__init__.py
+++ b/src/aspengate/peers/__init__.py
@@ -1,16 +1,21 @@
 """The other routers: who they are, that they live, and what they know of the store."""
 
-from aspengate.peers._beacon import Beacon, PeerNews
-from aspengate.peers._exchange import PeerApplication, PeerClient
+from aspengate.peers._datagrams import DatagramPort
+from aspengate.peers._exchange import PeerApplication, PeerClient, PeerServices
 from aspengate.peers._members import MEMBER_PREFIX, Member, MemberList, peer_addresses
+from aspengate.peers._messages import CeilingNotice, CeilingReply, Datagram, PeerNews
 
 __all__ = [
     "MEMBER_PREFIX",
-    "Beacon",
+    "CeilingNotice",
+    "CeilingReply",
+    "Datagram",
+    "DatagramPort",
     "Member",
     "MemberList",
     "PeerApplication",
     "PeerClient",
     "PeerNews",
+    "PeerServices",
     "peer_addresses",
 ]
--- a/src/aspengate/peers/_exchange.py
+++ b/src/aspengate/peers/_exchange.py
@@ -1,20 +1,21 @@
-"""What routers ask of each other by HTTP: a mirror of the store, or unused tokens."""
+"""What routers ask of each other by HTTP: a mirror of the store, unused tokens, ceilings."""
 
 import http.client
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from http import HTTPStatus
+from typing import Protocol
 from urllib.parse import parse_qs, urlencode
 
 import msgspec
 
 from aspengate.errors import AspengateError, ErrorKind
+from aspengate.peers._messages import CeilingNotice
 from aspengate.serving import StartResponse, WsgiEnvironment
 from aspengate.store import Snapshot, StoreItem, StoreMirror
 
 _MIRROR_PATH = "/mirror"
 _LOAN_PATH = "/loan"
-
-Lend = Callable[[str, int], int]
+_CEILINGS_PATH = "/ceilings"
 
 
 class _Item(msgspec.Struct, array_like=True):
@@ -33,15 +34,32 @@
     amount: int
 
 
+class _CeilingsBody(msgspec.Struct, array_like=True):
+    ceilings: dict[str, int]
+
+
+class PeerServices(Protocol):
+    """What a router does for its peers."""
+
+    def lend(self, account: str, amount: int) -> int:
+        """Give up to ``amount`` of an account's unused tokens; return how many."""
+
+    def accept_ceilings(self, notice: CeilingNotice) -> bool:
+        """Remember what a session will use at most; return False where it takes no more."""
+
+    def close_witnessed(self, session: str) -> dict[str, int] | None:
+        """Accept no more of a session; return its ceilings by account, None if not known."""
+
+
 class PeerApplication:
     """A WSGI application that answers other routers.
 
-    ``mirrors`` are handed out by prefix; ``lend`` gives up to an amount of an account's tokens.
+    ``mirrors`` are handed out by prefix; the rest is up to ``services``.
     """
 
-    def __init__(self, mirrors: Mapping[str, StoreMirror], lend: Lend) -> None:
+    def __init__(self, mirrors: Mapping[str, StoreMirror], services: PeerServices) -> None:
         self._mirrors = mirrors
-        self._lend = lend
+        self._services = services
 
     def __call__(self, environ: WsgiEnvironment, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one peer."""
@@ -57,8 +75,13 @@
 
     def _body(self, path: str, query: Mapping[str, list[str]]) -> bytes:
         if path == _LOAN_PATH:
-            given = self._lend(query["account"][0], int(query["amount"][0]))
+            given = self._services.lend(query["account"][0], int(query["amount"][0]))
             return msgspec.msgpack.encode(_LoanBody(given))
+        if path == _CEILINGS_PATH:
+            ceilings = self._services.close_witnessed(query["session"][0])
+            if ceilings is None:
+                raise KeyError(path)
+            return msgspec.msgpack.encode(_CeilingsBody(ceilings))
         if path != _MIRROR_PATH:
             raise KeyError(path)
         state = self._mirrors[query["prefix"][0]].state
@@ -91,6 +114,18 @@
         except msgspec.MsgspecError as error:
             raise _unavailable(address, error) from error
 
+    def close_witnessed(self, address: str, session: str) -> dict[str, int]:
+        """Have a peer close a session that it witnesses, and return the session's ceilings.
+
+        Raises STORE_UNAVAILABLE where the peer does not answer or does not know the session.
+        """
+        target = f"{_CEILINGS_PATH}?{urlencode({'session': session})}"
+        content = self._get(address, target, method="POST")
+        try:
+            return msgspec.msgpack.decode(content, type=_CeilingsBody).ceilings
+        except msgspec.MsgspecError as error:
+            raise _unavailable(address, error) from error
+
     def _get(self, address: str, target: str, method: str = "GET") -> bytes:
         connection = http.client.HTTPConnection(address, timeout=self.timeout_ms / 1_000)
         try:
--- a/src/aspengate/peers/_members.py
+++ b/src/aspengate/peers/_members.py
@@ -1,10 +1,12 @@
 """The routers that are registered in the store."""
 
+import random
 import threading
 from collections.abc import Iterable
 
 import msgspec
 
+from aspengate.allowances import router_of
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
 from aspengate.store import KeyValueStore, MirrorState, Put
@@ -30,6 +32,8 @@
         self.registered = False
         self._clock = clock
         self._members: dict[str, Member] = {}
+        self._heard: dict[str, Member] = {}
+        self._reaches_store: dict[str, bool] = {}
         self._heard_ms: dict[str, float] = {}
         self._lock = threading.Lock()
 
@@ -55,26 +59,59 @@
         with self._lock:
             self._members = members
 
-    def heard(self, member: Member) -> None:
-        """Note a sign of life of another router."""
+    def heard(self, member: Member, *, reaches_store: bool = False) -> None:
+        """Note a sign of life of another router, and whether the store answers it."""
         if member.name == self.own.name:
             return
         with self._lock:
-            if member.name not in self._heard_ms:
+            before = self._heard.get(member.name)
+            if before is None:
                 log_change("member.heard", name=member.name, address=member.address)
+            elif before.session != member.session:
+                log_change("member.runs_again", name=member.name, session=member.session)
             self._heard_ms[member.name] = self._clock.monotonic_ms()
+            self._heard[member.name] = member
+            self._reaches_store[member.name] = reaches_store
             self._members[member.name] = member
 
-    def alive(self) -> list[str]:
-        """Return the addresses of the other routers that were heard of lately."""
+    def alive(self) -> list[Member]:
+        """Return the other routers that were heard of lately."""
         now = self._clock.monotonic_ms()
         with self._lock:
             return [
-                member.address
-                for name, member in self._members.items()
-                if now - self._heard_ms.get(name, float("-inf")) <= _ALIVE_MS
+                member
+                for name, member in self._heard.items()
+                if now - self._heard_ms[name] <= _ALIVE_MS
             ]
 
+    def lenders(self, most: int) -> list[Member]:
+        """Return up to ``most`` live routers in random order, those that reach the store first."""
+        found = self.alive()
+        random.shuffle(found)
+        with self._lock:
+            reached = dict(self._reaches_store)
+        found.sort(key=lambda member: not reached.get(member.name, False))
+        return found[:most]
+
+    def runs(self, session: str) -> Member | None:
+        """Return the router whose present run is ``session``, this one among them."""
+        with self._lock:
+            known = (self.own, *self._heard.values())
+        return next((member for member in known if member.session == session), None)
+
+    def is_superseded(self, session: str) -> bool:
+        """Return whether the session's router was heard in another run."""
+        router = router_of(session)
+        if router == self.own.name:
+            return session != self.own.session
+        with self._lock:
+            heard = self._heard.get(router)
+        return heard is not None and heard.session != session
+
+    def is_alive(self, session: str) -> bool:
+        """Return whether the session was heard of lately."""
+        return session in {member.session for member in self.alive()}
+
     def addresses(self) -> list[str]:
         """Return the addresses of the other routers, those heard of lately first."""
         now = self._clock.monotonic_ms()
