Read the list of routers seldom; gather changes of replicas; longer watches

Change: the list of routers is read at the start and each 30 s (those that start tell all listed ones); replica changes that come within 150 ms cost one watch; watches wait 25 s.

--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -19,7 +19,7 @@
 from aspengate.gateway._story import RequestLog
 from aspengate.gateway.filters import FilterParts, make_filters
 from aspengate.gateway.prepaid import LimitSource, RemoteWitness, TokenAccounts
-from aspengate.peers import MEMBER_PREFIX, CeilingNotice
+from aspengate.peers import CeilingNotice
 from aspengate.replicas import PartMemory, ReplicaChooser, ReplicaRegistry
 from aspengate.retries import RetryPolicy, SharedRetryBudget
 from aspengate.serving import RelayServer, WsgiServer
@@ -27,7 +27,8 @@
 from aspengate.telemetry import Counters, log_change
 
 _READY_THREADS = 2
-_WATCH_MS = 10_000
+_WATCH_MS = 25_000
+_GATHER_REPLICAS_MS = 150.0
 _LONGEST_REST_MS = 6_000.0
 _RESERVED_DESCRIPTORS = 200
 _DRAIN_POLL_MS = 50.0
@@ -68,8 +69,9 @@
         self.registry = ReplicaRegistry(clock, self._on_replica_gone)
         self.retries = SharedRetryBudget(_retry_policy(settings), clock)
         self.configuration = self._mirror(deployment.configuration_key, self._on_configuration)
-        self.replicas = self._mirror(deployment.replica_prefix, self._on_replicas)
-        self.routers = self._mirror(MEMBER_PREFIX, self._on_members)
+        self.replicas = self._mirror(
+            deployment.replica_prefix, self._on_replicas, _GATHER_REPLICAS_MS
+        )
         self.peering = self._make_peering()
         self.witness = self._make_witness()
         self.tokens = self._make_tokens()
@@ -87,7 +89,7 @@
     @property
     def mirrors(self) -> tuple[StoreMirror, ...]:
         """The parts of the store that this gateway follows."""
-        return (self.configuration, self.replicas, self.routers)
+        return (self.configuration, self.replicas)
 
     def start(self) -> None:
         """Begin to serve."""
@@ -197,9 +199,17 @@
         while not self._closing.wait(_TICK_S):
             self.tokens.tick()
 
-    def _mirror(self, prefix: str, on_change: Callable[[MirrorState], None]) -> StoreMirror:
+    def _mirror(
+        self, prefix: str, on_change: Callable[[MirrorState], None], gather_ms: float = 0.0
+    ) -> StoreMirror:
         return StoreMirror(
-            self.deployment.store, prefix, self.clock, self.counters, on_change, _WATCH_MS
+            self.deployment.store,
+            prefix,
+            self.clock,
+            self.counters,
+            on_change,
+            _WATCH_MS,
+            gather_ms,
         )
 
     def _make_peering(self) -> Peering:
@@ -213,6 +223,7 @@
             clock=self.clock,
             counters=self.counters,
             services=self,
+            on_count=self._on_members,
         )
 
     def _make_witness(self) -> RemoteWitness:
@@ -309,10 +320,9 @@
         self.pool.forget(identity)
         self.parts.forget(identity)
 
-    def _on_members(self, state: MirrorState) -> None:
-        self.peering.members.update(state)
-        self.retries.routers = self.peering.members.count
-        self.tokens.routers = self.peering.members.count
+    def _on_members(self, count: int) -> None:
+        self.retries.routers = count
+        self.tokens.routers = count
 
     def _apply_configuration(self, configuration: FleetConfiguration) -> None:
         limits = configuration.limits
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -9,6 +9,7 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
 from aspengate.peers import (
+    MEMBER_PREFIX,
     CeilingNotice,
     CeilingReply,
     Datagram,
@@ -25,7 +26,9 @@
 from aspengate.store import KeyValueStore, StoreMirror
 from aspengate.telemetry import Counters, log_change
 
-_BEACON_MS = 500.0
+_NEWS_MS = 500.0
+_LIST_MS = 30_000.0
+_LIST_ALONE_MS = 3_000.0
 _GRACE_MS = 150.0
 _FETCH_TIMEOUT_MS = 500.0
 _SERVER_THREADS = 2
@@ -33,7 +36,7 @@
 _LOAN_TIMEOUT_MS = 200.0
 _LOAN_FACTOR = 2
 _MOST_LENDERS = 6
-_NEWS_RECEIVERS = 4
+_NEWS_RECEIVERS = 16
 
 
 class Peering:
@@ -42,7 +45,11 @@
     ``mirrors`` are the parts of the store that peers help each other with, by prefix. A router
     whose store does not answer asks a peer for them; one that hears of a newer change than it
     knows asks the peer that spoke of it. ``services`` is what it does for its peers;
-    ``on_reply`` is called with what its witness answers.
+    ``on_reply`` is called with what its witness answers, ``on_count`` with the number of routers
+    that may be alive.
+
+    The list in the store is read at the start and seldom after it: whoever starts later tells
+    all that are listed.
     """
 
     def __init__(
@@ -56,6 +63,7 @@
         clock: Clock,
         counters: Counters,
         services: PeerServices,
+        on_count: Callable[[int], None],
     ) -> None:
         self.mirrors = mirrors
         self.services = services
@@ -66,6 +74,8 @@
         self.session = session_name(name, uuid.uuid4().hex[:8])
         self.members = MemberList(Member(name, self.server.address, self.session), clock)
         self._store = store
+        self._on_count = on_count
+        self._listed_ms = float("-inf")
         self._clock = clock
         self._counters = counters
         self.seeds = seeds
@@ -128,24 +138,38 @@
             return None
 
     def _send(self) -> None:
-        while not self._closing.wait(_BEACON_MS / 1_000):
-            revisions = {prefix: each.state.changed for prefix, each in self.mirrors.items()}
-            known = self.members.addresses()
-            receivers = random.sample(known, min(_NEWS_RECEIVERS, len(known)))
+        while True:
             connected = all(each.connected for each in self.mirrors.values())
-            news = PeerNews(self.members.own, revisions, connected)
-            self._datagrams.send(news, *receivers)
-            if not self.members.registered:
-                self._register()
+            self._tell(reaches_store=connected)
+            if connected or not self.members.listed:
+                self._keep_listed()
             if not connected:
                 self._wake.set()
+            self._on_count(self.members.count)
+            if self._closing.wait(_NEWS_MS / 1_000):
+                return
 
-    def _register(self) -> None:
+    def _tell(self, *, reaches_store: bool) -> None:
+        revisions = {prefix: each.state.changed for prefix, each in self.mirrors.items()}
+        known = self._addresses()
+        receivers = random.sample(known, min(_NEWS_RECEIVERS, len(known)))
+        news = PeerNews(self.members.own, revisions, reaches_store, self.members.listed)
+        self._datagrams.send(news, *receivers)
+
+    def _keep_listed(self) -> None:
+        """Be in the store's list of routers, and know it."""
+        now = self._clock.monotonic_ms()
+        alone = self.members.count == 1
+        due_ms = _LIST_ALONE_MS if alone else _LIST_MS
         try:
-            self.members.register(self._store)
+            if not self.members.registered:
+                self.members.register(self._store)
+            if now - self._listed_ms >= due_ms:
+                self.members.update(self._store.list_items(MEMBER_PREFIX))
+                self._listed_ms = now
         except AspengateError as error:
-            self._counters.count("members.not_registered")
-            log_change("member.not_registered", error=str(error))
+            self._counters.count("members.not_listed")
+            log_change("member.not_listed", error=str(error))
 
     def _on_datagram(self, datagram: Datagram, address: str) -> None:
         if isinstance(datagram, PeerNews):
@@ -158,7 +182,7 @@
             self.on_reply(datagram)
 
     def _on_news(self, news: PeerNews) -> None:
-        self.members.heard(news.member, reaches_store=news.reaches_store)
+        self.members.heard(news.member, reaches_store=news.reaches_store, listed=news.listed)
         for prefix, revision in news.revisions.items():
             mirror = self.mirrors.get(prefix)
             if mirror is not None and revision > mirror.state.changed:
@@ -193,7 +217,12 @@
 
     def _sources(self, told: str) -> list[str]:
         """Return the peers to ask, the one that knows something new first."""
-        port = int(self.members.own.address.rpartition(":")[2])
-        known = self.members.addresses() or peer_addresses(self.seeds, port)
-        others = [each for each in known if each not in (told, self.members.own.address)]
+        others = [each for each in self._addresses() if each != told]
         return ([told] if told else []) + others[:2]
+
+    def _addresses(self) -> list[str]:
+        """Return the addresses of the other routers, of the seeds where none is known."""
+        own = self.members.own.address
+        port = int(own.rpartition(":")[2])
+        known = self.members.addresses() or peer_addresses(self.seeds, port)
+        return [address for address in known if address != own]
--- a/src/aspengate/peers/_members.py
+++ b/src/aspengate/peers/_members.py
@@ -9,11 +9,12 @@
 from aspengate.allowances import router_of
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
-from aspengate.store import KeyValueStore, MirrorState, Put
+from aspengate.store import KeyValueStore, Put, Snapshot
 from aspengate.telemetry import log_change
 
 MEMBER_PREFIX = "aspengate/routers/"
 _ALIVE_MS = 3_000.0
+_REMEMBERED_MS = 60_000.0
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -30,9 +31,11 @@
     def __init__(self, own: Member, clock: Clock) -> None:
         self.own = own
         self.registered = False
+        self.listed = 0
         self._clock = clock
         self._members: dict[str, Member] = {}
         self._heard: dict[str, Member] = {}
+        self._told_listed = 0
         self._reaches_store: dict[str, bool] = {}
         self._heard_ms: dict[str, float] = {}
         self._lock = threading.Lock()
@@ -41,12 +44,12 @@
     def count(self) -> int:
         """How many routers may be alive, this one among them."""
         with self._lock:
-            return 1 + len(self._members)
+            return max(1 + len(self._members), self.listed, self._told_listed)
 
-    def update(self, state: MirrorState) -> None:
+    def update(self, listed: Snapshot) -> None:
         """Take over what is registered in the store."""
         members = {}
-        for item in state.items.values():
+        for item in listed.items:
             try:
                 member = msgspec.json.decode(item.value, type=Member)
             except msgspec.MsgspecError as error:
@@ -57,10 +60,16 @@
             else:
                 self.registered = member == self.own
         with self._lock:
+            now = self._clock.monotonic_ms()
+            for name, member in self._heard.items():
+                if now - self._heard_ms[name] <= _REMEMBERED_MS:
+                    members[name] = member
             self._members = members
+            self.listed = 1 + len(members)
+            self._told_listed = 0
 
-    def heard(self, member: Member, *, reaches_store: bool = False) -> None:
-        """Note a sign of life of another router, and whether the store answers it."""
+    def heard(self, member: Member, *, reaches_store: bool = False, listed: int = 0) -> None:
+        """Note a sign of life of another router, with what else its news tell."""
         if member.name == self.own.name:
             return
         with self._lock:
@@ -72,6 +81,8 @@
             self._heard_ms[member.name] = self._clock.monotonic_ms()
             self._heard[member.name] = member
             self._reaches_store[member.name] = reaches_store
+            if not self.listed:
+                self._told_listed = max(self._told_listed, listed)
             self._members[member.name] = member
 
     def alive(self) -> list[Member]:
@@ -124,6 +135,7 @@
         """Write this router into the store; raises AspengateError where that fails."""
         value = msgspec.json.encode(self.own)
         store.transact({}, (Put(MEMBER_PREFIX + self.own.name, value),))
+        self.registered = True
 
     def withdraw(self, store: KeyValueStore) -> None:
         """Take this router out of the store, as far as the store can be reached."""
--- a/src/aspengate/peers/_messages.py
+++ b/src/aspengate/peers/_messages.py
@@ -9,12 +9,14 @@
     """What one router tells others, which is also its sign of life.
 
     ``revisions`` maps a prefix of the store to the newest change known below it;
-    ``reaches_store`` tells whether the store answers this router.
+    ``reaches_store`` tells whether the store answers this router, and ``listed`` how many
+    routers the store's list had when this one read it last.
     """
 
     member: Member
     revisions: dict[str, int] = {}
     reaches_store: bool = False
+    listed: int = 0
 
 
 class CeilingNotice(msgspec.Struct, frozen=True, tag="ceilings"):
--- a/src/aspengate/store/_mirror.py
+++ b/src/aspengate/store/_mirror.py
@@ -36,6 +36,9 @@
     ``on_change`` is called with each new state, on the thread that learned of it. A state from
     another process may be handed in by ``offer``: revisions are the store's, so the higher one
     is the newer one, wherever it comes from.
+
+    Each watch waits up to ``wait_ms``. After one that told changes the next begins ``gather_ms``
+    later, so that changes which come together cost one call.
     """
 
     def __init__(
@@ -46,11 +49,13 @@
         counters: Counters,
         on_change: Callable[[MirrorState], None],
         wait_ms: int,
+        gather_ms: float = 0.0,
     ) -> None:
         self.prefix = prefix
         self.state = MirrorState()
         self.connected = False
         self.wait_ms = wait_ms
+        self.gather_ms = gather_ms
         self._store = store
         self._clock = clock
         self._counters = counters
@@ -89,9 +94,11 @@
                 if not listed:
                     self.offer(self._store.list_items(self.prefix))
                     listed = True
-                self._follow()
+                has_changed = self._follow()
                 self._note_connected()
                 pause_ms = _FIRST_PAUSE_MS
+                if has_changed and self.gather_ms:
+                    self._closing.wait(self.gather_ms / 1_000)
             except HistoryLostError:
                 self._counters.count("mirror.history_lost")
                 log_change("store.history_lost", prefix=self.prefix, revision=self.state.revision)
@@ -102,17 +109,20 @@
                 self._closing.wait(pause_ms * random.uniform(0.5, 1.0) / 1_000)
                 pause_ms = min(pause_ms * _PAUSE_GROWTH, _LONGEST_PAUSE_MS)
 
-    def _follow(self) -> None:
+    def _follow(self) -> bool:
+        """Wait for changes and take them over; return whether there were any."""
         wait_ms = self.wait_ms if self.connected else _PROBE_MS
         changes = self._store.changes(self.prefix, self.state.revision, wait_ms)
         with self._lock:
             if changes.revision <= self.state.revision:
-                return
+                return False
             items = dict(self.state.items)
             changed = max(_apply(changes, items), self.state.changed)
             self.state = MirrorState(items, changes.revision, changed)
-            if changes.written or changes.removed:
+            has_changed = bool(changes.written or changes.removed)
+            if has_changed:
                 self._on_change(self.state)
+            return has_changed
 
     def _note_connected(self) -> None:
         if not self.connected:
