--- a/features/allowances.feature
+++ b/features/allowances.feature
@@ -18,3 +18,8 @@
   Scenario: Documents survive their stored form, and old sessions are folded
     When any documents are written to their stored form and read again
     Then they are as they were, and folding loses no committed token
+
+  Scenario: A router that has settled its accounts gives nothing more
+    Given a router whose draw from the store is answered late
+    When it settles for good before the answer comes, and is asked for tokens after it
+    Then it gives none, and takes none back
--- a/features/steps/allowance_steps.py
+++ b/features/steps/allowance_steps.py
@@ -9,6 +9,7 @@
 from allowance_world import KEY, World
 from aspengate.allowances import AllowanceDocument, decode_document, encode_document, set_allowance
 from aspengate.errors import AspengateError
+from aspengate.peers import LoanRequest, Repayment
 
 LIMIT = 10_000
 ROUTER = st.integers(0, 2)
@@ -21,7 +22,9 @@
     st.tuples(st.just("lose"), st.sampled_from(["late", "never", "lost", "late, then down"])),
     st.tuples(st.just("late write")),
     st.tuples(st.just("down"), st.booleans()),
-    st.tuples(st.just("lose loan")),
+    st.tuples(st.just("loan"), ROUTER, st.sampled_from(["lost", "answer lost"])),
+    st.tuples(st.just("repeat")),
+    st.tuples(st.just("primary"), ROUTER),
     st.tuples(st.just("limit"), st.integers(0, 20_000)),
     st.tuples(st.just("hear"), ROUTER),
     st.tuples(st.just("time"), st.integers(1, 30_000)),
@@ -46,8 +49,12 @@
         world.store.do_late_write()
     elif name == "down":
         world.store.down = values[0]
-    elif name == "lose loan":
-        world.lose_loan = True
+    elif name == "loan":
+        world.loans[values[0]].next = values[1]
+    elif name == "repeat":
+        world.repeat()
+    elif name == "primary":
+        world.primary = values[0]
     elif name == "limit":
         world.set_limit(*values)
     elif name == "hear":
@@ -162,6 +169,10 @@
             entry.closed = False
         return type(self).accept(self, session, ceilings, now_ms)
 
+    def count_each_repayment(self, account, payment):
+        self._repaid.clear()
+        return type(self).take_repayment(self, account, payment)
+
     late_lowering = [
         ("reserve", 0, LIMIT),
         ("finish", 0, 0.0),
@@ -174,22 +185,31 @@
         ("reserve", 1, LIMIT),
     ]
     lost_raise = [
-        ("reserve", 1, 4_000),
-        ("lose", "never"),
+        ("lose", "late, then down"),
         ("reserve", 0, 4_000),
-        ("down", True),
         ("reserve", 0, 4_000),
         ("down", False),
-        ("reserve", 1, 4_000),
-        ("reserve", 2, 4_000),
-        ("reserve", 1, 2_000),
+        ("primary", 1),
+        ("reserve", 1, 8_000),
     ]
     spending = [("reserve", 0, 1_000), ("reserve", 0, 500)]
     going_on = [("reserve", 0, 500)] * 10
     taking_the_rest = [("reserve", 1, 3_000), ("reserve", 2, 3_000)]
     beyond_ceiling = [*spending, *going_on, ("restart", 0), *taking_the_rest]
     closed_goes_on = [*spending, ("close silent", 0), *going_on, *taking_the_rest]
+    paid_back = [
+        ("reserve", 1, 1_000),
+        ("reserve", 1, 4_000),
+        ("finish", 1, 0.0),
+        ("time", 21_000),
+        ("tick", 1),
+        ("repeat",),
+        ("repeat",),
+        ("reserve", 0, 8_000),
+        ("reserve", 0, 1_500),
+    ]
     cases = {
+        "a repayment counts once": (paid_back, "take_repayment", count_each_repayment),
         "no use beyond the ceiling": (beyond_ceiling, "_grant", grant_beyond_ceiling),
         "a closed session's ceilings are final": (closed_goes_on, "accept", accept_closed),
         "another write before a document is believed": (
@@ -246,3 +266,33 @@
         "sessions": many.sessions,
         "witnesses": many.witnesses,
     }
+
+
+@given("a router whose draw from the store is answered late")
+def answered_late(context):
+    context.world = World(LIMIT)
+    context.router = context.world.accounts[0]
+    assert context.world.reserve(0, 1_000)
+    context.world.finish(0, 1.0)
+
+
+@when("it settles for good before the answer comes, and is asked for tokens after it")
+def settles_before(context):
+    world = context.world
+    world.store.on_written = lambda: context.router.close(timeout_ms=1)
+    loan = LoanRequest(1, "router-1.2", "board", 3_000, 0)
+    context.replies = []
+    context.router.take_loan_request(loan, context.replies.append)
+    later = LoanRequest(2, "router-1.2", "board", 500, 0)
+    context.router.take_loan_request(later, context.replies.append)
+
+
+@then("it gives none, and takes none back")
+def gives_none(context):
+    world = context.world
+    document = decode_document(world.store.items[KEY].value)
+    given = sum(reply.given for reply in context.replies)
+    assert document.committed >= 1_000 + given, (document, context.replies)
+    assert context.replies[-1].given == 0, context.replies
+    payment = Repayment(3, "router-1.2", context.router.session, "board", 100)
+    assert not context.router.take_repayment(payment)
--- a/features/steps/allowance_world.py
+++ b/features/steps/allowance_world.py
@@ -7,6 +7,7 @@
 from aspengate.configuration import ClientAccount
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway.prepaid import ALLOWANCE_PREFIX, LimitSource, TokenAccounts
+from aspengate.peers import LoanRequest, Repayment
 from aspengate.store import ConditionFailedError, StoreItem
 from aspengate.telemetry import NullCounters
 
@@ -18,6 +19,9 @@
 class InlineExecutor(Executor):
     """Runs what is submitted at once, on the same thread."""
 
+    def shutdown(self, *_, **__):
+        """Go on as before."""
+
     def submit(self, function, /, *arguments, **named):
         future = Future()
         future.set_result(function(*arguments, **named))
@@ -41,7 +45,9 @@
     def __init__(self, limit):
         self.items = {LIMIT_KEY: StoreItem(LIMIT_KEY, b"%d" % limit, 1)}
         self.revision = 1
+        self.answered_ms = 0.0
         self.down = False
+        self.on_written = lambda: None
         self.next_write = "done"
         self.late = []
 
@@ -67,6 +73,8 @@
         if how in ("late", "never"):
             raise AspengateError(ErrorKind.OUTCOME_UNKNOWN, "lost")
         revision = self._apply(conditions, puts)
+        written, self.on_written = self.on_written, lambda: None
+        written()
         if how == "lost":
             raise AspengateError(ErrorKind.OUTCOME_UNKNOWN, "lost")
         return revision
@@ -146,6 +154,61 @@
         return self.world.clock.monotonic_ms()
 
 
+class WorldLoans:
+    """Borrows from the others at once; requests, answers and repayments may get lost."""
+
+    def __init__(self, world, number, session):
+        self.world = world
+        self.number = number
+        self.session = session
+        self.count = 0
+        self.next = "told"
+
+    def is_primary(self, account):
+        return self.number == self.world.primary
+
+    def ask(self, account, needed, extra):
+        if self.is_primary(account):
+            return False
+        self._ask(self.world.primary, account, needed, extra)
+        return True
+
+    def ask_others(self, account, needed):
+        for number in range(len(self.world.accounts)):
+            if number != self.number:
+                self._ask(number, account, needed, 0)
+        return True
+
+    def repay(self, account, amount):
+        if self.is_primary(account):
+            return False
+        self.count += 1
+        lender = self.world.primary
+        payment = Repayment(
+            self.count, self.session, self.world.session_of(lender), account, amount
+        )
+        how, self.next = self.next, "told"
+        if how != "lost":
+            self.world.repayments.append((lender, payment))
+            self.world.pay(lender, payment)
+        return True
+
+    def _ask(self, lender, account, needed, extra):
+        self.count += 1
+        request = LoanRequest(self.count, self.session, account, needed, extra)
+        how, self.next = self.next, "told"
+        if how == "lost":
+            return
+
+        def answer(reply):
+            mine = self.world.accounts[self.number]
+            if how != "answer lost" and mine.session == self.session:
+                mine.take_loan(reply)
+
+        self.world.requests.append((lender, request))
+        self.world.accounts[lender].take_loan_request(request, answer)
+
+
 class World:
     """Some routers, what they truly used, and what runs."""
 
@@ -154,7 +217,10 @@
         self.store = DelayingStore(limit)
         self.highest = limit
         self.used = 0
-        self.lose_loan = False
+        self.primary = 0
+        self.requests = []
+        self.repayments = []
+        self.loans = [None] * routers
         self.rules = rules
         self.lives = 0
         self.accounts = []
@@ -176,6 +242,7 @@
         session = f"router-{number}.{self.lives}"
         self.sessions[number] = session
         self.witnesses[number] = WorldWitness(self, number, session)
+        self.loans[number] = WorldLoans(self, number, session)
         self.known[number] = (self.store.limit, self.store.items[LIMIT_KEY].revision)
         self.accounts[number] = TokenAccounts(
             session=session,
@@ -184,14 +251,16 @@
             counters=NullCounters(),
             limit_of=lambda _: self._limit_of(number),
             on_conflict=lambda items: self._learn(number, items),
-            borrow=lambda account, amount: self._borrow(number, account, amount),
+            loans=self.loans[number],
             witness=self.witnesses[number],
             sessions=self,
+            reaches_store=lambda: True,
             sizing=AllowanceSizing(),
             executor=InlineExecutor(),
         )
         self.accounts[number].routers = len(self.accounts)
-        parts = (self.accounts[number], self.accounts[number].writer, self.accounts[number].book)
+        accounts = self.accounts[number]
+        parts = (accounts.lender, accounts.writer, accounts.book)
         for rule, broken in self.rules.items():
             part = next(each for each in parts if hasattr(each, rule))
             setattr(part, rule, broken.__get__(part))
@@ -226,6 +295,18 @@
         session = self.session_of(number)
         self.accounts[(number + 1) % len(self.accounts)]._close_silent(session, ("board",))
 
+    def pay(self, lender, payment):
+        """A repayment arrives, at the life of a router that it is meant for."""
+        if self.session_of(lender) == payment.lender:
+            self.accounts[lender].take_repayment(payment)
+
+    def repeat(self):
+        """Messages that arrived once arrive again."""
+        for lender, request in self.requests[-3:]:
+            self.accounts[lender].take_loan_request(request, lambda _: None)
+        for lender, payment in self.repayments[-3:]:
+            self.pay(lender, payment)
+
     def set_limit(self, limit):
         self.highest = max(self.highest, limit)
         self.store.set_limit(limit)
@@ -247,14 +328,3 @@
         if LIMIT_KEY in items:
             item = items[LIMIT_KEY]
             self.known[number] = (int(item.value), item.revision)
-
-    def _borrow(self, number, account, amount):
-        got = 0
-        for other, lender in enumerate(self.accounts):
-            if other != number and lender is not None and got < amount:
-                given = lender.lend(account, amount - got)
-                if self.lose_loan:
-                    self.lose_loan = False
-                    continue
-                got += given
-        return got
--- a/features/steps/witness_steps.py
+++ b/features/steps/witness_steps.py
@@ -3,12 +3,21 @@
 import threading
 
 from behave import given, then, when
+from platform_standins import Fleet
 from platform_standins.fleet import eventually
 
 from aspengate.allowances import WitnessBook
 from aspengate.clock import SystemClock
 from aspengate.gateway.prepaid import RemoteWitness
-from aspengate.peers import CeilingReply, Member
+from aspengate.peers import (
+    CeilingNotice,
+    CeilingReply,
+    DatagramPort,
+    LoanReply,
+    LoanRequest,
+    Member,
+    RepaymentReply,
+)
 from aspengate.telemetry import NullCounters
 
 PEERS = (Member("b", "10.0.0.2:1", "b.1"), Member("c", "10.0.0.3:1", "c.1"))
@@ -117,3 +126,60 @@
     assert context.book.accept("d.1", {"board": 1}, 2.0)
     assert not context.book.accept("e.1", {"board": 1}, 2.0)
     assert context.book.silent(3.0) == {"d.1": ("board",)}
+
+
+@given("a port for datagrams whose handler fails on the first message")
+def failing_handler(context):
+    context.handled = []
+
+    def handle(message, address):
+        context.handled.append(message)
+        if len(context.handled) == 1:
+            raise RuntimeError("the first one")
+
+    context.port = DatagramPort("127.0.0.1:0", NullCounters(), handle)
+    context.port.start()
+    context.cleanup.callback(context.port.close)
+
+
+@when("two messages are sent to it")
+def two_messages(context):
+    sender = DatagramPort("127.0.0.1:0", NullCounters(), lambda *_: None)
+    context.cleanup.callback(sender.close)
+    sender.send(RepaymentReply(1, "a.1"), context.port.address)
+    assert eventually(lambda: context.handled)
+    sender.send(RepaymentReply(2, "a.1"), context.port.address)
+
+
+@then("the second one is handled")
+def second_handled(context):
+    assert eventually(lambda: [message.number for message in context.handled] == [1, 2])
+
+
+@given("a gateway that the store does not answer")
+def gateway_without_store(context):
+    fleet = Fleet(context.cleanup)
+    door = fleet.store.open_door()
+    door.fault = "busy"
+    context.fleet = fleet
+    context.router = fleet.add_router(ready=False, door=door)
+
+
+@when("a peer asks it for tokens and tells it ceilings")
+def peer_asks(context):
+    replies = context.replies = {}
+    peer = DatagramPort(
+        "127.0.0.9:0", NullCounters(), lambda reply, _: replies.update({type(reply): reply})
+    )
+    peer.start()
+    context.cleanup.callback(peer.close)
+    session = context.router.find("gateway.started")["session"]
+    peer.send(LoanRequest(1, "a.1", "board", 500, 0), context.router.peer_address)
+    peer.send(CeilingNotice(1, "a.1", session, {"board": 5}), context.router.peer_address)
+
+
+@then("it answers that it has none, and accepts the ceilings")
+def answers_none(context):
+    assert eventually(lambda: len(context.replies) == 2), context.router.lines
+    assert context.replies[LoanReply].given == 0 and context.replies[LoanReply].refused
+    assert context.replies[CeilingReply].accepted
--- a/features/witness.feature
+++ b/features/witness.feature
@@ -20,3 +20,13 @@
     When the session is closed
     Then no more is accepted from it, and its ceilings stay as they were
     And a book that is full takes no new session
+
+  Scenario: A message that can't be handled stops no other
+    Given a port for datagrams whose handler fails on the first message
+    When two messages are sent to it
+    Then the second one is handled
+
+  Scenario: A router that has no configuration yet answers its peers
+    Given a gateway that the store does not answer
+    When a peer asks it for tokens and tells it ceilings
+    Then it answers that it has none, and accepts the ceilings
--- a/src/aspengate/allowances/_purse.py
+++ b/src/aspengate/allowances/_purse.py
@@ -17,7 +17,8 @@
     written, and raised only after a higher one was confirmed. ``ceiling`` is what the session's
     witness has accepted, None where there is no witness: both bound what is committed. ``lent``
     went to other routers and ``borrowed`` came from them, both without the store: what one lends
-    it can never use itself, so that the sum over all routers stays what the store granted.
+    it can never use itself, so that the sum over all routers stays what the store granted. Once
+    ``frozen``, what is reserved may still be settled, but nothing more is given or taken.
     """
 
     def __init__(self, sizing: AllowanceSizing) -> None:
@@ -28,6 +29,7 @@
         self.ceiling: int | None = None
         self.lent = 0
         self.borrowed = 0
+        self.frozen = False
         self._rate = 0.0
         self._rate_ms = 0.0
         self._first_ms: float | None = None
@@ -36,12 +38,12 @@
     @property
     def free(self) -> int:
         """What a new request could take at once."""
-        return self.bound - self.committed
+        return 0 if self.frozen else self.bound - self.committed
 
     @property
     def held(self) -> int:
         """What is granted beyond what is committed, whether the ceiling reaches there or not."""
-        return self.granted - self.committed
+        return 0 if self.frozen else self.granted - self.committed
 
     @property
     def bound(self) -> int:
@@ -71,10 +73,15 @@
         self.reserved -= reserved
         self.used += used
 
-    def lend(self, amount: int) -> int:
-        """Give up to ``amount`` of what is free to another router; return how much."""
+    def lend(self, amount: int, now_ms: float | None = None) -> int:
+        """Give up to ``amount`` of what is free to another router; return how much.
+
+        With ``now_ms`` it counts as demand.
+        """
         given = max(0, min(amount, self.free))
         self.lent += given
+        if given and now_ms is not None:
+            self._note_demand(given, now_ms)
         return given
 
     def lend_reserved(self, amount: int) -> None:
@@ -82,9 +89,12 @@
         self.reserved -= amount
         self.lent += amount
 
-    def borrow(self, amount: int) -> None:
-        """Take in what another router gave."""
+    def borrow(self, amount: int) -> bool:
+        """Take in what another router gave; return whether it counts."""
+        if self.frozen:
+            return False
         self.borrowed += amount
+        return True
 
     def count_as_closed(self) -> None:
         """Begin anew after the store has counted the session as closed at ``bound`` or more.
@@ -114,11 +124,12 @@
         demand: Demand,
         *,
         idle: bool,
+        is_primary: bool = False,
     ) -> int:
         """Return the allowance to ask for, never less than what is committed.
 
         What is waited for is asked for whole or not at all. While the account is ``idle``,
-        nothing is kept beyond what requests need.
+        nothing is kept beyond what requests need. The primary keeps the reserve for all.
         """
         most = document.most_for(session, limit)
         needed = demand.committed + demand.waiting
@@ -130,10 +141,13 @@
             limit=limit,
             unheld=most - needed,
             routers=routers,
-            part=document.part_of(session),
+            part=1.0 if is_primary else document.part_of(session),
             lost_sessions=document.lost_sessions,
         )
-        return needed + self.sizing.reserve(demand, holding)
+        reserve = self.sizing.reserve(demand, holding)
+        if not is_primary:
+            reserve = min(reserve, self.sizing.at_hand(demand))
+        return needed + reserve
 
     def _per_second(self, now_ms: float) -> float:
         """Return the rate of demand; what is seen of a young purse is scaled up."""
--- a/src/aspengate/allowances/_sizing.py
+++ b/src/aspengate/allowances/_sizing.py
@@ -66,6 +66,10 @@
         wanted = demand.per_second * self.ahead_ms / 1_000
         return int(wanted + self.ahead_requests * demand.request)
 
+    def at_hand(self, demand: Demand) -> int:
+        """Return what a router keeps of what it borrowed; it is lost with the router."""
+        return int(demand.per_second * self.ahead_ms / 1_000)
+
     def reserve(self, demand: Demand, holding: Holding) -> int:
         """Return the tokens to keep at hand."""
         if holding.limit <= 0 or holding.unheld <= 0:
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -11,15 +11,22 @@
 from aspengate.gateway._application import ADMISSION, GatewayApplication
 from aspengate.gateway._attempt import AttemptParts
 from aspengate.gateway._dispatcher import Dispatcher
-from aspengate.gateway._peering import Peering
+from aspengate.gateway._peering import Peering, Reply
 from aspengate.gateway._ports import Deployment
 from aspengate.gateway._ready import ReadyApplication
 from aspengate.gateway._settings import GatewaySettings
 from aspengate.gateway._stop import StopPlan
 from aspengate.gateway._story import RequestLog
 from aspengate.gateway.filters import FilterParts, make_filters
-from aspengate.gateway.prepaid import LimitSource, RemoteWitness, TokenAccounts
-from aspengate.peers import CeilingNotice
+from aspengate.gateway.prepaid import LimitSource, PeerLoans, RemoteWitness, TokenAccounts
+from aspengate.peers import (
+    CeilingNotice,
+    CeilingReply,
+    LoanReply,
+    LoanRequest,
+    Repayment,
+    RepaymentReply,
+)
 from aspengate.replicas import PartMemory, ReplicaChooser, ReplicaRegistry
 from aspengate.retries import RetryPolicy, SharedRetryBudget
 from aspengate.serving import RelayServer, WsgiServer
@@ -74,9 +81,9 @@
         )
         self.peering = self._make_peering()
         self.witness = self._make_witness()
+        self.loans = self._make_loans()
         self.tokens = self._make_tokens()
-        self.witness.on_accepted = self.tokens.take_accepted
-        self.witness.on_lost = self.tokens.take_lost_witness
+        self._connect_tokens()
         self.log = RequestLog(clock, counters, settings.log_lines_per_second)
         self.server = self._make_server()
         self.ready_server = WsgiServer(
@@ -97,6 +104,7 @@
             mirror.start()
         self.peering.start()
         self.witness.start()
+        self.loans.start()
         self.server.start()
         self.ready_server.start()
         self._ticker.start()
@@ -171,14 +179,19 @@
         self.ready_server.close()
         self.tokens.close()
         self.witness.close()
+        self.loans.close()
         for mirror in self.mirrors:
             mirror.close()
         self.peering.close()
         self.pool.close()
 
-    def lend(self, account: str, amount: int) -> int:
-        """Give another router up to ``amount`` of an account's unused tokens."""
-        return self.tokens.lend(account, amount)
+    def take_loan_request(self, request: LoanRequest, answer: Callable[[LoanReply], None]) -> None:
+        """Lend another router tokens; ``answer`` is called once it is decided how many."""
+        self.tokens.take_loan_request(request, answer)
+
+    def take_repayment(self, payment: Repayment) -> bool:
+        """Take tokens back from another router; return whether they count now."""
+        return self.tokens.take_repayment(payment)
 
     def accept_ceilings(self, notice: CeilingNotice) -> bool:
         """Witness the most that another router's session will use."""
@@ -227,16 +240,40 @@
         )
 
     def _make_witness(self) -> RemoteWitness:
-        witness = RemoteWitness(
+        return RemoteWitness(
             self.peering.session,
             self.clock,
             self.counters,
             alive=self.peering.members.alive,
-            send=self.peering.send_notice,
+            send=self.peering.send,
             ask_to_close=self.peering.close_witnessed,
         )
-        self.peering.on_reply = witness.take_reply
-        return witness
+
+    def _make_loans(self) -> PeerLoans:
+        members = self.peering.members
+        return PeerLoans(members.own, members, self.clock, self.counters, self.peering.send)
+
+    def _connect_tokens(self) -> None:
+        self.witness.on_accepted = self.tokens.take_accepted
+        self.witness.on_lost = self.tokens.take_lost_witness
+        self.loans.on_loan = self.tokens.take_loan
+        self.loans.on_failed = self.tokens.take_failed_loan
+        self.loans.reaches_store = self._can_draw
+        self.peering.on_reply = self._on_reply
+
+    def _can_draw(self) -> bool:
+        """Return whether the store seems to answer this router."""
+        now = self.clock.monotonic_ms()
+        return self.peering.reaches_store and not self.tokens.writer.seems_down(now)
+
+    def _on_reply(self, reply: Reply) -> None:
+        match reply:
+            case CeilingReply():
+                self.witness.take_reply(reply)
+            case LoanReply():
+                self.loans.take_reply(reply)
+            case RepaymentReply():
+                self.loans.take_repayment_reply(reply)
 
     def _make_tokens(self) -> TokenAccounts:
         return TokenAccounts(
@@ -246,9 +283,10 @@
             counters=self.counters,
             limit_of=self._limit_of,
             on_conflict=self._on_conflict,
-            borrow=self.peering.borrow,
+            loans=self.loans,
             witness=self.witness,
             sessions=self.peering.members,
+            reaches_store=lambda: self.peering.reaches_store,
         )
 
     def _make_server(self) -> RelayServer:
@@ -281,6 +319,8 @@
         )
 
     def _limit_of(self, account: str) -> LimitSource | None:
+        if not self.holder.known:
+            return None
         configuration = self.holder.current
         found = configuration.accounts_by_name.get(account)
         if found is None or found.prepaid_tokens is None:
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -14,12 +14,16 @@
     CeilingReply,
     Datagram,
     DatagramPort,
+    LoanReply,
+    LoanRequest,
     Member,
     MemberList,
     PeerApplication,
     PeerClient,
     PeerNews,
     PeerServices,
+    Repayment,
+    RepaymentReply,
     peer_addresses,
 )
 from aspengate.serving import WsgiServer
@@ -33,11 +37,10 @@
 _FETCH_TIMEOUT_MS = 500.0
 _SERVER_THREADS = 2
 _SMALL_BODY = 4 * 1024
-_LOAN_TIMEOUT_MS = 200.0
-_LOAN_FACTOR = 2
-_MOST_LENDERS = 6
 _NEWS_RECEIVERS = 16
 
+Reply = CeilingReply | LoanReply | RepaymentReply
+
 
 class Peering:
     """One router among its peers.
@@ -45,8 +48,8 @@
     ``mirrors`` are the parts of the store that peers help each other with, by prefix. A router
     whose store does not answer asks a peer for them; one that hears of a newer change than it
     knows asks the peer that spoke of it. ``services`` is what it does for its peers;
-    ``on_reply`` is called with what its witness answers, ``on_count`` with the number of routers
-    that may be alive.
+    ``on_reply`` is called with what other routers answer, ``on_count`` with the number of
+    routers that may be alive.
 
     The list in the store is read at the start and seldom after it: whoever starts later tells
     all that are listed.
@@ -67,7 +70,7 @@
     ) -> None:
         self.mirrors = mirrors
         self.services = services
-        self.on_reply: Callable[[CeilingReply], None] = lambda _: None
+        self.on_reply: Callable[[Reply], None] = lambda _: None
         self.server = WsgiServer(
             PeerApplication(mirrors, services), address, _SERVER_THREADS, _SMALL_BODY
         )
@@ -80,7 +83,6 @@
         self._counters = counters
         self.seeds = seeds
         self._client = PeerClient(_FETCH_TIMEOUT_MS)
-        self._lenders = PeerClient(_LOAN_TIMEOUT_MS)
         self._datagrams = DatagramPort(self.server.address, counters, self._on_datagram)
         self._behind: dict[str, str] = {}
         self._wake = threading.Event()
@@ -90,6 +92,11 @@
             threading.Thread(target=self._catch_up, daemon=True, name="peers-fetch"),
         )
 
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the store answers what is asked of it for the mirrors."""
+        return all(each.connected for each in self.mirrors.values())
+
     def start(self) -> None:
         """Begin to send and to listen."""
         self.server.start()
@@ -105,24 +112,9 @@
         self._datagrams.close()
         self.server.close()
 
-    def borrow(self, account: str, amount: int) -> int:
-        """Ask other routers for unused tokens of an account; return how many they gave.
-
-        Each is asked for what is missing and some more, so that the next request finds some.
-        """
-        got = 0
-        for member in self.members.lenders(_MOST_LENDERS):
-            if got >= amount:
-                break
-            try:
-                got += self._lenders.loan(member.address, account, (amount - got) * _LOAN_FACTOR)
-            except AspengateError:
-                self._counters.count("peers.loan_failed")
-        return got
-
-    def send_notice(self, notice: CeilingNotice, address: str) -> None:
-        """Tell a witness ceilings."""
-        self._datagrams.send(notice, address)
+    def send(self, datagram: Datagram, address: str) -> None:
+        """Send a message to another router; it may get lost."""
+        self._datagrams.send(datagram, address)
 
     def close_witnessed(self, witness: str, session: str) -> Mapping[str, int] | None:
         """Have the router that runs ``witness`` close a session; None where it can't tell."""
@@ -139,7 +131,7 @@
 
     def _send(self) -> None:
         while True:
-            connected = all(each.connected for each in self.mirrors.values())
+            connected = self.reaches_store
             self._tell(reaches_store=connected)
             if connected or not self.members.listed:
                 self._keep_listed()
@@ -172,14 +164,28 @@
             log_change("member.not_listed", error=str(error))
 
     def _on_datagram(self, datagram: Datagram, address: str) -> None:
-        if isinstance(datagram, PeerNews):
-            self._on_news(datagram)
-        elif isinstance(datagram, CeilingNotice):
-            accepted = datagram.witness == self.session and self.services.accept_ceilings(datagram)
-            reply = CeilingReply(datagram.number, datagram.session, self.session, accepted)
-            self._datagrams.send(reply, address)
-        else:
-            self.on_reply(datagram)
+        match datagram:
+            case PeerNews():
+                self._on_news(datagram)
+            case CeilingNotice():
+                self._witness(datagram, address)
+            case LoanRequest():
+                self.services.take_loan_request(
+                    datagram, lambda reply: self._datagrams.send(reply, address)
+                )
+            case Repayment():
+                self._take_repayment(datagram, address)
+            case _:
+                self.on_reply(datagram)
+
+    def _witness(self, notice: CeilingNotice, address: str) -> None:
+        accepted = notice.witness == self.session and self.services.accept_ceilings(notice)
+        reply = CeilingReply(notice.number, notice.session, self.session, accepted)
+        self._datagrams.send(reply, address)
+
+    def _take_repayment(self, payment: Repayment, address: str) -> None:
+        if payment.lender == self.session and self.services.take_repayment(payment):
+            self._datagrams.send(RepaymentReply(payment.number, payment.session), address)
 
     def _on_news(self, news: PeerNews) -> None:
         self.members.heard(news.member, reaches_store=news.reaches_store, listed=news.listed)
--- a/src/aspengate/gateway/prepaid/_account.py
+++ b/src/aspengate/gateway/prepaid/_account.py
@@ -1,6 +1,7 @@
 """One account as this router knows it."""
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from aspengate.allowances import AllowanceDocument, Purse
@@ -25,29 +26,49 @@
 
 @dataclass
 class Ticket:
-    """A request that waits for tokens."""
+    """A request that waits for tokens.
+
+    ``on_decided`` is called once it is granted or refused, with the account's lock held.
+    ``passed_over`` means that the source which was asked has none; it is not decided yet.
+    """
 
     amount: int
     granted: bool = False
     refused: ErrorKind | None = None
+    passed_over: bool = False
+    on_decided: "Callable[[Ticket], None] | None" = None
 
     @property
     def decided(self) -> bool:
         """Whether the request need not wait any longer."""
         return self.granted or self.refused is not None
 
+    def decide(self, *, refused: ErrorKind | None = None) -> None:
+        """Grant the request, or refuse it."""
+        self.granted = refused is None
+        self.refused = refused
+        if self.on_decided is not None:
+            self.on_decided(self)
+
 
 @dataclass
 class Account:
     """One account's purse with what is known of its document; guarded by ``changed``.
 
+    ``limit`` is what it may use in all, as the last configuration said.
+
     ``uncertain`` means that a write without an answer may still take effect while the document
     is unchanged: only another write, which moves the revision on, rules that out. ``listed``
     means that the store confirmed this session's entry in the document.
+
+    Until the times given here, in monotonic milliseconds: requests of ``exhausted_amount`` or
+    more are not covered; the primary has nothing to lend, nor have the others; and nothing is
+    to be kept beyond what requests need.
     """
 
     name: str
     purse: Purse
+    limit: int = 0
     document: AllowanceDocument | None = None
     revision: int = 0
     working: bool = False
@@ -56,6 +77,9 @@
     waiting: list[Ticket] = field(default_factory=list)
     exhausted_until_ms: float = 0.0
     exhausted_amount: int = 0
+    unavailable_until_ms: float = 0.0
+    others_empty_until_ms: float = 0.0
+    scarce_until_ms: float = 0.0
     used_ms: float = 0.0
     changed: threading.Condition = field(default_factory=threading.Condition)
 
@@ -69,6 +93,11 @@
         """The tokens that waiting requests need."""
         return sum(ticket.amount for ticket in self.waiting)
 
+    @property
+    def first_own(self) -> Ticket | None:
+        """The first waiting request of this router's own callers."""
+        return next((ticket for ticket in self.waiting if ticket.on_decided is None), None)
+
     def take(self, document: AllowanceDocument, item: StoreItem | None) -> None:
         """Believe a document that was read."""
         self.document = document
@@ -78,15 +107,28 @@
         """Grant the waiting requests that are covered, in order; call it with the lock held."""
         for ticket in list(self.waiting):
             if self.purse.reserve(ticket.amount, now_ms):
-                ticket.granted = True
                 self.waiting.remove(ticket)
+                ticket.decide()
         self.changed.notify_all()
 
     def refuse_waiting(self, kind: ErrorKind) -> None:
         """Refuse all waiting requests; call it with the lock held."""
-        for ticket in self.waiting:
-            ticket.refused = kind
-        self.waiting.clear()
+        waiting, self.waiting = self.waiting, []
+        for ticket in waiting:
+            ticket.decide(refused=kind)
+        self.changed.notify_all()
+
+    def pass_over(self, *, borrowers: bool) -> None:
+        """Have waiting requests look elsewhere; with ``borrowers``, refuse those of others too.
+
+        Call it with the lock held.
+        """
+        for ticket in list(self.waiting):
+            if ticket.on_decided is None:
+                ticket.passed_over = True
+            elif borrowers:
+                self.waiting.remove(ticket)
+                ticket.decide(refused=ErrorKind.BUDGET_UNAVAILABLE)
         self.changed.notify_all()
 
     def give_up(self, ticket: Ticket) -> None:
--- /dev/null
+++ b/src/aspengate/gateway/prepaid/_lending.py
@@ -0,0 +1,128 @@
+"""Lends tokens to other routers, and takes what they pay back."""
+
+import threading
+from collections import OrderedDict
+from collections.abc import Callable
+
+from aspengate.errors import ErrorKind
+from aspengate.gateway.prepaid._account import Account, Ticket
+from aspengate.gateway.prepaid._supply import Supply
+from aspengate.peers import PENDING, LoanReply, LoanRequest, Repayment
+from aspengate.telemetry import Counters, log_change
+
+_MOST_REPLIES = 4_096
+_MOST_BORROWERS = 65_536
+
+Answer = Callable[[LoanReply], None]
+
+
+class Lender:
+    """Serves loan requests of other routers; each is served once, however often it comes."""
+
+    def __init__(self, supply: Supply, counters: Counters) -> None:
+        self._supply = supply
+        self._counters = counters
+        self._replies: OrderedDict[tuple[str, int], LoanReply | None] = OrderedDict()
+        self._repaid: dict[str, int] = {}
+        self._lock = threading.Lock()
+
+    def take_request(self, account: Account, request: LoanRequest, answer: Answer) -> None:
+        """Lend at once where tokens are at hand, else as soon as it is decided."""
+        if self._was_served(request, answer):
+            return
+        now = self._supply.clock.monotonic_ms()
+        with account.changed:
+            account.used_ms = now
+            self._serve(account, request, answer, now)
+            self._supply.look_ahead(account, now)
+
+    def take_repayment(self, account: Account, payment: Repayment) -> bool:
+        """Take tokens back; return False where they can't count any more."""
+        with self._lock:
+            known = len(self._repaid) < _MOST_BORROWERS or payment.session in self._repaid
+            if not known:
+                return False
+            if payment.number <= self._repaid.get(payment.session, 0):
+                return True
+            self._repaid[payment.session] = payment.number
+        now = self._supply.clock.monotonic_ms()
+        with account.changed:
+            if not account.purse.borrow(payment.amount):
+                return False
+            account.grant_waiting(now)
+            if account.waiting:
+                self._supply.ask_for_more(account, now)
+        self._counters.count("allowances.repaid")
+        return True
+
+    def _was_served(self, request: LoanRequest, answer: Answer) -> bool:
+        """Return whether a request is not new; repeat its reply, or tell that there is none."""
+        identity = (request.session, request.number)
+        with self._lock:
+            if identity not in self._replies:
+                self._replies[identity] = None
+                while len(self._replies) > _MOST_REPLIES:
+                    self._replies.popitem(last=False)
+                return False
+            reply = self._replies[identity]
+        answer(reply or LoanReply(request.number, request.session, request.account, 0, PENDING))
+        return True
+
+    def _serve(self, account: Account, request: LoanRequest, answer: Answer, now: float) -> None:
+        scarce = self._supply.is_scarce(account, now)
+        extra = 0 if scarce else self._supply.extra_to_lend(account, request.extra)
+        purse = account.purse
+        if not account.waiting and purse.free >= request.needed:
+            given = purse.lend(min(purse.free, request.needed + extra), now)
+            self._reply(request, answer, given=given, scarce=scarce)
+            return
+        if not request.needed:
+            self._reply(request, answer, scarce=scarce)
+            return
+        if now < account.exhausted_until_ms and request.needed >= account.exhausted_amount:
+            self._reply(request, answer, refused=ErrorKind.BUDGET_EXHAUSTED, scarce=True)
+            return
+        if self._supply.writer.seems_down(now) and purse.held < request.needed:
+            self._reply(request, answer, refused=ErrorKind.BUDGET_UNAVAILABLE, scarce=True)
+            return
+
+        def decided(ticket: Ticket) -> None:
+            self._decided(account, request, ticket, answer)
+
+        account.waiting.append(Ticket(request.needed, on_decided=decided))
+        self._supply.draw(account, now)
+
+    def _decided(
+        self, account: Account, request: LoanRequest, ticket: Ticket, answer: Answer
+    ) -> None:
+        """Answer a request that waited; the account's lock is held."""
+        if ticket.granted:
+            account.purse.lend_reserved(ticket.amount)
+            self._reply(request, answer, given=ticket.amount)
+        else:
+            self._reply(request, answer, refused=ticket.refused, scarce=True)
+
+    def _reply(
+        self,
+        request: LoanRequest,
+        answer: Answer,
+        *,
+        given: int = 0,
+        refused: ErrorKind | None = None,
+        scarce: bool = False,
+    ) -> None:
+        code = refused.value if refused else ""
+        reply = LoanReply(request.number, request.session, request.account, given, code, scarce)
+        with self._lock:
+            self._replies[request.session, request.number] = reply
+        self._counters.count("allowances.lent" if given else "allowances.not_lent")
+        log_change(
+            "allowance.lent",
+            account=request.account,
+            borrower=request.session,
+            needed=request.needed,
+            given=given,
+            refused=code,
+            scarce=scarce,
+        )
+        answer(reply)
--- /dev/null
+++ b/src/aspengate/gateway/prepaid/_loans.py
@@ -0,0 +1,268 @@
+"""Asks other routers for tokens: an account's primary first, which draws them for all."""
+
+import threading
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from aspengate.clock import Clock
+from aspengate.peers import PENDING, LoanReply, LoanRequest, Member, Repayment, RepaymentReply
+from aspengate.telemetry import Counters, log_change
+
+_REPEAT_MS = 40.0
+_LOST_MS = 200.0
+_SUSPECT_MS = 2_000.0
+_OTHERS = 4
+_MOST_GIVEN_UP = 256
+
+
+class Loans(Protocol):
+    """How a router borrows tokens and pays them back."""
+
+    def is_primary(self, account: str) -> bool:
+        """Return whether this router draws the account's tokens from the store for all."""
+
+    def ask(self, account: str, needed: int, extra: int) -> bool:
+        """Ask the primary for ``needed`` tokens or none, and up to ``extra`` more.
+
+        Return whether an answer or a failure will be told.
+        """
+
+    def ask_others(self, account: str, needed: int) -> bool:
+        """Ask some other routers; return whether there are any."""
+
+    def repay(self, account: str, amount: int) -> bool:
+        """Give tokens to the primary; return whether they are on their way, and gone from here."""
+
+
+class NoLoans:
+    """Stands in where a router has no peers."""
+
+    def is_primary(self, account: str) -> bool:
+        """Return that this router draws for itself."""
+        return True
+
+    def ask(self, account: str, needed: int, extra: int) -> bool:
+        """Return that there is nobody to ask."""
+        return False
+
+    def ask_others(self, account: str, needed: int) -> bool:
+        """Return that there is nobody to ask."""
+        return False
+
+    def repay(self, account: str, amount: int) -> bool:
+        """Return that there is nobody to pay back to."""
+        return False
+
+
+class PeerList(Protocol):
+    """The other routers, as far as loans need them."""
+
+    def primary(
+        self, account: str, suspects: frozenset[str], *, own_reaches: bool | None
+    ) -> Member:
+        """Return the router that draws an account's tokens, which may be this one."""
+
+    def lenders(self, most: int) -> list[Member]:
+        """Return up to ``most`` live routers, those that reach the store first."""
+
+
+@dataclass(frozen=True)
+class _Open:
+    """A message that waits for its answer; ``is_primary`` tells whether a failure is told."""
+
+    message: LoanRequest | Repayment
+    lender: Member
+    begun_ms: float
+    is_primary: bool = True
+
+
+class PeerLoans:
+    """Borrows by datagrams, which are repeated until they are answered or given up.
+
+    ``send`` sends a message to an address; ``take_reply`` and ``take_repayment_reply`` are to be
+    called with the answers. ``on_loan`` is called with each answer to a request, also a late
+    one, and ``on_failed`` with the account whose primary did not answer. ``reaches_store`` tells
+    whether this router could draw tokens itself. Of repayments to one
+    router one is open at a time, so that it can tell a repeated one by its number.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        peers: PeerList,
+        clock: Clock,
+        counters: Counters,
+        send: Callable[[LoanRequest | Repayment, str], None],
+    ) -> None:
+        self.own = own
+        self.on_loan: Callable[[LoanReply], None] = lambda _: None
+        self.on_failed: Callable[[str], None] = lambda _: None
+        self.reaches_store: Callable[[], bool] = lambda: True
+        self._peers = peers
+        self._clock = clock
+        self._counters = counters
+        self._send = send
+        self._number = 0
+        self._open: dict[int, _Open] = {}
+        self._pending: set[int] = set()
+        self._given_up: OrderedDict[int, _Open] = OrderedDict()
+        self._asked: dict[str, int] = {}
+        self._repaying: dict[str, int] = {}
+        self._suspects: dict[str, float] = {}
+        self._changed = threading.Condition()
+        self._closing = False
+        self._thread = threading.Thread(target=self._run, daemon=True, name="loans")
+
+    def start(self) -> None:
+        """Begin to repeat what is not answered."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop."""
+        with self._changed:
+            self._closing = True
+            self._changed.notify_all()
+
+    def is_primary(self, account: str) -> bool:
+        """Return whether this router draws the account's tokens from the store for all."""
+        return self._primary(account).name == self.own.name
+
+    def ask(self, account: str, needed: int, extra: int) -> bool:
+        """Ask the primary, unless it was asked already."""
+        primary = self._primary(account)
+        if primary.name == self.own.name:
+            return False
+        with self._changed:
+            if account in self._asked:
+                return True
+            request = LoanRequest(self._next(), self.own.session, account, needed, extra)
+            self._asked[account] = request.number
+            self._begin(request, primary)
+        self._send(request, primary.address)
+        return True
+
+    def ask_others(self, account: str, needed: int) -> bool:
+        """Ask some other routers at once; what comes beyond the need is paid back later."""
+        found = {lender.session: lender for lender in self._peers.lenders(_OTHERS)}
+        usual = self._peers.primary(account, frozenset(), own_reaches=None)
+        if usual.name != self.own.name:
+            found[usual.session] = usual
+        for lender in found.values():
+            with self._changed:
+                request = LoanRequest(self._next(), self.own.session, account, needed, 0)
+                self._begin(request, lender, is_primary=False)
+            self._send(request, lender.address)
+        return bool(found)
+
+    def repay(self, account: str, amount: int) -> bool:
+        """Give tokens to the primary, unless others are on their way to it."""
+        primary = self._primary(account)
+        if primary.name == self.own.name:
+            return False
+        with self._changed:
+            if primary.session in self._repaying:
+                return False
+            number = self._next()
+            self._repaying[primary.session] = number
+            payment = Repayment(number, self.own.session, primary.session, account, amount)
+            self._begin(payment, primary)
+        self._send(payment, primary.address)
+        return True
+
+    def take_reply(self, reply: LoanReply) -> None:
+        """Take the answer to a request."""
+        with self._changed:
+            if reply.session != self.own.session:
+                return
+            if reply.refused == PENDING:
+                self._pending.add(reply.number)
+                return
+            late = self._given_up.pop(reply.number, None)
+            found = self._open.pop(reply.number, late)
+            self._pending.discard(reply.number)
+            if found is None:
+                return
+            if self._asked.get(reply.account) == reply.number:
+                del self._asked[reply.account]
+        if found.is_primary or reply.given:
+            self.on_loan(reply)
+
+    def take_repayment_reply(self, reply: RepaymentReply) -> None:
+        """Take the answer to a repayment."""
+        with self._changed:
+            if reply.session == self.own.session:
+                self._end_repayment(reply.number)
+
+    def _primary(self, account: str) -> Member:
+        now = self._clock.monotonic_ms()
+        with self._changed:
+            suspects = frozenset(
+                session for session, until in self._suspects.items() if until > now
+            )
+        return self._peers.primary(account, suspects, own_reaches=self.reaches_store())
+
+    def _next(self) -> int:
+        self._number += 1
+        return self._number
+
+    def _begin(
+        self, message: LoanRequest | Repayment, lender: Member, *, is_primary: bool = True
+    ) -> None:
+        self._open[message.number] = _Open(message, lender, self._clock.monotonic_ms(), is_primary)
+        self._changed.notify_all()
+
+    def _end_repayment(self, number: int) -> None:
+        found = self._open.pop(number, None)
+        if found is not None:
+            self._repaying.pop(found.lender.session, None)
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                while not self._open and not self._closing:
+                    self._changed.wait()
+                if self._closing:
+                    return
+                self._changed.wait(_REPEAT_MS / 1_000)
+                lost, repeated = self._sort_out(self._clock.monotonic_ms())
+            for each in repeated:
+                self._send(each.message, each.lender.address)
+            for each in lost:
+                self._give_up(each)
+
+    def _sort_out(self, now: float) -> tuple[list[_Open], list[_Open]]:
+        """Return what is given up, and what is to be sent again; call it with the lock held."""
+        lost = [each for each in self._open.values() if now - each.begun_ms > _LOST_MS]
+        for each in lost:
+            del self._open[each.message.number]
+            if isinstance(each.message, Repayment):
+                self._repaying.pop(each.lender.session, None)
+            else:
+                self._forget(each)
+            if each.message.number in self._pending:
+                self._pending.discard(each.message.number)
+            else:
+                self._suspects[each.lender.session] = now + _SUSPECT_MS
+        due = [each for each in self._open.values() if now - each.begun_ms >= _REPEAT_MS]
+        return lost, due
+
+    def _forget(self, each: _Open) -> None:
+        """Allow another request; what still comes for this one is taken all the same."""
+        if self._asked.get(each.message.account) == each.message.number:
+            del self._asked[each.message.account]
+        self._given_up[each.message.number] = each
+        while len(self._given_up) > _MOST_GIVEN_UP:
+            self._given_up.popitem(last=False)
+
+    def _give_up(self, each: _Open) -> None:
+        self._counters.count("loans.unanswered")
+        log_change(
+            "loan.unanswered",
+            account=each.message.account,
+            lender=each.lender.session,
+            repayment=isinstance(each.message, Repayment),
+        )
+        if isinstance(each.message, LoanRequest) and each.is_primary:
+            self.on_failed(each.message.account)
--- /dev/null
+++ b/src/aspengate/gateway/prepaid/_supply.py
@@ -0,0 +1,179 @@
+"""Gets tokens for one account: from its witness, its primary router, or the store."""
+
+from collections.abc import Callable
+from concurrent.futures import Executor
+
+from aspengate.allowances import AllowanceSizing, Demand
+from aspengate.clock import Clock
+from aspengate.gateway.prepaid._account import Account, LimitSource
+from aspengate.gateway.prepaid._loans import Loans
+from aspengate.gateway.prepaid._witness import Witness
+from aspengate.gateway.prepaid._writer import DocumentWriter
+
+_PATIENCE_MS = 40.0
+_LOAN_PATIENCE_MS = 250.0
+_SURPLUS_FACTOR = 2.0
+_IDLE_MS = 20_000.0
+_SCARCE_PART = 0.1
+_EXTRA_PART = 0.25
+_CUT_MS = 3_000.0
+
+
+class Supply:
+    """Looks after what accounts hold; every call needs the account's lock held.
+
+    An account's primary router draws from the store for all and holds the reserve; the others
+    borrow what they need, and little more.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        sizing: AllowanceSizing,
+        witness: Witness,
+        loans: Loans,
+        writer: DocumentWriter,
+        limit_of: Callable[[str], LimitSource | None],
+        executor: Executor,
+    ) -> None:
+        self.clock = clock
+        self.sizing = sizing
+        self.witness = witness
+        self.loans = loans
+        self.writer = writer
+        self.limit_of = limit_of
+        self._executor = executor
+
+    def ask_for_more(self, account: Account, now: float) -> float:
+        """Ask for what the first waiting request lacks; return how long to wait for it, in ms."""
+        if not account.waiting:
+            return 0.0
+        own = account.first_own
+        may_ask = now >= account.unavailable_until_ms
+        if own is not None and may_ask and not self._holds(account, own.amount):
+            needed = own.amount - max(0, account.purse.free)
+            extra = account.waited_for - own.amount + self._ahead(account, now)
+            if self.loans.ask(account.name, needed, extra):
+                return _LOAN_PATIENCE_MS
+        return self.draw(account, now)
+
+    def draw(self, account: Account, now: float) -> float:
+        """Get what the first waiting request lacks, without asking other routers to lend it.
+
+        Return how long to wait for it, in milliseconds.
+        """
+        if self._holds(account, account.waiting[0].amount):
+            self.raise_ceiling(account, account.waited_for)
+            return _PATIENCE_MS
+        self.schedule(account)
+        return 0.0 if self.writer.seems_down(now) else _PATIENCE_MS
+
+    def look_ahead(self, account: Account, now: float) -> None:
+        """Get more before it is needed."""
+        purse = account.purse
+        ahead = self._ahead(account, now)
+        if purse.free < purse.held and purse.free < ahead / 2:
+            self.raise_ceiling(account, 0)
+        if self.loans.is_primary(account.name):
+            if account.document is not None and self._is_low(account, now):
+                self.schedule(account)
+        elif purse.held < ahead / 2 and now >= account.unavailable_until_ms:
+            self.loans.ask(account.name, 0, ahead - max(0, purse.held))
+
+    def raise_ceiling(self, account: Account, wanted: int) -> None:
+        """Have the witness accept a ceiling that reaches ``wanted`` beyond what is committed."""
+        now = self.clock.monotonic_ms()
+        demand = account.purse.demand(0, now)
+        ceiling = account.purse.committed + wanted + self.sizing.ahead(demand)
+        self.witness.want(account.name, min(ceiling, account.purse.granted))
+
+    def is_scarce(self, account: Account, now: float) -> bool:
+        """Return whether there is so little left that nobody should keep what it does not need."""
+        source = self.limit_of(account.name)
+        if source is None or account.document is None:
+            return False
+        left = max(0, account.purse.held)
+        if not self.writer.seems_down(now):
+            left += max(0, source.limit - account.document.committed)
+        return left < source.limit * _SCARCE_PART
+
+    def extra_to_lend(self, account: Account, extra: int) -> int:
+        """Return how many tokens a borrower gets beyond its need, where nothing is scarce."""
+        return max(0, min(extra, int(account.purse.held * _EXTRA_PART)))
+
+    def give_back(self, account: Account, now: float) -> None:
+        """Give back what is no longer needed."""
+        surplus = self._surplus(account, now)
+        if surplus <= 0:
+            return
+        if account.purse.granted > 0 and not self.writer.seems_down(now):
+            if account.document is not None:
+                self.schedule(account)
+            return
+        amount = min(surplus, account.purse.free)
+        if amount > 0 and self.loans.repay(account.name, amount):
+            account.purse.lend(amount)
+
+    def hand_over(self, account: Account, now: float) -> None:
+        """Keep nothing that requests do not need, since the limit was cut."""
+        account.scarce_until_ms = now + _CUT_MS
+        if account.listed:
+            self.schedule(account)
+        if not self.loans.is_primary(account.name) and account.purse.free > 0:
+            amount = account.purse.free
+            if self.loans.repay(account.name, amount):
+                account.purse.lend(amount)
+
+    def schedule(self, account: Account) -> None:
+        """Have a writer look after the account's document."""
+        if account.working or account.purse.frozen:
+            return
+        account.working = True
+        self._executor.submit(self._work, account)
+
+    def _work(self, account: Account) -> None:
+        """Write the account's document until nothing is left to do."""
+        try:
+            self.writer.work(account)
+        finally:
+            with account.changed:
+                account.working = False
+                account.changed.notify_all()
+                if any(not ticket.passed_over for ticket in account.waiting):
+                    self.ask_for_more(account, self.clock.monotonic_ms())
+
+    def _holds(self, account: Account, amount: int) -> bool:
+        """Return whether only the ceiling keeps an amount from being used."""
+        return account.purse.held >= amount and account.purse.ceiling is not None
+
+    def _ahead(self, account: Account, now: float) -> int:
+        """Return what this router keeps at hand beyond what its requests need at once."""
+        if now < account.scarce_until_ms:
+            return 0
+        demand = account.purse.demand(0, now)
+        if self.loans.is_primary(account.name):
+            return self.sizing.ahead(demand)
+        return self.sizing.at_hand(demand)
+
+    def _is_low(self, account: Account, now: float) -> bool:
+        return account.purse.held < self._reserve(account, now, 0) * self.sizing.refill_part
+
+    def _reserve(self, account: Account, now: float, own: int) -> int:
+        source = self.limit_of(account.name)
+        if source is None:
+            return 0
+        demand: Demand = account.purse.demand(0, now)
+        return self.sizing.reserve(demand, self.writer.holding(account, source.limit, own))
+
+    def _surplus(self, account: Account, now: float) -> int:
+        held = account.purse.held
+        if held <= 0:
+            return 0
+        if now - account.used_ms > _IDLE_MS:
+            return held
+        if not self.loans.is_primary(account.name):
+            return int(held - self._ahead(account, now) * _SURPLUS_FACTOR)
+        if account.document is None:
+            return 0
+        return int(held - self._reserve(account, now, held) * _SURPLUS_FACTOR)
--- a/src/aspengate/gateway/prepaid/_writer.py
+++ b/src/aspengate/gateway/prepaid/_writer.py
@@ -18,8 +18,10 @@
 from aspengate.store import ConditionFailedError, KeyValueStore, Put, StoreItem
 from aspengate.telemetry import Counters, log_change
 
-_SEEMS_DOWN_MS = 1_000.0
+_SEEMS_DOWN_MS = 1_500.0
+_IS_DOWN_MS = 10_000.0
 _CLOSE_ATTEMPTS = 3
+_CLOSE_WAIT_S = 0.3
 _EXHAUSTED_MS = 400.0
 _IDLE_MS = 20_000.0
 
@@ -27,7 +29,9 @@
 class DocumentWriter:
     """Changes accounts' documents; one call for an account at a time.
 
-    ``is_dead`` tells of a session and its witness whether that session may be settled.
+    ``is_primary`` tells of an account whether this router draws for all, ``reaches_store``
+    whether other calls to the store succeed, and ``is_dead`` of a session and its witness
+    whether that session may be settled.
     """
 
     def __init__(
@@ -41,6 +45,8 @@
         on_conflict: Callable[[Mapping[str, StoreItem]], None],
         sizing: AllowanceSizing,
         witness: Witness,
+        is_primary: Callable[[str], bool],
+        reaches_store: Callable[[], bool],
         is_dead: Callable[[str, str], bool],
     ) -> None:
         self.session = session
@@ -52,12 +58,20 @@
         self._on_conflict = on_conflict
         self._sizing = sizing
         self._witness = witness
+        self._is_primary = is_primary
+        self._reaches_store = reaches_store
         self._is_dead = is_dead
         self._failed_ms = float("-inf")
 
     def seems_down(self, now: float) -> bool:
-        """Return whether the store failed to answer a moment ago."""
-        return now - self._failed_ms < _SEEMS_DOWN_MS
+        """Return whether the store did not answer, and has not since.
+
+        Where nothing else reaches the store either, it is not asked before it answers that.
+        """
+        if self._store.answered_ms > self._failed_ms:
+            return False
+        patience_ms = _SEEMS_DOWN_MS if self._reaches_store() else _IS_DOWN_MS
+        return now - self._failed_ms < patience_ms
 
     def holding(self, account: Account, limit: int, own: int) -> Holding:
         """Return how an account stands, where ``own`` unused tokens could be given back."""
@@ -66,10 +80,13 @@
             limit=limit,
             unheld=limit - document.committed + own,
             routers=self.routers,
-            part=document.part_of(self.session),
+            part=self._part(account.name, document),
             lost_sessions=document.lost_sessions,
         )
 
+    def _part(self, name: str, document: AllowanceDocument) -> float:
+        return 1.0 if self._is_primary(name) else document.part_of(self.session)
+
     def work(self, account: Account) -> None:
         """Write the account's document until nothing is left to do."""
         try:
@@ -78,7 +95,7 @@
         except Exception as error:
             self._counters.count("allowances.failed")
             log_change("allowance.failed", account=account.name, error=repr(error))
-            self._refuse(account, ErrorKind.BUDGET_UNAVAILABLE)
+            self._pass_over(account)
 
     def raise_ceiling(self, account: Account, witness: str, ceiling: int) -> bool:
         """Use a ceiling that a witness accepted; return whether the document names it.
@@ -96,8 +113,10 @@
     def settle_for_good(self, account: Account) -> None:
         """Count what the session used of an account, and that it will use no more."""
         with account.changed:
+            account.purse.frozen = True
+            account.pass_over(borrowers=True)
+            account.changed.wait_for(lambda: not account.working, _CLOSE_WAIT_S)
             account.working = True
-            account.purse.granted = account.purse.committed
         try:
             self._close(account)
         except AspengateError as error:
@@ -106,8 +125,8 @@
     def _step(self, account: Account) -> bool:
         """Make one call to the store, if one is needed; return whether to go on."""
         source = self._limit_of(account.name)
-        if source is None:
-            self._refuse(account, ErrorKind.BUDGET_UNAVAILABLE)
+        if source is None or account.purse.frozen:
+            self._pass_over(account)
             return False
         try:
             if account.document is None:
@@ -116,7 +135,7 @@
             plan = self._plan(account, document, source)
             if plan is None:
                 self._note_exhausted(account, source)
-                self._refuse(account, ErrorKind.BUDGET_EXHAUSTED)
+                self._refuse(account)
                 return False
             if plan == account.document and not account.uncertain:
                 self._grant(account, plan, source)
@@ -130,7 +149,7 @@
             if error.kind is ErrorKind.OUTCOME_UNKNOWN:
                 account.uncertain = True
                 return True
-            self._refuse(account, ErrorKind.BUDGET_UNAVAILABLE)
+            self._pass_over(account)
             return False
 
     def _read(self, account: Account) -> None:
@@ -178,17 +197,25 @@
                 return None
             idle = not account.waiting and now - account.used_ms > _IDLE_MS
             demand = purse.demand(sum(ticket.amount for ticket in fitting), now)
+            is_primary = self._is_primary(account.name)
             target = purse.target(
-                document, self.session, source.limit, self.routers, demand, idle=idle
+                document,
+                self.session,
+                source.limit,
+                self.routers,
+                demand,
+                idle=idle,
+                is_primary=is_primary,
             )
             purse.granted = min(purse.granted, target)
             ceiling = min(target, demand.committed + demand.waiting + self._sizing.ahead(demand))
         witness = self._bind(account, max(0, ceiling))
-        if (
-            target == document.allowance(self.session)
-            and witness == document.witness(self.session)
-            and self.session in document.sessions
-        ):
+        if self.session not in document.sessions:
+            is_same = target == 0
+        else:
+            is_same = target == document.allowance(self.session)
+            is_same = is_same and witness == document.witness(self.session)
+        if is_same:
             return document
         return set_allowance(document, self.session, target, source.limit, witness)
 
@@ -278,26 +305,26 @@
             revision=account.revision,
         )
 
-    def _refuse(self, account: Account, kind: ErrorKind) -> None:
+    def _refuse(self, account: Account) -> None:
+        """Refuse the waiting requests, none of which the limit covers."""
         with account.changed:
-            if kind is ErrorKind.BUDGET_EXHAUSTED and account.waiting:
+            if account.waiting:
                 account.exhausted_until_ms = self._clock.monotonic_ms() + _EXHAUSTED_MS
                 account.exhausted_amount = min(ticket.amount for ticket in account.waiting)
-            account.refuse_waiting(kind)
+            account.refuse_waiting(ErrorKind.BUDGET_EXHAUSTED)
+
+    def _pass_over(self, account: Account) -> None:
+        with account.changed:
+            account.pass_over(borrowers=True)
 
     def _close(self, account: Account) -> None:
         for _ in range(_CLOSE_ATTEMPTS):
             if account.document is None:
                 self._read(account)
-            document = account.document or AllowanceDocument()
-            if account.purse.reserved:
-                committed = account.purse.committed
-                plan = set_allowance(document, self.session, committed, committed)
-            else:
-                plan = close_session(document, self.session, account.purse.settled)
+            plan, revision = self._closing_plan(account)
             try:
                 put = Put(account.key, encode_document(plan))
-                self._store.transact({account.key: account.revision}, (put,))
+                self._store.transact({account.key: revision}, (put,))
                 return
             except ConditionFailedError as failure:
                 self._take(account, failure.items.get(account.key))
@@ -305,3 +332,15 @@
                 if error.kind is not ErrorKind.OUTCOME_UNKNOWN:
                     raise
                 account.document = None
+
+    def _closing_plan(self, account: Account) -> tuple[AllowanceDocument, int]:
+        """Return the document to write at the end, and the revision that it follows."""
+        with account.changed:
+            document = account.document or AllowanceDocument()
+            purse = account.purse
+            if purse.reserved:
+                committed = purse.committed
+                plan = set_allowance(document, self.session, committed, committed)
+            else:
+                plan = close_session(document, self.session, purse.settled)
+            return plan, account.revision
--- a/src/aspengate/peers/__init__.py
+++ b/src/aspengate/peers/__init__.py
@@ -3,19 +3,34 @@
 from aspengate.peers._datagrams import DatagramPort
 from aspengate.peers._exchange import PeerApplication, PeerClient, PeerServices
 from aspengate.peers._members import MEMBER_PREFIX, Member, MemberList, peer_addresses
-from aspengate.peers._messages import CeilingNotice, CeilingReply, Datagram, PeerNews
+from aspengate.peers._messages import (
+    PENDING,
+    CeilingNotice,
+    CeilingReply,
+    Datagram,
+    LoanReply,
+    LoanRequest,
+    PeerNews,
+    Repayment,
+    RepaymentReply,
+)
 
 __all__ = [
     "MEMBER_PREFIX",
+    "PENDING",
     "CeilingNotice",
     "CeilingReply",
     "Datagram",
     "DatagramPort",
+    "LoanReply",
+    "LoanRequest",
     "Member",
     "MemberList",
     "PeerApplication",
     "PeerClient",
     "PeerNews",
     "PeerServices",
+    "Repayment",
+    "RepaymentReply",
     "peer_addresses",
 ]
--- a/src/aspengate/peers/_datagrams.py
+++ b/src/aspengate/peers/_datagrams.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from aspengate.peers._messages import Datagram
-from aspengate.telemetry import Counters
+from aspengate.telemetry import Counters, log_change
 
 _MOST_BYTES = 64 * 1024
 _PAUSE_S = 0.1
@@ -55,14 +55,22 @@
     def _run(self) -> None:
         while not self._closing.is_set():
             try:
-                data, (host, port) = self._socket.recvfrom(_MOST_BYTES)
+                data, sender = self._socket.recvfrom(_MOST_BYTES)
             except OSError:
-                if self._closing.wait(_PAUSE_S):
-                    return
+                sender = None
+            if sender is None:
+                self._closing.wait(_PAUSE_S)
                 continue
             try:
                 message = msgspec.msgpack.decode(data, type=Datagram)
             except msgspec.MsgspecError:
                 self._counters.count("datagrams.unreadable")
                 continue
-            self._on_datagram(message, f"{host}:{port}")
+            self._hand_over(message, f"{sender[0]}:{sender[1]}")
+
+    def _hand_over(self, message: Datagram, sender: str) -> None:
+        try:
+            self._on_datagram(message, sender)
+        except Exception as error:
+            self._counters.count("datagrams.failed")
+            log_change("datagram.failed", sender=sender, error=repr(error))
--- a/src/aspengate/peers/_exchange.py
+++ b/src/aspengate/peers/_exchange.py
@@ -1,7 +1,7 @@
-"""What routers ask of each other by HTTP: a mirror of the store, unused tokens, ceilings."""
+"""What routers ask of each other by HTTP: a mirror of the store, a session's ceilings."""
 
 import http.client
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from typing import Protocol
 from urllib.parse import parse_qs, urlencode
@@ -9,12 +9,11 @@
 import msgspec
 
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.peers._messages import CeilingNotice
+from aspengate.peers._messages import CeilingNotice, LoanReply, LoanRequest, Repayment
 from aspengate.serving import StartResponse, WsgiEnvironment
 from aspengate.store import Snapshot, StoreItem, StoreMirror
 
 _MIRROR_PATH = "/mirror"
-_LOAN_PATH = "/loan"
 _CEILINGS_PATH = "/ceilings"
 
 
@@ -30,10 +29,6 @@
     changed: int
 
 
-class _LoanBody(msgspec.Struct, array_like=True):
-    amount: int
-
-
 class _CeilingsBody(msgspec.Struct, array_like=True):
     ceilings: dict[str, int]
 
@@ -41,8 +36,11 @@
 class PeerServices(Protocol):
     """What a router does for its peers."""
 
-    def lend(self, account: str, amount: int) -> int:
-        """Give up to ``amount`` of an account's unused tokens; return how many."""
+    def take_loan_request(self, request: LoanRequest, answer: Callable[[LoanReply], None]) -> None:
+        """Lend tokens; ``answer`` is called once it is decided how many."""
+
+    def take_repayment(self, payment: Repayment) -> bool:
+        """Take tokens back; return whether they count now."""
 
     def accept_ceilings(self, notice: CeilingNotice) -> bool:
         """Remember what a session will use at most; return False where it takes no more."""
@@ -74,9 +72,6 @@
         return [body]
 
     def _body(self, path: str, query: Mapping[str, list[str]]) -> bytes:
-        if path == _LOAN_PATH:
-            given = self._services.lend(query["account"][0], int(query["amount"][0]))
-            return msgspec.msgpack.encode(_LoanBody(given))
         if path == _CEILINGS_PATH:
             ceilings = self._services.close_witnessed(query["session"][0])
             if ceilings is None:
@@ -105,15 +100,6 @@
         items = tuple(StoreItem(each.key, each.value, each.revision) for each in body.items)
         return Snapshot(items, body.revision, body.changed)
 
-    def loan(self, address: str, account: str, amount: int) -> int:
-        """Return how many tokens a peer gave; raises STORE_UNAVAILABLE, which loses a loan."""
-        query = urlencode({"account": account, "amount": amount})
-        content = self._get(address, f"{_LOAN_PATH}?{query}", method="POST")
-        try:
-            return msgspec.msgpack.decode(content, type=_LoanBody).amount
-        except msgspec.MsgspecError as error:
-            raise _unavailable(address, error) from error
-
     def close_witnessed(self, address: str, session: str) -> dict[str, int]:
         """Have a peer close a session that it witnesses, and return the session's ceilings.
 
--- a/src/aspengate/peers/_members.py
+++ b/src/aspengate/peers/_members.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 import msgspec
+import xxhash
 
 from aspengate.allowances import router_of
 from aspengate.clock import Clock
@@ -104,6 +105,29 @@
         found.sort(key=lambda member: not reached.get(member.name, False))
         return found[:most]
 
+    def primary(
+        self, account: str, suspects: frozenset[str], *, own_reaches: bool | None
+    ) -> Member:
+        """Return the router that draws an account's tokens, which may be this one.
+
+        All routers that hear the same agree on it, without a message (rendezvous hashing). One
+        that the store does not answer is primary only where no other is left; ``own_reaches``
+        tells that of this router, None that it does not matter of any. ``suspects`` are sessions
+        that did not answer lately.
+        """
+        found = [member for member in self.alive() if member.session not in suspects]
+        found.append(self.own)
+        if own_reaches is not None:
+            with self._lock:
+                reaching = {name for name, yes in self._reaches_store.items() if yes}
+            reaching |= {self.own.name} if own_reaches else set()
+            found = [member for member in found if member.name in reaching] or found
+
+        def weight(member: Member) -> int:
+            return xxhash.xxh64_intdigest(f"{account}/{member.name}".encode())
+
+        return max(found, key=weight)
+
     def runs(self, session: str) -> Member | None:
         """Return the router whose present run is ``session``, this one among them."""
         with self._lock:
--- a/src/aspengate/peers/_messages.py
+++ b/src/aspengate/peers/_messages.py
@@ -40,4 +40,54 @@
     accepted: bool
 
 
-Datagram = PeerNews | CeilingNotice | CeilingReply
+class LoanRequest(msgspec.Struct, frozen=True, tag="loan"):
+    """A session asks for ``needed`` tokens of an account or none, and up to ``extra`` more."""
+
+    number: int
+    session: str
+    account: str
+    needed: int
+    extra: int
+
+
+PENDING = "pending"
+
+
+class LoanReply(msgspec.Struct, frozen=True, tag="loan-reply"):
+    """How many tokens the loan request ``number`` gets; the lender never uses them itself.
+
+    ``refused`` is the code of the reason where it gets none, or ``PENDING`` where that is not
+    decided yet. ``scarce`` asks the borrower to keep no tokens that it does not need.
+    """
+
+    number: int
+    session: str
+    account: str
+    given: int
+    refused: str = ""
+    scarce: bool = False
+
+
+class Repayment(msgspec.Struct, frozen=True, tag="repayment"):
+    """A session gives tokens to the session ``lender``, and uses them no more.
+
+    Numbers of one session to one lender rise; a repeated one counts once.
+    """
+
+    number: int
+    session: str
+    lender: str
+    account: str
+    amount: int
+
+
+class RepaymentReply(msgspec.Struct, frozen=True, tag="repayment-reply"):
+    """The repayment ``number`` has arrived."""
+
+    number: int
+    session: str
+
+
+Datagram = (
+    PeerNews | CeilingNotice | CeilingReply | LoanRequest | LoanReply | Repayment | RepaymentReply
+)
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -87,6 +87,7 @@
         self.address = address
         self.timeout = AdaptiveTimeout(timeout_ms)
         self.clock = clock
+        self.answered_ms = float("-inf")
         self._idle: list[http.client.HTTPConnection] = []
         self._lock = threading.Lock()
 
@@ -186,6 +187,7 @@
         if answer.status not in _EXPECTED:
             message = f"status {answer.status}"
             raise AspengateError(unknown, message, where=target.partition("?")[0])
+        self.answered_ms = self.clock.monotonic_ms()
         return answer.status, content
 
     def _take(self) -> http.client.HTTPConnection:
--- a/src/aspengate/store/_port.py
+++ b/src/aspengate/store/_port.py
@@ -72,9 +72,12 @@
     """A store with revisions, prefix watches and conditional writes.
 
     Every call may raise AspengateError of kind STORE_UNAVAILABLE, which promises that nothing
-    was done.
+    was done. ``answered_ms`` is when the store last did what it was asked, in monotonic
+    milliseconds.
     """
 
+    answered_ms: float
+
     def get(self, key: str) -> StoreItem | None:
         """Return the item under ``key``, if any; the read is linearizable."""
 
