Keep an account's limit in its document; no write depends on the whole configuration

Cause: each draw was conditional on the operator's item, and the store answers a failed condition with the item itself: 91 KB for 269 routes. Change: the document carries limit and the configuration revision it came from; a router that knows an older configuration keeps to the newer limit. A peer is asked for a configuration after 600 ms instead of 150 ms where the own watch lives. Each request's line tells how long reading and admission took.

--- a/features/allowances.feature
+++ b/features/allowances.feature
@@ -23,3 +23,8 @@
     Given a router whose draw from the store is answered late
     When it settles for good before the answer comes, and is asked for tokens after it
     Then it gives none, and takes none back
+
+  Scenario: A limit that was cut binds those that have not heard of it
+    Given two routers that draw for themselves, and a limit that one of them heard was cut
+    When the one that has not heard draws as much as it may
+    Then both together hold no more than the lower limit
--- a/features/steps/allowance_steps.py
+++ b/features/steps/allowance_steps.py
@@ -155,12 +155,12 @@
         account.uncertain = False
         return type(self)._step(self, account)
 
-    def grant_before_answer(self, account, plan, source):
+    def grant_before_answer(self, account, plan):
         account.purse.granted = max(account.purse.granted, plan.allowance(self.session))
-        type(self)._write(self, account, plan, source)
+        type(self)._write(self, account, plan)
 
-    def grant_beyond_ceiling(self, account, document, source):
-        type(self)._grant(self, account, document, source)
+    def grant_beyond_ceiling(self, account, document):
+        type(self)._grant(self, account, document)
         account.purse.ceiling = None
 
     def accept_closed(self, session, ceilings, now_ms):
@@ -240,6 +240,8 @@
     names = st.text(st.characters(codec="utf-8", exclude_characters="\x00"), min_size=1, max_size=9)
     documents = st.builds(
         AllowanceDocument,
+        limit=st.integers(0, 2**40),
+        limit_revision=st.integers(0, 2**40),
         closed=st.integers(-(2**40), 2**40),
         sessions=st.dictionaries(names, st.integers(-(2**40), 2**40), max_size=5),
         witnesses=st.dictionaries(names, names, max_size=5),
@@ -251,7 +253,9 @@
 
     check()
     sessions = {f"r.{n}": n for n in range(300)}
-    many = AllowanceDocument(0, sessions, dict.fromkeys(sessions, "w.1"))
+    many = AllowanceDocument(
+        sessions=sessions, witnesses=dict.fromkeys(sessions, "w.1"), limit=9, limit_revision=4
+    )
     folded = set_allowance(many, "r.new", 5, 10**9)
     assert folded.committed == many.committed + 5 and len(folded.sessions) <= 200
     assert set(folded.witnesses) <= set(folded.sessions)
@@ -262,6 +266,8 @@
     else:
         raise AssertionError("garbage was read")
     assert msgspec.json.decode(encode_document(many)) == {
+        "limit": 9,
+        "limit_revision": 4,
         "closed": 0,
         "sessions": many.sessions,
         "witnesses": many.witnesses,
@@ -296,3 +302,26 @@
     assert context.replies[-1].given == 0, context.replies
     payment = Repayment(3, "router-1.2", context.router.session, "board", 100)
     assert not context.router.take_repayment(payment)
+
+
+@given("two routers that draw for themselves, and a limit that one of them heard was cut")
+def heard_of_cut(context):
+    context.world = world = World(LIMIT)
+    assert world.reserve(0, 1_000)
+    world.primary = 1
+    world.set_limit(4_000)
+    world.hear(1)
+    assert world.reserve(1, 500)
+
+
+@when("the one that has not heard draws as much as it may")
+def not_heard(context):
+    world = context.world
+    world.primary = 0
+    context.drawn = sum(world.reserve(0, 250) for _ in range(40))
+
+
+@then("both together hold no more than the lower limit")
+def lower_limit(context):
+    assert context.drawn
+    assert context.world.most_used <= 4_000, context.world.most_used
--- a/src/aspengate/allowances/_document.py
+++ b/src/aspengate/allowances/_document.py
@@ -24,13 +24,27 @@
 class AllowanceDocument(msgspec.Struct, frozen=True):
     """What closed sessions used, and the allowance of each other session, in tokens.
 
-    ``witnesses`` maps a session to the session of the router that witnesses it.
+    ``witnesses`` maps a session to the session of the router that witnesses it. ``limit`` is the
+    account's limit as of the configuration's ``limit_revision``, the newest that a writer knew:
+    a router whose configuration is older keeps to it.
     """
 
+    limit: int = 0
+    limit_revision: int = 0
     closed: int = 0
     sessions: dict[str, int] = {}
     witnesses: dict[str, str] = {}
 
+    def limit_for(self, limit: int, revision: int) -> int:
+        """Return the limit in force for a writer that read ``limit`` as of ``revision``."""
+        return self.limit if revision < self.limit_revision else limit
+
+    def with_limit(self, limit: int, revision: int) -> "AllowanceDocument":
+        """Return the document with a limit that is newer and another one than it has."""
+        if revision < self.limit_revision or limit == self.limit:
+            return self
+        return msgspec.structs.replace(self, limit=limit, limit_revision=revision)
+
     @property
     def committed(self) -> int:
         """What is used, or may still be."""
@@ -86,15 +100,16 @@
     witnesses = _without(document.witnesses, {session})
     if witness:
         witnesses[session] = witness
-    return _fold(AllowanceDocument(document.closed, sessions, witnesses))
+    return _fold(msgspec.structs.replace(document, sessions=sessions, witnesses=witnesses))
 
 
 def close_session(document: AllowanceDocument, session: str, used: int) -> AllowanceDocument:
     """Return the document with a session's tokens settled as ``used``; it uses none any more."""
-    return AllowanceDocument(
-        document.closed + used,
-        _without(document.sessions, {session}),
-        _without(document.witnesses, {session}),
+    return msgspec.structs.replace(
+        document,
+        closed=document.closed + used,
+        sessions=_without(document.sessions, {session}),
+        witnesses=_without(document.witnesses, {session}),
     )
 
 
@@ -120,10 +135,11 @@
     if surplus <= 0:
         return document
     oldest = set(list(document.sessions)[:surplus])
-    return AllowanceDocument(
-        document.closed + sum(document.sessions[name] for name in oldest),
-        _without(document.sessions, oldest),
-        _without(document.witnesses, oldest),
+    return msgspec.structs.replace(
+        document,
+        closed=document.closed + sum(document.sessions[name] for name in oldest),
+        sessions=_without(document.sessions, oldest),
+        witnesses=_without(document.witnesses, oldest),
     )
 
 
--- a/src/aspengate/gateway/_application.py
+++ b/src/aspengate/gateway/_application.py
@@ -72,6 +72,7 @@
 
     def serve(self) -> None:
         """Read, admit and dispatch the request; raises AspengateError."""
+        self.progress.begun_ms = self.application.clock.monotonic_ms()
         request = self.application.spelling.caller_request(self.caller.request)
         self.request_id = request.request_id
         if self.application.refusing():
@@ -83,6 +84,7 @@
             for step in self.application.admission:
                 self.exchange = step.apply(self.exchange)
                 passed.append(step)
+            self.progress.admitted_ms = self.application.clock.monotonic_ms()
             self.application.dispatcher.run(self.exchange, self.caller, self.progress)
         except AspengateError as error:
             failure = error.kind
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -1,7 +1,7 @@
 """The gateway as a process: its followers of the store, its servers, and its planned stop."""
 
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import replace
 
 from aspengate.clock import Clock
@@ -282,7 +282,6 @@
             clock=self.clock,
             counters=self.counters,
             limit_of=self._limit_of,
-            on_conflict=self._on_conflict,
             loans=self.loans,
             witness=self.witness,
             sessions=self.peering.members,
@@ -325,14 +324,7 @@
         found = configuration.accounts_by_name.get(account)
         if found is None or found.prepaid_tokens is None:
             return None
-        return LimitSource(
-            found.prepaid_tokens, self.deployment.configuration_key, configuration.revision
-        )
-
-    def _on_conflict(self, items: Mapping[str, StoreItem]) -> None:
-        item = items.get(self.deployment.configuration_key)
-        if item is not None:
-            self._take_configuration(item)
+        return LimitSource(found.prepaid_tokens, configuration.revision)
 
     def _on_configuration(self, state: MirrorState) -> None:
         item = state.items.get(self.deployment.configuration_key)
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -33,7 +33,9 @@
 _NEWS_MS = 500.0
 _LIST_MS = 30_000.0
 _LIST_ALONE_MS = 3_000.0
-_GRACE_MS = 150.0
+# How long a router waits for its own watch before it asks a peer for what that told of.
+_GRACE_MS = 600.0
+_CUT_GRACE_MS = 150.0
 _FETCH_TIMEOUT_MS = 500.0
 _SERVER_THREADS = 2
 _SMALL_BODY = 4 * 1024
@@ -199,7 +201,8 @@
         while not self._closing.is_set():
             self._wake.wait()
             self._wake.clear()
-            if self._closing.wait(_GRACE_MS / 1_000):
+            grace_ms = _GRACE_MS if self.reaches_store else _CUT_GRACE_MS
+            if self._closing.wait(grace_ms / 1_000):
                 return
             for prefix, mirror in self.mirrors.items():
                 self._fetch(prefix, mirror)
--- a/src/aspengate/gateway/_progress.py
+++ b/src/aspengate/gateway/_progress.py
@@ -15,10 +15,14 @@
     """Counts attempts, and remembers how far a stream has come.
 
     ``made`` are all attempts; ``attempts`` of them were sent to a replica, ``unreached`` were
-    not. ``last_event_id`` is that of the last event that the caller got; ``events`` is how many
-    it got, and ``longest_gap_ms`` the longest pause between two of them.
+    not. ``begun_ms`` is when the request was whole and its handling began, ``admitted_ms`` when
+    the filters had admitted it, both in monotonic time. ``last_event_id`` is that of the last
+    event that the caller got; ``events`` is how many it got, and ``longest_gap_ms`` the longest
+    pause between two of them.
     """
 
+    begun_ms: float = 0.0
+    admitted_ms: float = 0.0
     attempts: int = 0
     unreached: int = 0
     may_have_run: bool = False
--- a/src/aspengate/gateway/_story.py
+++ b/src/aspengate/gateway/_story.py
@@ -48,6 +48,8 @@
             reason=str(error) if error else "",
             status=progress.status,
             held_ms=round(now - received_ms),
+            read_ms=round(progress.begun_ms - received_ms),
+            admitted_ms=round(progress.admitted_ms - received_ms) if progress.admitted_ms else None,
             may_have_run=progress.may_have_run,
             attempts=[attempt.told() for attempt in progress.made],
             folded=self._take_folded(),
--- a/src/aspengate/gateway/prepaid/_account.py
+++ b/src/aspengate/gateway/prepaid/_account.py
@@ -13,14 +13,9 @@
 
 @dataclass(frozen=True)
 class LimitSource:
-    """An account's limit, with the store item that it was read from, where there is one.
-
-    A write that raises an allowance is made on the condition that the item is unchanged, so
-    that a limit that was cut is never exceeded by a router that has not heard of it.
-    """
+    """An account's limit, as of the ``revision`` of the configuration that it was read from."""
 
     limit: int
-    key: str = ""
     revision: int = 0
 
 
--- a/src/aspengate/gateway/prepaid/_accounts.py
+++ b/src/aspengate/gateway/prepaid/_accounts.py
@@ -16,7 +16,7 @@
 from aspengate.gateway.prepaid._witness import SessionList, Witness
 from aspengate.gateway.prepaid._writer import DocumentWriter
 from aspengate.peers import LoanReply, LoanRequest, Repayment
-from aspengate.store import KeyValueStore, StoreItem
+from aspengate.store import KeyValueStore
 from aspengate.telemetry import Counters, log_change
 
 _WRITERS = 8
@@ -33,11 +33,10 @@
 class TokenAccounts:
     """The purses of all accounts that this router spends from.
 
-    ``limit_of`` finds an account's limit by name; ``on_conflict`` is handed the items that a
-    write found changed. ``loans`` asks other routers for tokens. ``witness`` is told this
-    session's ceilings, ``book`` holds those of the sessions that this router witnesses, and
-    ``sessions`` tells which of them run. ``reaches_store`` tells whether the store answers other
-    calls, and ``executor`` runs the calls to it.
+    ``limit_of`` finds an account's limit by name. ``loans`` asks other routers for tokens.
+    ``witness`` is told this session's ceilings, ``book`` holds those of the sessions that this
+    router witnesses, and ``sessions`` tells which of them run. ``reaches_store`` tells whether
+    the store answers other calls, and ``executor`` runs the calls to it.
     """
 
     def __init__(
@@ -48,7 +47,6 @@
         clock: Clock,
         counters: Counters,
         limit_of: Callable[[str], LimitSource | None],
-        on_conflict: Callable[[Mapping[str, StoreItem]], None],
         loans: Loans,
         witness: Witness,
         sessions: SessionList,
@@ -67,7 +65,6 @@
             clock=clock,
             counters=counters,
             limit_of=limit_of,
-            on_conflict=on_conflict,
             sizing=self.sizing,
             witness=witness,
             is_primary=loans.is_primary,
--- a/src/aspengate/gateway/prepaid/_writer.py
+++ b/src/aspengate/gateway/prepaid/_writer.py
@@ -1,6 +1,7 @@
 """Reads and writes accounts' documents in the store."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
+from dataclasses import replace
 
 from aspengate.allowances import (
     AllowanceDocument,
@@ -42,7 +43,6 @@
         clock: Clock,
         counters: Counters,
         limit_of: Callable[[str], LimitSource | None],
-        on_conflict: Callable[[Mapping[str, StoreItem]], None],
         sizing: AllowanceSizing,
         witness: Witness,
         is_primary: Callable[[str], bool],
@@ -55,7 +55,6 @@
         self._clock = clock
         self._counters = counters
         self._limit_of = limit_of
-        self._on_conflict = on_conflict
         self._sizing = sizing
         self._witness = witness
         self._is_primary = is_primary
@@ -132,15 +131,17 @@
             if account.document is None:
                 self._read(account)
             document = self._without_dead(account.name, account.document or AllowanceDocument())
+            document = document.with_limit(source.limit, source.revision)
+            source = replace(source, limit=document.limit)
             plan = self._plan(account, document, source)
             if plan is None:
                 self._note_exhausted(account, source)
                 self._refuse(account)
                 return False
             if plan == account.document and not account.uncertain:
-                self._grant(account, plan, source)
+                self._grant(account, plan)
             else:
-                self._write(account, plan, source)
+                self._write(account, plan)
             return bool(account.waiting)
         except AspengateError as error:
             self._counters.count("allowances.store_failed")
@@ -248,17 +249,13 @@
                 fitting.append(ticket)
         return fitting
 
-    def _write(self, account: Account, plan: AllowanceDocument, source: LimitSource) -> None:
+    def _write(self, account: Account, plan: AllowanceDocument) -> None:
         key = account.key
         conditions = {key: account.revision}
-        before = account.document.allowance(self.session) if account.document else 0
-        if source.key and plan.allowance(self.session) > before:
-            conditions[source.key] = source.revision
         try:
             revision = self._store.transact(conditions, (Put(key, encode_document(plan)),))
         except ConditionFailedError as failure:
             self._counters.count("allowances.conflicts")
-            self._on_conflict(failure.items)
             self._take(account, failure.items.get(key))
             return
         self._counters.count("allowances.writes")
@@ -266,9 +263,9 @@
             account.uncertain = False
             account.document = plan
             account.revision = revision
-        self._grant(account, plan, source)
+        self._grant(account, plan)
 
-    def _grant(self, account: Account, document: AllowanceDocument, source: LimitSource) -> None:
+    def _grant(self, account: Account, document: AllowanceDocument) -> None:
         """Use what the store confirmed."""
         target = document.allowance(self.session)
         witness = document.witness(self.session)
@@ -284,8 +281,8 @@
                     account=account.name,
                     granted=target,
                     committed=purse.committed,
-                    limit=source.limit,
-                    unheld=source.limit - document.committed,
+                    limit=document.limit,
+                    unheld=document.limit - document.committed,
                     witness=witness,
                     revision=account.revision,
                 )
