Ask for no negative loans, and grant what is covered before asking

Cause: a small request that queued behind a large one stayed in the queue after tokens for it were at hand. The loan asked for it, "its amount less what is free", was negative.

Change: covered requests are granted before anything is asked for; a lender refuses a negative amount (counter); the purse raises on one.

Test: two scenarios of allowances.feature, both failed before.

--- a/features/allowances.feature
+++ b/features/allowances.feature
@@ -39,3 +39,13 @@
     Given two routers that draw for themselves, and a limit that one of them heard was cut
     When the one that has not heard draws as much as it may
     Then both together hold no more than the lower limit
+
+  Scenario: A loan that asks for less than nothing is refused
+    Given a router that drew tokens
+    When another router asks it for a negative amount
+    Then it refuses, and holds what it held
+
+  Scenario: A request that is covered by now asks nobody for tokens
+    Given a router whose small request waits behind a large one
+    When the large one is given up and the router looks for tokens again
+    Then the small one is granted, and no loan of less than nothing was asked for
--- a/features/steps/allowance_steps.py
+++ b/features/steps/allowance_steps.py
@@ -9,6 +9,7 @@
 from allowance_world import KEY, World
 from aspengate.allowances import AllowanceDocument, decode_document, encode_document, set_allowance
 from aspengate.errors import AspengateError
+from aspengate.gateway.prepaid import Ticket
 from aspengate.peers import LoanRequest, Repayment
 
 LIMIT = 10_000
@@ -414,3 +415,53 @@
 def lower_limit(context):
     assert context.drawn
     assert context.world.most_used <= 4_000, context.world.most_used
+
+
+@given("a router that drew tokens")
+def drew_tokens(context):
+    context.world = World(LIMIT)
+    assert context.world.reserve(0, 1_000)
+    purse = context.world.accounts[0].account("board").purse
+    context.before = (purse.committed, purse.lent, purse.reserved)
+
+
+@when("another router asks it for a negative amount")
+def negative_amount(context):
+    context.replies = []
+    loan = LoanRequest(1, "router-1.2", "board", -500, 0)
+    context.world.accounts[0].take_loan_request(loan, context.replies.append)
+
+
+@then("it refuses, and holds what it held")
+def holds_what_it_held(context):
+    purse = context.world.accounts[0].account("board").purse
+    assert (purse.committed, purse.lent, purse.reserved) == context.before
+    (reply,) = context.replies
+    assert reply.given == 0 and reply.refused == "bad_request", reply
+
+
+@given("a router whose small request waits behind a large one")
+def waits_behind(context):
+    context.world = world = World(LIMIT)
+    assert world.reserve(1, 100)
+    context.account = account = world.accounts[1].account("board")
+    with account.changed:
+        account.purse.borrow(1_000)
+        account.waiting += [Ticket(5_000), Ticket(500)]
+
+
+@when("the large one is given up and the router looks for tokens again")
+def looks_again(context):
+    account = context.account
+    context.large, context.small = account.waiting
+    with account.changed:
+        account.give_up(context.large)
+        context.asked = len(context.world.requests)
+        context.world.accounts[1].supply.ask_for_more(account, context.world.clock.monotonic_ms())
+
+
+@then("the small one is granted, and no loan of less than nothing was asked for")
+def small_one_granted(context):
+    assert context.small.granted
+    asked = [request.needed for _, request in context.world.requests]
+    assert all(needed >= 0 for needed in asked), asked
--- a/src/aspengate/allowances/_purse.py
+++ b/src/aspengate/allowances/_purse.py
@@ -4,6 +4,7 @@
 
 from aspengate.allowances._document import AllowanceDocument
 from aspengate.allowances._sizing import AllowanceSizing, Demand, Holding
+from aspengate.errors import AspengateError, ErrorKind
 
 _HALF_LIFE_MS = 10_000.0
 _SIZE_WEIGHT = 0.2
@@ -64,6 +65,7 @@
 
     def reserve(self, amount: int, now_ms: float) -> bool:
         """Set ``amount`` aside for a request that may begin; return whether it was there."""
+        _check_amount(amount)
         if amount > self.free:
             return False
         self.reserved += amount
@@ -89,11 +91,13 @@
 
     def lend_reserved(self, amount: int) -> None:
         """Give what was set aside to another router."""
+        _check_amount(amount)
         self.reserved -= amount
         self.lent += amount
 
     def borrow(self, amount: int) -> bool:
         """Take in what another router gave; return whether it counts."""
+        _check_amount(amount)
         if self.frozen:
             return False
         self.borrowed += amount
@@ -173,3 +177,9 @@
         elapsed = max(0.0, now_ms - self._rate_ms)
         self._rate *= 0.5 ** (elapsed / _HALF_LIFE_MS)
         self._rate_ms = max(self._rate_ms, now_ms)
+
+
+def _check_amount(amount: int) -> None:
+    """Raise INTERNAL for a negative amount, which would move tokens the other way."""
+    if amount < 0:
+        raise AspengateError(ErrorKind.INTERNAL, f"a negative amount of tokens: {amount}")
--- a/src/aspengate/gateway/prepaid/__init__.py
+++ b/src/aspengate/gateway/prepaid/__init__.py
@@ -1,6 +1,6 @@
 """Prepaid tokens for requests: reserved before a run, settled after it, drawn from the store."""
 
-from aspengate.gateway.prepaid._account import ALLOWANCE_PREFIX, LimitSource
+from aspengate.gateway.prepaid._account import ALLOWANCE_PREFIX, LimitSource, Ticket
 from aspengate.gateway.prepaid._accounts import TokenAccounts
 from aspengate.gateway.prepaid._loans import Loans, NoLoans, PeerLoans
 from aspengate.gateway.prepaid._witness import NoWitness, RemoteWitness, SessionList, Witness
@@ -14,6 +14,7 @@
     "PeerLoans",
     "RemoteWitness",
     "SessionList",
+    "Ticket",
     "TokenAccounts",
     "Witness",
 ]
--- a/src/aspengate/gateway/prepaid/_accounts.py
+++ b/src/aspengate/gateway/prepaid/_accounts.py
@@ -262,6 +262,9 @@
         if ticket.decided:
             return
         now = self._clock.monotonic_ms()
+        account.grant_waiting(now)
+        if ticket.decided:
+            return
         needed = ticket.amount - max(0, account.purse.free)
         if now >= account.others_empty_until_ms and self.loans.ask_others(account.name, needed):
             self._await(account, ticket, waiter, now + _OTHERS_PATIENCE_MS)
--- a/src/aspengate/gateway/prepaid/_lending.py
+++ b/src/aspengate/gateway/prepaid/_lending.py
@@ -69,6 +69,10 @@
         return True
 
     def _serve(self, account: Account, request: LoanRequest, answer: Answer, now: float) -> None:
+        if request.needed < 0 or request.extra < 0:
+            self._counters.count("allowances.impossible_requests")
+            self._reply(request, answer, refused=ErrorKind.BAD_REQUEST)
+            return
         scarce = self._supply.is_scarce(account, now)
         extra = 0 if scarce else self._supply.extra_to_lend(account, request.extra)
         purse = account.purse
--- a/src/aspengate/gateway/prepaid/_supply.py
+++ b/src/aspengate/gateway/prepaid/_supply.py
@@ -46,7 +46,11 @@
         self._executor = executor
 
     def ask_for_more(self, account: Account, now: float) -> float:
-        """Ask for what the first waiting request lacks; return how long to wait for it, in ms."""
+        """Ask for what the first waiting request lacks; return how long to wait for it, in ms.
+
+        Those that are covered by now are granted first: nothing is asked for on their behalf.
+        """
+        account.grant_waiting(now)
         if not account.waiting:
             return 0.0
         own = account.first_own
