Tell from logs what requests lost their worth by, and where tokens went

aspengate losses LOGS... reads the routers' lines and counts lost requests by reason, over time, by service, account, replica and router, and states each account's tokens over time as parts of its limit: spent (of it on runs that broke off), reserved, idle, held by nobody, lost.

For that the line of a request tells what its account was charged and the route's aims, and a grant or refusal tells what its session spent, reserved and holds idle, with the document's sessions.

--- a/src/aspengate/cli/_explain.py
+++ b/src/aspengate/cli/_explain.py
@@ -1,6 +1,7 @@
 """The subcommand that explains one request from logs."""
 
 import sys
+from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -21,12 +22,17 @@
 
     def __call__(self) -> None:
         """Print the story; exit 1 where no log speaks of the request."""
-        lines: list[LogLine] = []
-        for path in self.logs:
-            try:
-                with path.open(encoding="utf-8", errors="replace") as text:
-                    lines += read_lines(path.stem, text)
-            except OSError as error:
-                raise AspengateError(ErrorKind.BAD_REQUEST, str(error), where=str(path)) from error
-        story = tell_story(self.request_id, lines)
+        story = tell_story(self.request_id, read_logs(self.logs))
         sys.stdout.write("\n".join(story.lines()) + "\n")
+
+
+def read_logs(paths: Iterable[Path]) -> list[LogLine]:
+    """Return the lines of log files; raises BAD_REQUEST for one that can't be read."""
+    lines: list[LogLine] = []
+    for path in paths:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as text:
+                lines += read_lines(path.stem, text)
+        except OSError as error:
+            raise AspengateError(ErrorKind.BAD_REQUEST, str(error), where=str(path)) from error
+    return lines
--- a/src/aspengate/cli/_main.py
+++ b/src/aspengate/cli/_main.py
@@ -11,6 +11,7 @@
 from aspengate.cli._experiments import Bench, Verify
 from aspengate.cli._explain import Explain
 from aspengate.cli._invoice import Invoice
+from aspengate.cli._losses import Losses
 from aspengate.cli._pages import Pages
 from aspengate.cli._table import Table
 from aspengate.errors import AspengateError, ErrorKind
@@ -36,6 +37,7 @@
         | Bench
         | Verify
         | Explain
+        | Losses
         | Pages
     ]
 
--- a/src/aspengate/gateway/_application.py
+++ b/src/aspengate/gateway/_application.py
@@ -14,6 +14,7 @@
 from aspengate.gateway._progress import Progress
 from aspengate.gateway._request import CallerRequest
 from aspengate.gateway._story import RequestLog
+from aspengate.gateway.filters import used_tokens
 from aspengate.serving import CallerConnection
 from aspengate.telemetry import log_change
 
@@ -94,6 +95,7 @@
             raise
         finally:
             outcome = self.progress.outcome(failure, _event_tokens(self.exchange))
+            self.progress.settled_tokens = used_tokens(self.exchange, outcome)
             for step in reversed(passed):
                 step.finish(self.exchange, outcome)
 
--- a/src/aspengate/gateway/_progress.py
+++ b/src/aspengate/gateway/_progress.py
@@ -18,7 +18,7 @@
     not. ``begun_ms`` is when the request was whole and its handling began, ``admitted_ms`` when
     the filters had admitted it, both in monotonic time. ``last_event_id`` is that of the last
     event that the caller got; ``events`` is how many it got, and ``longest_gap_ms`` the longest
-    pause between two of them.
+    pause between two of them. ``settled_tokens`` is what its account was charged.
     """
 
     begun_ms: float = 0.0
@@ -35,6 +35,7 @@
     last_event_ms: float = 0.0
     longest_gap_ms: float = 0.0
     whole: bool = False
+    settled_tokens: int = 0
 
     def note_event(self, identity: str, now_ms: float) -> None:
         """Count an event that the caller got."""
--- a/src/aspengate/gateway/filters/__init__.py
+++ b/src/aspengate/gateway/filters/__init__.py
@@ -3,7 +3,7 @@
 from aspengate.gateway.filters._authenticate import Authenticate
 from aspengate.gateway.filters._find_route import FindRoute
 from aspengate.gateway.filters._registry import FilterParts, make_filters, register_filter
-from aspengate.gateway.filters._reserve import Reserve
+from aspengate.gateway.filters._reserve import Reserve, used_tokens
 
 __all__ = [
     "Authenticate",
@@ -12,4 +12,5 @@
     "Reserve",
     "make_filters",
     "register_filter",
+    "used_tokens",
 ]
--- a/src/aspengate/gateway/filters/_reserve.py
+++ b/src/aspengate/gateway/filters/_reserve.py
@@ -21,14 +21,18 @@
     def finish(self, exchange: Exchange, outcome: Outcome) -> None:
         """Settle the exact use where the answer was whole, the most where that is not known."""
         amount = _most(exchange)
-        if not amount or exchange.account is None:
-            return
-        used = amount
-        if not outcome.may_have_run:
-            used = 0
-        elif outcome.output_tokens is not None and exchange.request.tokens is not None:
-            used = min(amount, exchange.request.tokens.prompt + outcome.output_tokens)
-        self.parts.tokens.settle(exchange.account, amount, used)
+        if amount and exchange.account is not None:
+            self.parts.tokens.settle(exchange.account, amount, used_tokens(exchange, outcome))
+
+
+def used_tokens(exchange: Exchange, outcome: Outcome) -> int:
+    """Return the tokens that a request used at most, 0 where its account is not capped."""
+    amount = _most(exchange)
+    if not outcome.may_have_run:
+        return 0
+    if outcome.output_tokens is None or exchange.request.tokens is None:
+        return amount
+    return min(amount, exchange.request.tokens.prompt + outcome.output_tokens)
 
 
 def _most(exchange: Exchange) -> int:
--- a/src/aspengate/gateway/prepaid/_writer.py
+++ b/src/aspengate/gateway/prepaid/_writer.py
@@ -7,6 +7,7 @@
     AllowanceDocument,
     AllowanceSizing,
     Holding,
+    Purse,
     close_session,
     decode_document,
     encode_document,
@@ -288,6 +289,7 @@
                     unheld=document.limit - document.committed,
                     witness=witness,
                     revision=account.revision,
+                    **_statement(self.session, purse, document),
                 )
             purse.ceiling = max(accepted, purse.ceiling or 0) if witness else None
             account.grant_waiting(now)
@@ -299,10 +301,9 @@
             account=account.name,
             limit=source.limit,
             unheld=source.limit - document.committed,
-            closed=document.closed,
-            sessions=document.sessions,
             needed=min((ticket.amount for ticket in account.waiting), default=0),
             revision=account.revision,
+            **_statement(self.session, account.purse, document),
         )
 
     def _note_undercounted(self, account: Account, document: AllowanceDocument) -> None:
@@ -357,3 +358,15 @@
             else:
                 plan = end_session(document, self.session, purse.settled, purse.spent)
             return plan, account.revision
+
+
+def _statement(session: str, purse: Purse, document: AllowanceDocument) -> dict[str, object]:
+    """Return where an account's tokens are, as far as this router knows, for a line of the log."""
+    return {
+        "session": session,
+        "spent": purse.spent,
+        "reserved": purse.reserved,
+        "idle": purse.held,
+        "closed": document.closed,
+        "sessions": document.sessions,
+    }
--- /dev/null
+++ b/src/aspengate/losses/_report.py
@@ -0,0 +1,91 @@
+"""The report of losses as text."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from aspengate.explanation import LogLine
+from aspengate.losses._reasons import Loss
+from aspengate.losses._requests import LossTable, RequestEnd, read_ends, table_by
+from aspengate.losses._tokens import TokenStatement, statements
+
+_COLUMN_WIDTH = 11
+_NAME_WIDTH = 16
+
+
+@dataclass(frozen=True)
+class LossReport:
+    """What was lost: by reason, over time, by service, account and replica, and the tokens."""
+
+    ends: tuple[RequestEnd, ...]
+    tables: tuple[LossTable, ...]
+    tokens: tuple[TokenStatement, ...]
+
+    def lines(self) -> list[str]:
+        """Return the report as lines of text."""
+        told = [_summary(self.ends)]
+        for table in self.tables:
+            told += ["", *_table_lines(table)]
+        return [*told, "", *_token_lines(self.tokens, self.ends)]
+
+
+def report_losses(lines: Iterable[LogLine], step_s: float) -> LossReport:
+    """Return the report of the lines of some routers' logs, with a row every ``step_s`` seconds."""
+    listed = list(lines)
+    ends = read_ends(listed)
+    origin_s = min((line.time_s for line in listed), default=0.0)
+
+    def moment(end: RequestEnd) -> str:
+        since_s = (end.time_s - origin_s) // step_s * step_s
+        return f"{since_s:8.0f} s"
+
+    tables = (
+        table_by("seconds since the first line", ends, moment),
+        table_by("service", ends, lambda end: end.service),
+        table_by("account", ends, lambda end: end.account),
+        table_by("replica", ends, lambda end: end.replica),
+        table_by("router", ends, lambda end: end.router),
+    )
+    return LossReport(tuple(ends), tables, tuple(statements(listed, step_s)))
+
+
+def _summary(ends: Iterable[RequestEnd]) -> str:
+    counts: Counter[Loss] = Counter()
+    total = 0
+    for end in ends:
+        total += 1 + end.folded
+        if end.loss is not None:
+            counts[end.loss] += 1
+    told = [f"{total} requests, {total - sum(counts.values())} served in time"]
+    told += [f"{count:7}  {loss.value}" for loss, count in counts.most_common()]
+    return "\n".join(told)
+
+
+def _table_lines(table: LossTable) -> list[str]:
+    columns = [loss for loss in Loss if any(row[loss] for row in table.rows.values())]
+    names = [loss.name.lower().replace("tokens_", "no_tokens_")[:_COLUMN_WIDTH] for loss in columns]
+    head = f"{table.title[:_NAME_WIDTH]:{_NAME_WIDTH}}{'requests':>{_COLUMN_WIDTH}}"
+    told = [head + "".join(f"{name:>{_COLUMN_WIDTH + 1}}" for name in names)]
+    for value, row in sorted(table.rows.items()):
+        counts = "".join(f"{row[loss]:{_COLUMN_WIDTH + 1}}" for loss in columns)
+        told.append(f"{value:{_NAME_WIDTH}}{table.totals[value]:{_COLUMN_WIDTH}}{counts}")
+    return told
+
+
+def _token_lines(tokens: Iterable[TokenStatement], ends: Iterable[RequestEnd]) -> list[str]:
+    """Return a line for each account and step: where its limit's tokens are, in parts of it."""
+    times = [end.time_s for end in ends]
+    origin_s = min(times, default=0.0)
+    told = [
+        "tokens of each account, in percent of its limit",
+        "  second  account               limit  spent  (broken off)  reserved  idle  unheld   lost",
+    ]
+    for each in tokens:
+        limit = max(1, each.limit)
+        told.append(
+            f"{each.time_s - origin_s:8.1f}  {each.account:{_NAME_WIDTH}}{each.limit:11}"
+            f"{100 * each.spent / limit:7.1f}{100 * each.settled_above / limit:14.1f}"
+            f"{100 * each.reserved / limit:10.1f}{100 * each.idle / limit:6.1f}"
+            f"{100 * each.unheld / limit:8.1f}{100 * each.lost / limit:7.1f}"
+        )
+    return told
