Use the reserve while the store is away, and look at a lost document again

Cause: a router may use what it was granted up to the ceiling that its witness accepted, and a witness's answer counted only while the router believed the account's document.

Change: what must be certain is only which witness the document names, and our own writes alone change that. The account remembers it; it is uncertain only while a write that names another one is on its way. That also closes a short race in which an acceptance of the former witness could raise the ceiling of the new one. A primary that lost sight of a document reads it once the store answers again.

--- a/features/allowances.feature
+++ b/features/allowances.feature
@@ -49,3 +49,13 @@
     Given a router whose small request waits behind a large one
     When the large one is given up and the router looks for tokens again
     Then the small one is granted, and no loan of less than nothing was asked for
+
+  Scenario: A reserve is there for the time when the store is away
+    Given a router that drew a reserve, and a store that went away
+    When a call to the store has failed and requests go on
+    Then all that the router holds is used, as far as its witness hears of it
+
+  Scenario: A router that lost sight of its document looks at it again
+    Given a router that drew a reserve, and a store that went away
+    When the store is back and another router asks for a loan ahead of its needs
+    Then the router knows its document again
--- a/features/steps/allowance_steps.py
+++ b/features/steps/allowance_steps.py
@@ -465,3 +465,48 @@
     assert context.small.granted
     asked = [request.needed for _, request in context.world.requests]
     assert all(needed >= 0 for needed in asked), asked
+
+
+@given("a router that drew a reserve, and a store that went away")
+def drew_a_reserve(context):
+    context.world = world = World(100_000)
+    for _ in range(20):
+        assert world.reserve(0, 100)
+        world.clock.advance(100)
+    context.account = world.accounts[0].account("board")
+    purse = context.account.purse
+    assert purse.held > purse.free + 500, (purse.held, purse.free)
+    world.store.down = True
+
+
+@when("a call to the store has failed and requests go on")
+def requests_go_on(context):
+    context.held = context.account.purse.held
+    context.granted = sum(context.world.reserve(0, 100) for _ in range(context.held // 100 + 10))
+    assert context.account.document is None
+
+
+@then("all that the router holds is used, as far as its witness hears of it")
+def all_is_used(context):
+    assert context.granted == context.held // 100, (context.granted, context.held)
+    book = context.world.accounts[1].book
+    session = context.world.session_of(0)
+    assert book.close(session)["board"] >= context.account.purse.committed
+
+
+@when("the store is back and another router asks for a loan ahead of its needs")
+def back_and_asked(context):
+    world = context.world
+    while context.account.document is not None:
+        assert world.reserve(0, 100)
+    world.store.down = False
+    world.clock.advance(2_000)
+    world.store.answered_ms = world.clock.monotonic_ms()
+    loan = LoanRequest(1, "router-1.2", "board", 0, 200)
+    world.accounts[0].take_loan_request(loan, lambda _: None)
+
+
+@then("the router knows its document again")
+def knows_again(context):
+    assert context.account.document is not None
+
--- a/src/aspengate/gateway/prepaid/_account.py
+++ b/src/aspengate/gateway/prepaid/_account.py
@@ -54,7 +54,9 @@
 
     ``uncertain`` means that a write without an answer may still take effect while the document
     is unchanged: only another write, which moves the revision on, rules that out. ``listed``
-    means that the store confirmed this session's entry in the document.
+    means that the store confirmed this session's entry in the document. ``named_witness`` is the
+    witness that the document names for it, whatever becomes of writes without answer; empty where
+    that is not certain.
 
     Until the times given here, in monotonic milliseconds: requests of ``exhausted_amount`` or
     more are not covered; the primary has nothing to lend, nor have the others; and nothing is
@@ -69,6 +71,7 @@
     working: bool = False
     uncertain: bool = False
     listed: bool = False
+    named_witness: str = ""
     waiting: list[Ticket] = field(default_factory=list)
     exhausted_until_ms: float = 0.0
     exhausted_amount: int = 0
--- a/src/aspengate/gateway/prepaid/_supply.py
+++ b/src/aspengate/gateway/prepaid/_supply.py
@@ -69,7 +69,8 @@
         """
         if self._holds(account, account.waiting[0].amount):
             self.raise_ceiling(account, account.waited_for)
-            return _PATIENCE_MS
+            if self.witness.accepted(account.name, account.named_witness):
+                return _PATIENCE_MS
         self.schedule(account)
         return 0.0 if self.writer.seems_down(now) else _PATIENCE_MS
 
@@ -80,7 +81,7 @@
         if purse.free < purse.held and purse.free < ahead / 2:
             self.raise_ceiling(account, 0)
         if self.loans.is_primary(account.name):
-            if account.document is not None and self._is_low(account, now):
+            if self._needs_store(account, now):
                 self.schedule(account)
         elif purse.held < ahead / 2 and now >= account.unavailable_until_ms:
             self.loans.ask(account.name, 0, ahead - max(0, purse.held))
@@ -160,6 +161,12 @@
             return self.sizing.ahead(demand)
         return self.sizing.at_hand(demand)
 
+    def _needs_store(self, account: Account, now: float) -> bool:
+        """Return whether this router, which draws for all, should look at the document by now."""
+        if account.document is None:
+            return account.listed and not self.writer.seems_down(now)
+        return self._is_low(account, now)
+
     def _is_low(self, account: Account, now: float) -> bool:
         return account.purse.held < self._reserve(account, now, 0) * self.sizing.refill_part
 
--- a/src/aspengate/gateway/prepaid/_writer.py
+++ b/src/aspengate/gateway/prepaid/_writer.py
@@ -103,10 +103,9 @@
 
         Call it with the account's lock held.
         """
-        document = account.document
-        if document is None or account.uncertain or not account.listed:
+        if not account.listed or account.purse.ceiling is None:
             return False
-        if document.witness(self.session) != witness or account.purse.ceiling is None:
+        if not witness or account.named_witness != witness:
             return False
         account.purse.ceiling = max(ceiling, account.purse.ceiling)
         return True
@@ -164,6 +163,7 @@
             self._note_undercounted(account, document)
         with account.changed:
             account.take(document, item)
+            account.named_witness = document.witness(self.session)
             if account.listed and self.session not in document.sessions:
                 account.listed = False
                 account.purse.count_as_closed()
@@ -231,9 +231,11 @@
         present one have accepted, until the store confirms which of them holds.
         """
         witness, accepted = self._witness.ensure(account.name, ceiling)
-        if not witness:
-            return ""
         with account.changed:
+            if witness != account.named_witness:
+                account.named_witness = ""
+            if not witness:
+                return ""
             purse = account.purse
             purse.ceiling = accepted if purse.ceiling is None else min(purse.ceiling, accepted)
             committed = purse.committed
@@ -278,6 +280,7 @@
         with account.changed:
             purse = account.purse
             account.listed = self.session in document.sessions
+            account.named_witness = witness
             if target != purse.granted:
                 purse.granted = target
                 log_change(
