Tell the cause of a request's end in a sentence, and count the calls to the store

A router that is being stopped now answers Retry-After 0 instead of 1 s: another router serves the request at once, and a second is longer than the whole deadline of a lookup (0.6 s).

Tests: losses.feature.

--- a/features/steps/losses_steps.py
+++ b/features/steps/losses_steps.py
@@ -19,10 +19,10 @@
     return message(at, "request.ended", **{"account": "board", **fields})
 
 
-def served(at, replica, first_ms=90, gap_ms=200):
+def served(at, replica, first_ms=90, gap_ms=200, name="served"):
     attempts = [{"replica": replica, "outcome": "answered"}]
     timing = {"first_event_ms": first_ms, "longest_gap_ms": gap_ms}
-    return ended(at, **SERVED, **timing, settled=400, attempts=attempts)
+    return ended(at, **SERVED, **timing, settled=400, attempts=attempts, request_id=name)
 
 
 def told(at, session, **fields):
@@ -34,17 +34,29 @@
 FIRST = [
     told(100.0, "a.1", spent=0, reserved=0, idle=3_000, unheld=7_000),
     served(101.0, "i-1"),
-    served(101.5, "i-1", gap_ms=301),
-    served(101.6, "i-2", first_ms=1_001),
+    served(101.5, "i-1", gap_ms=301, name="paused"),
+    served(101.6, "i-2", first_ms=1_001, name="late"),
     told(102.0, "a.1", spent=1_200, reserved=500, idle=1_300, unheld=7_000),
+    message(102.5, "store.calls", session="a.1", calls={"watch": 2}),
+    message(103.0, "store.calls", session="a.1", calls={"watch": 3, "write": 1}),
+    message(104.0, "store.calls", session="a.2", calls={"watch": 1}),
     told(104.0, "a.2", spent=0, reserved=0, idle=1_000, unheld=6_000),
 ]
 SECOND = [
-    ended(103.0, outcome="budget_exhausted", status=402, tokens=9_000, attempts=[]),
+    ended(
+        103.0,
+        outcome="budget_exhausted",
+        status=402,
+        tokens=9_000,
+        attempts=[],
+        request_id="exhausted",
+    ),
     ended(103.1, outcome="budget_unavailable", status=503, tokens=900, attempts=[]),
     ended(
         103.2,
         outcome="upstream_failed",
+        reason="reset by i-2",
+        request_id="cut",
         status=200,
         tokens=500,
         settled=500,
@@ -100,6 +112,28 @@
     assert by_replica["i-2"] == {Loss.LATE_FIRST: 1, Loss.CUT: 1}, by_replica
 
 
+@then("the calls to the store are those that each session told last")
+def store_calls(context):
+    assert context.report.store_calls == {"watch": 4, "write": 1}
+    assert "5 calls to the store" in context.run.stdout, context.run.stdout
+
+
+@when("the cause of {request} is asked for")
+def ask_cause(context, request):
+    context.run = subprocess.run(
+        [sys.executable, "-m", "aspengate", "explain", request, *map(str, context.logs)],
+        capture_output=True,
+        text=True,
+        env={**os.environ, "NO_COLOR": "1"},
+    )
+
+
+@then("it says {what}")
+def says(context, what):
+    assert context.run.returncode == 0, context.run.stderr
+    assert what in context.run.stdout.splitlines()[-1], context.run.stdout
+
+
 @then("the account's tokens are spent, reserved, idle, held by nobody or lost, and nothing else")
 def statement(context):
     last = context.report.tokens[-1]
--- a/src/aspengate/cli/_explain.py
+++ b/src/aspengate/cli/_explain.py
@@ -10,6 +10,7 @@
 
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.explanation import LogLine, read_lines, tell_story
+from aspengate.losses import cause_of
 
 
 @cappa.command(description="Tell what happened to one request, from the logs of routers.")
@@ -22,8 +23,9 @@
 
     def __call__(self) -> None:
         """Print the story; exit 1 where no log speaks of the request."""
-        story = tell_story(self.request_id, read_logs(self.logs))
-        sys.stdout.write("\n".join(story.lines()) + "\n")
+        lines = read_logs(self.logs)
+        told = [*tell_story(self.request_id, lines).lines(), cause_of(self.request_id, lines)]
+        sys.stdout.write("\n".join(each for each in told if each) + "\n")
 
 
 def read_logs(paths: Iterable[Path]) -> list[LogLine]:
--- a/src/aspengate/errors/_kinds.py
+++ b/src/aspengate/errors/_kinds.py
@@ -42,7 +42,8 @@
 class ErrorAnswer:
     """The HTTP answer to one kind of error.
 
-    ``retry_after_s`` is in seconds; ``None`` means that a retry does not help.
+    ``retry_after_s`` is in seconds; ``None`` means that a retry does not help, 0 that it helps at
+    once: another router serves what one that is being stopped refuses.
     """
 
     status: int
@@ -64,7 +65,7 @@
     ErrorKind.NO_UPSTREAM: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=2),
     ErrorKind.OVERLOADED: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=2),
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, RunState.NOT_RUN),
-    ErrorKind.LEAVING: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=1),
+    ErrorKind.LEAVING: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=0),
     ErrorKind.FENCED: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=1),
     ErrorKind.UPSTREAM_FAILED: ErrorAnswer(502, RunState.RAN),
     ErrorKind.CLAIM_UNAVAILABLE: ErrorAnswer(503, RunState.UNKNOWN, retry_after_s=2),
--- a/src/aspengate/losses/_report.py
+++ b/src/aspengate/losses/_report.py
@@ -7,6 +7,7 @@
 from aspengate.explanation import LogLine
 from aspengate.losses._reasons import Loss
 from aspengate.losses._requests import LossTable, RequestEnd, read_ends, table_by
+from aspengate.losses._store_calls import count_store_calls
 from aspengate.losses._tokens import TokenStatement, statements
 
 _COLUMN_WIDTH = 11
@@ -20,12 +21,14 @@
     ends: tuple[RequestEnd, ...]
     tables: tuple[LossTable, ...]
     tokens: tuple[TokenStatement, ...]
+    store_calls: Counter[str]
 
     def lines(self) -> list[str]:
         """Return the report as lines of text."""
         told = [_summary(self.ends)]
         for table in self.tables:
             told += ["", *_table_lines(table)]
+        told += ["", *_call_lines(self.store_calls)]
         return [*told, "", *_token_lines(self.tokens, self.ends)]
 
 
@@ -46,7 +49,9 @@
         table_by("replica", ends, lambda end: end.replica),
         table_by("router", ends, lambda end: end.router),
     )
-    return LossReport(tuple(ends), tables, tuple(statements(listed, step_s)))
+    return LossReport(
+        tuple(ends), tables, tuple(statements(listed, step_s)), count_store_calls(listed)
+    )
 
 
 def _summary(ends: Iterable[RequestEnd]) -> str:
@@ -72,6 +77,11 @@
     return told
 
 
+def _call_lines(calls: Counter[str]) -> list[str]:
+    told = [f"{count:7}  {kind}" for kind, count in calls.most_common()]
+    return [f"{sum(calls.values())} calls to the store, as far as they were told", *told]
+
+
 def _token_lines(tokens: Iterable[TokenStatement], ends: Iterable[RequestEnd]) -> list[str]:
     """Return a line for each account and step: where its limit's tokens are, in parts of it."""
     times = [end.time_s for end in ends]
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -4,6 +4,7 @@
 import http.client
 import socket
 import threading
+from collections import Counter
 from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Any, TypeVar
@@ -80,7 +81,8 @@
     """Calls the store at ``address`` over HTTP, on connections that are kept for more calls.
 
     ``timeout_ms`` bounds the wait for one answer; the wait follows the time that answers take.
-    It may be called from any thread.
+    It may be called from any thread. ``calls`` counts the calls made, by what they do; each has
+    a price, also one that fails.
     """
 
     def __init__(self, address: str, timeout_ms: float, clock: Clock) -> None:
@@ -88,6 +90,7 @@
         self.timeout = AdaptiveTimeout(timeout_ms)
         self.clock = clock
         self.answered_ms = float("-inf")
+        self.calls: Counter[str] = Counter()
         self._idle: list[http.client.HTTPConnection] = []
         self._lock = threading.Lock()
 
@@ -163,6 +166,8 @@
         is_write: bool = False,
     ) -> tuple[int, bytes]:
         connection = self._take()
+        with self._lock:
+            self.calls[_KINDS[target.partition("?")[0]]] += 1
         unknown = ErrorKind.OUTCOME_UNKNOWN if is_write else ErrorKind.STORE_UNAVAILABLE
         begun_ms = self.clock.monotonic_ms()
         try:
@@ -225,6 +230,7 @@
         connection.close()
 
 
+_KINDS = {"/kv-key": "get", "/kv-range": "list", "/kv-watch": "watch", "/kv-txn": "write"}
 _NOTHING_DONE = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
 _EXPECTED = frozenset(
     {HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.GONE, HTTPStatus.PRECONDITION_FAILED}
--- a/src/aspengate/store/_port.py
+++ b/src/aspengate/store/_port.py
@@ -1,5 +1,6 @@
 """What the product asks of a key-value store, and the values that cross this border."""
 
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
@@ -73,10 +74,11 @@
 
     Every call may raise AspengateError of kind STORE_UNAVAILABLE, which promises that nothing
     was done. ``answered_ms`` is when the store last did what it was asked, in monotonic
-    milliseconds.
+    milliseconds. ``calls`` counts the calls made, by what they do.
     """
 
     answered_ms: float
+    calls: Counter[str]
 
     def get(self, key: str) -> StoreItem | None:
         """Return the item under ``key``, if any; the read is linearizable."""
