--- a/features/steps/structure_steps.py
+++ b/features/steps/structure_steps.py
@@ -82,3 +82,30 @@
 @then("settings and configuration are the only place they come from")
 def only_settings(context):
     assert not context.found, context.found
+
+
+ROOT = SOURCE.parent.parent
+NAMED_FILE = re.compile(r"[A-Za-z_][A-Za-z_./-]*\.md\b|(?:bench|features|deploy)/[A-Za-z_/]+\.py")
+
+
+def places_of(path):
+    """Return the folders that a name in a file may be told from."""
+    return (path.parent, ROOT, ROOT / "docs", ROOT / "docs" / "operate")
+
+
+@when("the pages, the deploy files and the sources are searched for the files that they name")
+def search_named_files(context):
+    pages = [ROOT / "README.md", *(ROOT / "docs").rglob("*.md"), *(ROOT / "deploy").iterdir()]
+    texts = [*pages, *SOURCE.rglob("*.py")]
+    context.missing = [
+        (path.relative_to(ROOT).as_posix(), name)
+        for path in texts
+        if path.is_file()
+        for name in NAMED_FILE.findall(path.read_text(encoding="utf-8"))
+        if not any((place / name).exists() for place in places_of(path))
+    ]
+
+
+@then("each of those files is there")
+def files_are_there(context):
+    assert not context.missing, context.missing
--- a/features/structure.feature
+++ b/features/structure.feature
@@ -12,3 +12,7 @@
   Scenario: No bound or size of one deployment stands in the code
     When the sources are searched for the figures of the deployments
     Then settings and configuration are the only place they come from
+
+  Scenario: Every page and script that is named exists
+    When the pages, the deploy files and the sources are searched for the files that they name
+    Then each of those files is there
