Let the gateway choose the port of its figures, and log it

Ruled out: a gateway left over (each has its own host address and is ended).

Change: metrics_listen takes port 0 like the other addresses; the line metrics.serving tells the address, and the stand-ins read it from there. The test checks what it checked before.

--- a/features/platform_standins/fleet.py
+++ b/features/platform_standins/fleet.py
@@ -33,7 +33,7 @@
 store = {store}
 
 [metrics]
-metrics_listen = {host}:{metrics_port}
+metrics_listen = {host}:0
 
 [log]
 log_lines_per_second = 100000
@@ -62,7 +62,6 @@
         self.door = door
         self.path = Path(folder) / f"{name}.ini"
         self.bounds = bounds
-        self.metrics_address = f"{host}:{_free_port(host)}"
         self.write_settings(peer_port, seeds)
         self.lines = []
         self.process = subprocess.Popen(
@@ -72,10 +71,8 @@
             text=True,
         )
         if unread:
-            line = json.loads(self.process.stdout.readline())
-            while line["message_type"] != "aspengate.gateway.started":
-                line = json.loads(self.process.stdout.readline())
-            self.lines.append(line)
+            while self.find("gateway.started") is None:
+                self.lines.append(json.loads(self.process.stdout.readline()))
         else:
             threading.Thread(target=self._read, daemon=True).start()
         started = eventually(lambda: self.find("gateway.started") or self.has_ended)
@@ -83,6 +80,8 @@
         self.address = started["listen"]
         self.ready_address = started["ready"]
         self.peer_address = started["peers"]
+        metrics = self.find("metrics.serving")
+        self.metrics_address = metrics["address"] if metrics else ""
 
     def write_settings(self, peer_port, seeds=""):
         bounds = "\n".join(f"{key} = {value}" for key, value in self.bounds.items())
@@ -90,7 +89,6 @@
             name=self.name,
             host=self.host,
             port=0,
-            metrics_port=self.metrics_address.rpartition(":")[2],
             peer_port=peer_port,
             seeds=seeds,
             store=self.door.address,
--- a/src/aspengate/deployed.py
+++ b/src/aspengate/deployed.py
@@ -99,4 +99,5 @@
         MetricsApplication(counters), settings.metrics_listen, _METRICS_THREADS, _SMALL_BODY
     )
     server.start()
+    log_change("metrics.serving", address=server.address)
     return server
