Draw the line of reading times once for each first token, not for each candidate

Found on rereading the change: each choice fitted the line three times for each replica, under a lock, and took its base and slope from two moments; the sum of both stood twice. The line is now drawn where a first token is learned, and ReadingModel.expected_ms is the one place that adds it up. A parameter of the stand-ins' port probe that nobody passed any more is gone.

--- a/features/platform_standins/fleet.py
+++ b/features/platform_standins/fleet.py
@@ -201,7 +201,7 @@
         return sum(replica.runs[identity] for replica in self.replicas)
 
 
-def _free_port(host="127.0.0.1"):
+def _free_port():
     with socket.socket() as probe:
-        probe.bind((host, 0))
+        probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
--- a/src/aspengate/replicas/_choice.py
+++ b/src/aspengate/replicas/_choice.py
@@ -105,7 +105,7 @@
             return
         read_tokens = candidate.tokens + candidate.backlog_tokens
         if candidate.tokens:
-            usual_ms = self.reading.base_ms + self.reading.ms_a_token * read_tokens
+            usual_ms = self.reading.expected_ms(read_tokens)
             self.reading.note(read_tokens, now_ms - work.begun_ms)
             if view.interval_ms:
                 pause_ms = view.longest_pause_since(work.begun_ms, now_ms, work)
@@ -131,8 +131,7 @@
     ) -> Candidate:
         tokens = _unread(view, prompt, held) + prompt.own_tokens
         backlog_tokens = view.backlog_tokens
-        first_ms = self.reading.base_ms + self.reading.ms_a_token * (tokens + backlog_tokens)
-        first_ms *= view.slowness
+        first_ms = self.reading.expected_ms(tokens + backlog_tokens) * view.slowness
         shared_ms = self.reading.ms_a_token * (prompt.tokens - prompt.own_tokens)
         harm_ms = self._harm_ms(view, tokens) + view.late_part(now_ms) * prompt.gap_aim_ms
         cost = first_ms + harm_ms + self._distance_ms(view) + _RUNNING_MS * view.in_flight
--- a/src/aspengate/replicas/_reading.py
+++ b/src/aspengate/replicas/_reading.py
@@ -14,10 +14,13 @@
     """A line through the first tokens seen: a base in ms, and ms for each prompt token to read.
 
     It is a least-squares fit whose samples fade, over all replicas together; how much slower one
-    replica is than the line says is kept with that replica.
+    replica is than the line says is kept with that replica. ``base_ms`` is a first token's time
+    with nothing to read, ``ms_a_token`` what a prompt token adds; both in milliseconds.
     """
 
     def __init__(self) -> None:
+        self.base_ms = 0.0
+        self.ms_a_token = _LEAST_MS_A_TOKEN
         self._lock = threading.Lock()
         self._weight = 0.0
         self._tokens = 0.0
@@ -27,22 +30,9 @@
         for tokens, first_ms in _FIRST_GUESSES:
             self.note(tokens, first_ms)
 
-    @property
-    def ms_a_token(self) -> float:
-        """How long a prompt token takes to read, in milliseconds."""
-        with self._lock:
-            spread = self._weight * self._tokens_squared - self._tokens * self._tokens
-            if spread <= 0:
-                return _LEAST_MS_A_TOKEN
-            slope = (self._weight * self._tokens_ms - self._tokens * self._ms) / spread
-            return max(_LEAST_MS_A_TOKEN, slope)
-
-    @property
-    def base_ms(self) -> float:
-        """How long a first token takes where there is nothing to read, in milliseconds."""
-        slope = self.ms_a_token
-        with self._lock:
-            return max(0.0, (self._ms - slope * self._tokens) / self._weight)
+    def expected_ms(self, tokens: float) -> float:
+        """Return how long a first token usually takes with ``tokens`` to read, in milliseconds."""
+        return self.base_ms + self.ms_a_token * tokens
 
     def note(self, tokens: float, first_ms: float) -> None:
         """Learn from a first token that came after ``first_ms`` with ``tokens`` to read."""
@@ -52,3 +42,13 @@
             self._ms = self._ms * _KEPT + first_ms
             self._tokens_squared = self._tokens_squared * _KEPT + tokens * tokens
             self._tokens_ms = self._tokens_ms * _KEPT + tokens * first_ms
+            self._fit()
+
+    def _fit(self) -> None:
+        """Draw the line anew; call it with the lock held."""
+        spread = self._weight * self._tokens_squared - self._tokens * self._tokens
+        slope = 0.0
+        if spread > 0:
+            slope = (self._weight * self._tokens_ms - self._tokens * self._ms) / spread
+        self.ms_a_token = max(_LEAST_MS_A_TOKEN, slope)
+        self.base_ms = max(0.0, (self._ms - self.ms_a_token * self._tokens) / self._weight)
