Tell the decisions on repeats, and write down what is known of the incident

Cause: once, four routers repeated more than the fleet may, and no line told what a router went by when it allowed a repeat. Only two counters existed. Change: retry.decided once a second, the decisions in each request's own line, a gauge; no change of what is decided.

--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -25,7 +25,7 @@
 
     def start(self):
         budget = SharedRetryBudget(POLICY, self.clock)
-        budget.routers = self.routers
+        budget.note_routers(self.routers)
         return budget
 
     def request(self, number, count):
@@ -35,7 +35,7 @@
 
     def fail(self, number, count):
         for _ in range(count):
-            if self.budgets[number].take("portal"):
+            if self.budgets[number].take("portal").allowed:
                 self.repeats.append(self.clock.monotonic_ms())
 
     def worst(self):
--- a/features/steps/telemetry_steps.py
+++ b/features/steps/telemetry_steps.py
@@ -192,3 +192,41 @@
     assert any("granted=9" in line and "board" in line for line in lines)
     assert not any("granted=5" in line or "shop" in line for line in lines)
     assert any("not known at router-1" in line and "3.0 s" in line for line in lines), lines
+
+
+@when("receipts are asked for and every replica refuses them")
+def refused_receipts(context):
+    for replica in context.fleet.of("portal"):
+        replica.behaviour = "refuse"
+    caller = context.router.call()
+    for number in range(10):
+        caller.request("GET", f"/receipt/{number}")
+
+
+@then("a line tells how many repeats were allowed and refused, the share and the routers")
+def repeats_told(context):
+    def told():
+        lines = [line for line in context.router.lines if is_about_repeats(line)]
+        decided = sum(line["allowed_since"] + line["refused_since"] for line in lines)
+        return lines if decided >= 10 else []
+
+    lines = eventually(told)
+    assert sum(line["allowed_since"] + line["refused_since"] for line in lines) == 10, lines
+    assert lines[-1]["service"] == "portal" and lines[-1]["requests"] == 10, lines[-1]
+    assert {"share", "repeats", "routers", "routers_told_ms"} <= set(lines[-1]), lines[-1]
+
+
+def is_about_repeats(line):
+    return line.get("message_type") == "aspengate.retry.decided"
+
+
+@then("each request's line tells the decision on its own repeat")
+def repeat_of_each_told(context):
+    ended = [
+        line
+        for line in context.router.lines
+        if line.get("message_type") == "aspengate.request.ended"
+    ]
+    decisions = [decision for line in ended for decision in line["repeats"]]
+    assert len(decisions) == 10, ended
+    assert all({"allowed", "share", "requests", "routers"} <= set(each) for each in decisions)
--- a/features/telemetry.feature
+++ b/features/telemetry.feature
@@ -25,3 +25,9 @@
     Given logs of two routers in which one request was tried at both
     When its story is asked for
     Then the command prints both ends in order, and what was believed at that time
+
+  Scenario: The decisions on repeats are told with what they went by
+    Given a gateway before two replicas of each service
+    When receipts are asked for and every replica refuses them
+    Then a line tells how many repeats were allowed and refused, the share and the routers
+    And each request's line tells the decision on its own repeat
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -160,6 +160,7 @@
             "replicas_revision": self.replicas.state.revision,
             "replicas_connected": self.replicas.connected,
             "routers_known": self.peering.members.count,
+            "retry_routers": self.retries.routers,
             "requests_in_progress": self.server.in_progress,
             "connections": len(self.server.active_channels),
             "connections_opened": self.pool.opened,
@@ -241,10 +242,24 @@
         told_ms = self.clock.monotonic_ms()
         while not self._closing.wait(_TICK_S):
             self.tokens.tick()
+            self._tell_retries()
             if self.clock.monotonic_ms() - told_ms >= _CALLS_TOLD_MS:
                 told_ms = self.clock.monotonic_ms()
                 self._tell_calls()
 
+    def _tell_retries(self) -> None:
+        """Tell the decisions on repeats: a killed router's requests never get their own lines."""
+        told_ms = self.retries.told_ms()
+        for tally in self.retries.tallies():
+            log_change(
+                "retry.decided",
+                service=tally.service,
+                allowed_since=tally.allowed,
+                refused_since=tally.refused,
+                routers_told_ms=None if told_ms is None else round(told_ms),
+                **tally.last.told(),
+            )
+
     def _tell_calls(self) -> None:
         calls = dict(self.deployment.store.calls)
         log_change("store.calls", session=self.peering.session, calls=calls)
@@ -409,7 +424,7 @@
         self.parts.forget(identity)
 
     def _on_members(self, count: int) -> None:
-        self.retries.routers = count
+        self.retries.note_routers(count)
         self.tokens.routers = count
 
     def _apply_configuration(self, configuration: FleetConfiguration) -> None:
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -161,7 +161,9 @@
             return False
         if not self.registry.ready(exchange.known_service.name, progress.excluded):
             return False
-        if not self.retries.take(exchange.known_service.name):
+        decision = self.retries.take(exchange.known_service.name)
+        progress.repeats.append(decision)
+        if not decision.allowed:
             self.counters.count("gateway.retry_budget_spent")
             return False
         self.counters.count("gateway.repeated")
--- a/src/aspengate/gateway/_progress.py
+++ b/src/aspengate/gateway/_progress.py
@@ -5,6 +5,7 @@
 
 from aspengate.errors import ErrorKind
 from aspengate.gateway._exchange import Outcome
+from aspengate.retries import RetryDecision
 
 if TYPE_CHECKING:
     from aspengate.gateway._attempt import Attempt
@@ -15,10 +16,11 @@
     """Counts attempts, and remembers how far a stream has come.
 
     ``made`` are all attempts; ``attempts`` of them were sent to a replica, ``unreached`` were
-    not. ``begun_ms`` is when the request was whole and its handling began, ``admitted_ms`` when
-    the filters had admitted it, both in monotonic time. ``last_event_id`` is that of the last
-    event that the caller got; ``events`` is how many it got, and ``longest_gap_ms`` the longest
-    pause between two of them. ``settled_tokens`` is what its account was charged.
+    not; ``repeats`` are the decisions on repeating it. ``begun_ms`` is when the request was whole
+    and its handling began, ``admitted_ms`` when the filters had admitted it, both in monotonic
+    time. ``last_event_id`` is that of the last event that the caller got; ``events`` is how many
+    it got, and ``longest_gap_ms`` the longest pause between two of them. ``settled_tokens`` is
+    what its account was charged.
     """
 
     begun_ms: float = 0.0
@@ -28,6 +30,7 @@
     may_have_run: bool = False
     excluded: set[str] = field(default_factory=set)
     made: "list[Attempt]" = field(default_factory=list)
+    repeats: list[RetryDecision] = field(default_factory=list)
     status: int = 0
     last_event_id: str = ""
     events: int = 0
--- a/src/aspengate/gateway/_story.py
+++ b/src/aspengate/gateway/_story.py
@@ -52,6 +52,7 @@
             admitted_ms=round(progress.admitted_ms - received_ms) if progress.admitted_ms else None,
             may_have_run=progress.may_have_run,
             attempts=[attempt.told() for attempt in progress.made],
+            repeats=[decision.told() for decision in progress.repeats],
             folded=self._take_folded(),
             **_circumstances(exchange, progress, received_ms),
         )
--- /dev/null
+++ b/src/aspengate/retries/_decision.py
@@ -0,0 +1,39 @@
+"""What a router knew when it decided on a repeat, and how its decisions add up."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class RetryDecision:
+    """Whether one repeat was allowed, and by which figures.
+
+    ``repeats`` of this router still counted against its ``share``; ``requests`` is how many its
+    callers made in the window. ``routers`` is how many share the fleet's budget, 0 where that
+    was not known.
+    """
+
+    allowed: bool
+    repeats: int
+    share: float
+    requests: int
+    routers: int
+
+    def told(self) -> dict[str, object]:
+        """Return what the log tells of this decision."""
+        return {
+            "allowed": self.allowed,
+            "repeats": self.repeats,
+            "share": round(self.share, 1),
+            "requests": self.requests,
+            "routers": self.routers,
+        }
+
+
+@dataclass(frozen=True)
+class RetryTally:
+    """The decisions on one service's repeats since they were asked for last."""
+
+    service: str
+    allowed: int
+    refused: int
+    last: RetryDecision
