--- a/features/environment.py
+++ b/features/environment.py
@@ -29,7 +29,7 @@
 
 def after_step(context, step):
     if step.status == "failed" and hasattr(context, "fleet"):
-        for router in context.fleet.routers:
+        for router in getattr(context.fleet, "routers", ()):
             print(router.name)
             for line in router.lines:
                 print("   ", line)
--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -13,13 +13,14 @@
 
 
 class Request:
-    """One request as its bytes were read."""
+    """One request as its bytes were read; ``at_s`` is when its head had come."""
 
     def __init__(self, method, target, headers, body):
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
+        self.at_s = time.monotonic()
 
     def header(self, name):
         found = [value for key, value in self.headers if key.lower() == name.lower()]
--- a/features/retries.feature
+++ b/features/retries.feature
@@ -14,3 +14,18 @@
     Given routers that share a retry budget
     When all of them use their share and start again three times in one window
     Then in no window are there more repeats than the ratio of the requests and the slack
+
+  # Four routers repeated more than the fleet may. Each had just started, the store left its
+  # writes unanswered, and it had heard of no other: so it took itself for the only one, and the
+  # whole slack for its own. In two starts within a second they made 92 repeats for 108 requests,
+  # 16 more than allowed; each told routers=1 beside the repeats that it allowed. With the number
+  # known the same starts made 22 fewer than allowed, and yet every start began with nothing used.
+  Scenario: Routers that were not told how many they are, and start again
+    Given routers that share a retry budget
+    When all use their share and start again twice in one window, and are told nothing
+    Then in no window are there more repeats than the ratio of the requests and the slack
+
+  Scenario: Routers that start again twenty times in a window
+    Given routers that share a retry budget
+    When all of them start again twenty times in one window, and all requests fail
+    Then in no window are there more repeats than the ratio of the requests and the slack
--- /dev/null
+++ b/features/steps/gateway_repeats_steps.py
@@ -0,0 +1,121 @@
+"""Steps on repeats of several routers as their replicas count them."""
+
+import threading
+import time
+
+from behave import given, then, when
+from platform_standins import Fleet
+from platform_standins.fleet import eventually
+
+RATIO = 0.2
+SLACK = 54
+ROUTERS = 4
+PRESSED = 9
+
+
+def start_fleet(context, window_s, **bounds):
+    context.fleet = Fleet(context.cleanup)
+    context.fleet.operator.write()
+    context.window_s = window_s
+    context.sent = []
+    for _ in range(3):
+        context.fleet.add_replica("portal").behaviour = "refuse"
+    for _ in range(ROUTERS):
+        context.fleet.add_router(
+            retry_ratio=RATIO, retry_slack=SLACK, retry_window_s=window_s, **bounds
+        )
+
+
+def together(action, items):
+    threads = [threading.Thread(target=action, args=(item,)) for item in items]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def press(context):
+    """Have each router get some requests at once."""
+
+    def ask(router):
+        context.sent.append(time.monotonic())
+        caller = router.call()
+        caller.request("GET", "/receipt/1")
+        caller.close()
+
+    together(ask, context.fleet.routers * PRESSED)
+
+
+def start_again(context):
+    for router in context.fleet.routers:
+        router.kill()
+    together(context.fleet.start_again, list(context.fleet.routers))
+
+
+def repeats(context):
+    """Return when the replicas got requests that one of them had got before."""
+    arrived = sorted(
+        (request.at_s, request.identity)
+        for replica in context.fleet.replicas
+        for request in replica.requests
+    )
+    seen, found = set(), []
+    for at_s, identity in arrived:
+        if identity in seen:
+            found.append(at_s)
+        seen.add(identity)
+    return found
+
+
+def worst_window(context):
+    """Return by how much the repeats of some window exceed what it allows."""
+    found, window_s = repeats(context), context.window_s
+    worst = -SLACK
+    for end in found:
+        count = sum(1 for at in found if end - window_s < at <= end)
+        requests = max(
+            sum(1 for at in context.sent if end - shift - window_s < at <= end - shift)
+            for shift in (0, window_s / 2, window_s)
+        )
+        worst = max(worst, count - RATIO * requests - SLACK)
+    return worst
+
+
+@given("four gateways that hear of nobody, before replicas that refuse every request")
+def unheard_gateways(context):
+    start_fleet(context, 10)
+
+
+@when("they are pressed, killed and started again three times, and the store loses the answers")
+def pressed_and_killed(context):
+    press(context)
+    for door in context.fleet.store.doors:
+        door.lose_writes = 1_000_000
+    for _ in range(3):
+        start_again(context)
+        press(context)
+
+
+@then("in no window did the replicas get more repeats than the fleet may make")
+def within_budget(context):
+    assert worst_window(context) <= 0, (worst_window(context), len(repeats(context)))
+
+
+@given("four gateways that share repeats in windows of 2 s, before replicas that refuse")
+def gateways_in_touch(context):
+    start_fleet(context, 2)
+
+
+@when("they are killed and started again, and the store answers")
+def killed_once(context):
+    start_again(context)
+
+
+@then("repeats arrive again, and in no window more than the fleet may make")
+def repeats_again(context):
+    def pressed():
+        press(context)
+        return repeats(context)
+
+    assert eventually(pressed), context.fleet.routers[0].lines[-5:]
+    assert worst_window(context) <= 0, worst_window(context)
--- /dev/null
+++ b/features/steps/known_red_steps.py
@@ -0,0 +1,58 @@
+"""Steps on the list of scenarios that are known to fail."""
+
+import importlib.util
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+LINE = "f.feature: {} | a cause | 1"
+
+
+def load_verdict():
+    spec = importlib.util.spec_from_file_location("verdict", ROOT / ".ci" / "verdict.py")
+    module = importlib.util.module_from_spec(spec)
+    sys.modules["verdict"] = module
+    spec.loader.exec_module(module)
+    return module
+
+
+@given('a run in which "{scenario}" {result}')
+def run_with(context, scenario, result):
+    context.verdict = load_verdict()
+    context.results = {("f.feature", "other"): True}
+    if result != "did not run":
+        context.results["f.feature", scenario] = result == "passed"
+    context.exit_code = int(result == "failed")
+    context.listed = ""
+
+
+@when('the list names "{listed}"')
+def list_names(context, listed):
+    if listed != "nobody":
+        context.listed = LINE.format(listed)
+
+
+@when("the run itself ends with 1")
+def run_ends(context):
+    context.exit_code = 1
+
+
+@then("the verdict is {verdict}, with {failed:d} failed")
+def verdict_is(context, verdict, failed):
+    known = context.verdict.read_list(context.listed)
+    found = context.verdict.weigh(context.results, known, context.exit_code)
+    assert (not found.complaints) == (verdict == "green"), found
+    assert found.failed == failed, found
+
+
+@then("a list of four lines is not accepted, nor one without a cause")
+def bad_lists(context):
+    verdict = load_verdict()
+    for text in ("\n".join([LINE.format("a")] * 4), "f.feature: a | 1"):
+        try:
+            verdict.read_list(text)
+        except ValueError:
+            continue
+        raise AssertionError(text)
--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -17,15 +17,16 @@
 
 
 class Fleet:
-    def __init__(self, routers):
+    def __init__(self, size):
         self.clock = ManualClock()
-        self.routers = routers
+        self.size = size
         self.requests, self.repeats = [], []
-        self.budgets = [self.start() for _ in range(routers)]
+        self.budgets = [self.start() for _ in range(size)]
 
-    def start(self):
+    def start(self, told=True):
         budget = SharedRetryBudget(POLICY, self.clock)
-        budget.note_routers(self.routers)
+        if told:
+            budget.note_routers(self.size)
         return budget
 
     def request(self, number, count):
@@ -74,6 +75,29 @@
         fleet.clock.advance(POLICY.window_ms / 5)
 
 
+@when("all use their share and start again twice in one window, and are told nothing")
+def restarts_untold(context):
+    fleet = context.fleet = Fleet(context.routers)
+    fleet.clock.advance(POLICY.window_ms + 1)
+    for _ in range(3):
+        for number in range(context.routers):
+            fleet.request(number, 5)
+            fleet.fail(number, 200)
+            fleet.budgets[number] = fleet.start(told=False)
+        fleet.clock.advance(1_000)
+
+
+@when("all of them start again twenty times in one window, and all requests fail")
+def restarts_often(context):
+    fleet = context.fleet = Fleet(context.routers)
+    for _ in range(20):
+        for number in range(context.routers):
+            fleet.budgets[number] = fleet.start()
+            fleet.request(number, 1)
+            fleet.fail(number, 1)
+        fleet.clock.advance(POLICY.window_ms / 25)
+
+
 @then("in no window are there more repeats than the ratio of the requests and the slack")
 def within(context):
     if hasattr(context, "fleet"):
