Let a router repeat only what nobody else can count as theirs

Cause: a share of the fleet's retry budget was taken without proof of it. A router took itself for the only one until its own loop had asked the store, and every start began a window with nothing used. Change: no repeats before the number of routers has been known, from the store's list or from a router that read it, for a window and three seconds; the greatest number of the last window counts; leaders tell how many they know instead of how many their last list had. Half of the ratio instead of 0.7 is shared out, since requests of two windows may stand behind the repeats of one, and 0.83 of the slack instead of 0.7. Steps of the older scenarios wait until repeats are allowed: they would prove nothing otherwise. What they check is unchanged. 100 receipts (gateway_once) now lie in a window of 20 s instead of 60, since the test has to sit out one first.

--- a/features/steps/gateway_answers_steps.py
+++ b/features/steps/gateway_answers_steps.py
@@ -22,7 +22,8 @@
 
 @given("a gateway before three replicas that all lose every answer")
 def three_losing(context):
-    start(context, replicas=3, retry_slack=10, retry_ratio=0.2, retry_window_s=60)
+    bounds = {"retry_slack": 10, "retry_ratio": 0.2, "retry_window_s": 20, "retry_start_ms": 0}
+    start(context, replicas=3, **bounds)
     for replica in context.fleet.of("portal"):
         replica.behaviour = "lose"
 
--- a/features/steps/gateway_repeats_steps.py
+++ b/features/steps/gateway_repeats_steps.py
@@ -103,7 +103,7 @@
 
 @given("four gateways that share repeats in windows of 2 s, before replicas that refuse")
 def gateways_in_touch(context):
-    start_fleet(context, 2)
+    start_fleet(context, 2, retry_start_ms=1_000)
 
 
 @when("they are killed and started again, and the store answers")
--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -22,6 +22,7 @@
         self.size = size
         self.requests, self.repeats = [], []
         self.budgets = [self.start() for _ in range(size)]
+        self.clock.advance(POLICY.window_ms + POLICY.start_ms + 1)
 
     def start(self, told=True):
         budget = SharedRetryBudget(POLICY, self.clock)
@@ -66,7 +67,6 @@
 @when("all of them use their share and start again three times in one window")
 def restarts(context):
     fleet = context.fleet = Fleet(context.routers)
-    fleet.clock.advance(POLICY.window_ms + 1)
     for _ in range(4):
         for number in range(context.routers):
             fleet.request(number, 20)
@@ -78,7 +78,6 @@
 @when("all use their share and start again twice in one window, and are told nothing")
 def restarts_untold(context):
     fleet = context.fleet = Fleet(context.routers)
-    fleet.clock.advance(POLICY.window_ms + 1)
     for _ in range(3):
         for number in range(context.routers):
             fleet.request(number, 5)
@@ -128,7 +127,6 @@
 @when("one of them has run for a window and all its requests fail")
 def all_fail(context):
     context.fleet = Fleet(context.routers)
-    context.fleet.clock.advance(POLICY.window_ms + 1)
     context.fleet.request(0, 100)
     context.fleet.fail(0, 200)
 
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -63,6 +63,7 @@
         "retry_ratio",
         "retry_slack",
         "retry_window_s",
+        "retry_start_ms",
         "log_lines_per_second",
     }
 )
@@ -424,7 +425,8 @@
         self.parts.forget(identity)
 
     def _on_members(self, count: int) -> None:
-        self.retries.note_routers(count)
+        if self.peering.members.count_known:
+            self.retries.note_routers(count)
         self.tokens.routers = count
 
     def _apply_configuration(self, configuration: FleetConfiguration) -> None:
@@ -437,4 +439,9 @@
 
 
 def _retry_policy(settings: GatewaySettings) -> RetryPolicy:
-    return RetryPolicy(settings.retry_ratio, settings.retry_slack, settings.retry_window_s * 1_000)
+    return RetryPolicy(
+        settings.retry_ratio,
+        settings.retry_slack,
+        settings.retry_window_s * 1_000,
+        settings.retry_start_ms,
+    )
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -66,7 +66,7 @@
     whose store does not answer asks a peer for them; one that hears of a newer change than it
     knows asks the peer that spoke of it. ``services`` is what it does for its peers;
     ``on_reply`` is called with what other routers answer, ``on_count`` with the number of
-    routers that may be alive.
+    routers that may be alive, often and as soon as one is heard that was not known.
 
     One router leads each failure domain (``DomainLeadership``): it follows the store and tells
     the others there of each change; these make no call for it.
@@ -231,7 +231,7 @@
             self.members.own,
             self.sharing.revisions,
             self.reaches_store,
-            self.members.listed,
+            self.members.listed_here,
             self.members.leads,
             self.registry.replaced()[:_MOST_REPLACED],
         )
@@ -283,8 +283,10 @@
         is_new = self.members.heard(
             news.member, reaches_store=news.reaches_store, leads=news.leads, listed=news.listed
         )
-        if is_new and self.members.leads:
-            self._datagrams.send(self._news(), news.member.address)
+        if is_new:
+            self._on_count(self.members.count)
+            if self.members.leads:
+                self._datagrams.send(self._news(), news.member.address)
         is_near = news.member.failure_domain == self.members.own.failure_domain
         if is_near and news.leads and self.leadership.leader != news.member:
             self._look()
--- a/src/aspengate/gateway/_settings.py
+++ b/src/aspengate/gateway/_settings.py
@@ -125,6 +125,11 @@
         default=10.0,
     )
     retry_window_s: float = _seconds("bounds", "the window of the retry budget", 10)
+    retry_start_ms: float = _milliseconds(
+        "bounds",
+        "time in which all have heard of a router that starts, and a dead one's requests arrived",
+        3_000,
+    )
     settle_ms: float = _milliseconds(
         "bounds", "time within which an ended request's tokens are settled", 1_500
     )
--- a/src/aspengate/peers/_members.py
+++ b/src/aspengate/peers/_members.py
@@ -38,13 +38,15 @@
 class SignOfLife:
     """What a router told of itself last, at ``at_ms`` in monotonic milliseconds.
 
-    ``leads`` tells whether it follows the store for its failure domain.
+    ``leads`` tells whether it follows the store for its failure domain, ``listed`` how many
+    routers it knows, 0 where it has not read the store's list.
     """
 
     member: Member
     at_ms: float
     reaches_store: bool = False
     leads: bool = False
+    listed: int = 0
 
 
 class MemberList:
@@ -61,14 +63,25 @@
         self._clock = clock
         self._members: dict[str, Member] = {}
         self._signs: dict[str, SignOfLife] = {}
-        self._told_listed = 0
         self._lock = threading.Lock()
 
     @property
     def count(self) -> int:
         """How many routers may be alive, this one among them."""
         with self._lock:
-            return max(1 + len(self._members), self.listed, self._told_listed)
+            return max(self._known_here(), self._told())
+
+    @property
+    def count_known(self) -> bool:
+        """Whether ``count`` goes by the store's list, as read by this router or by another."""
+        with self._lock:
+            return bool(self.listed or self._told())
+
+    @property
+    def listed_here(self) -> int:
+        """How many routers this one knows of itself; 0 where it has not read the store's list."""
+        with self._lock:
+            return self._known_here() if self.listed else 0
 
     def update(self, listed: Snapshot) -> None:
         """Take over what is registered in the store."""
@@ -88,7 +101,6 @@
                 members[name] = sign.member
             self._members = members
             self.listed = 1 + len(members)
-            self._told_listed = 0
 
     def heard(
         self, member: Member, *, reaches_store: bool = False, leads: bool = False, listed: int = 0
@@ -103,9 +115,7 @@
                 log_change("member.heard", name=member.name, address=member.address)
             elif before.member.session != member.session:
                 log_change("member.runs_again", name=member.name, session=member.session)
-            self._signs[member.name] = SignOfLife(member, now, reaches_store, leads)
-            if leads or not self.listed:
-                self._told_listed = listed
+            self._signs[member.name] = SignOfLife(member, now, reaches_store, leads, listed)
             self._members[member.name] = member
             return before is None or before.member.session != member.session
 
@@ -192,6 +202,23 @@
         now = self._clock.monotonic_ms()
         return {name: sign for name, sign in self._signs.items() if now - sign.at_ms <= within_ms}
 
+    def _known_here(self) -> int:
+        """Return how many routers this one was listed or has heard; call it with the lock held."""
+        return max(1 + len(self._members), self.listed)
+
+    def _told(self) -> int:
+        """Return how many routers others know who read the list; call it with the lock held.
+
+        Leaders read it again and hear all others; the word of the rest counts for a router that
+        has not read it.
+        """
+        told = [
+            sign.listed
+            for sign in self._recent(_REMEMBERED_MS).values()
+            if sign.leads or not self.listed
+        ]
+        return max(told, default=0)
+
     def register(self, store: KeyValueStore) -> None:
         """Write this router into the store; raises AspengateError where that fails."""
         value = msgspec.json.encode(self.own)
--- a/src/aspengate/peers/_messages.py
+++ b/src/aspengate/peers/_messages.py
@@ -12,8 +12,9 @@
 
     ``revisions`` maps a prefix of the store to the newest change known below it;
     ``reaches_store`` tells whether the store answers this router, ``leads`` whether it follows
-    the store for its failure domain, and ``listed`` how many routers the store's list had when
-    this one read it last. ``replaced`` are listed replicas at whose addresses others answer.
+    the store for its failure domain, and ``listed`` how many routers this one knows, 0 where it
+    has not read the store's list. ``replaced`` are listed replicas at whose addresses others
+    answer.
     """
 
     member: Member
--- a/src/aspengate/retries/_shared_budget.py
+++ b/src/aspengate/retries/_shared_budget.py
@@ -6,20 +6,28 @@
 
 from aspengate.clock import Clock
 from aspengate.retries._decision import RetryDecision, RetryTally
+from aspengate.retries._fleet_size import FleetSize
 
-# Part of the fleet's budget that is used; the rest covers routers that join or start again
-# before all others know of it.
-_USED_PART = 0.7
-_FIRST_WINDOW_PART = 0.2
+# Part of the fleet's slack that is shared out; the rest covers routers that others have not heard
+# of yet, as many as a fifth of those that they know.
+_SLACK_PART = 0.83
+# Part of the ratio that is shared out. Each router looks back from its own last repeat, so that
+# the requests they all go by may lie in two windows; the policy counts those of one.
+_RATIO_PART = 0.5
 
 
 @dataclass(frozen=True)
 class RetryPolicy:
-    """The fleet's bound: in any ``window_ms``, ``ratio`` x the requests + ``slack`` repeats."""
+    """The fleet's bound: in any ``window_ms``, ``ratio`` x the requests + ``slack`` repeats.
+
+    ``start_ms`` is within what time all routers have heard of one that starts, and what a dead
+    one sent has arrived.
+    """
 
     ratio: float
     slack: float
     window_ms: float
+    start_ms: float = 3_000.0
 
 
 @dataclass
@@ -41,30 +49,29 @@
     """Allows repeats by service so that all routers together stay within the policy.
 
     Each router counts its own requests and takes an equal part of the slack, so that no message
-    is needed; ``routers`` is how many may be alive. A router that has just started may follow
-    one that used its part in the same window, and takes less until the window is over.
+    is needed but the number of routers. ``docs/design/retries.md`` shows why the sum holds.
     """
 
     def __init__(self, policy: RetryPolicy, clock: Clock) -> None:
         self.policy = policy
-        self.routers = 1
+        self.fleet = FleetSize(clock)
         self._clock = clock
-        self._started_ms = clock.monotonic_ms()
-        self._told_ms: float | None = None
         self._windows: dict[str, _Window] = defaultdict(_Window)
         self._lock = threading.Lock()
 
+    @property
+    def routers(self) -> int:
+        """How many routers share the budget now; 0 where that is not known."""
+        return self.fleet.most(self.policy.window_ms)
+
     def note_routers(self, routers: int) -> None:
         """Take over how many routers may be alive, this one among them."""
         with self._lock:
-            self.routers = routers
-            self._told_ms = self._clock.monotonic_ms()
+            self.fleet.note(routers, self.policy.window_ms)
 
     def told_ms(self) -> float | None:
         """Return how long ago the number of routers was told, in ms; None if it never was."""
-        with self._lock:
-            told_ms = self._told_ms
-        return None if told_ms is None else self._clock.monotonic_ms() - told_ms
+        return self.fleet.told_ms()
 
     def note_request(self, service: str) -> None:
         """Count a caller's request for a service."""
@@ -76,7 +83,7 @@
         """Decide on one more repeat, and count it where it is allowed."""
         with self._lock:
             window = self._current(service)
-            share = self._allowed(len(window.requests))
+            share = self._share(len(window.requests))
             repeats = len(window.repeats)
             allowed = repeats + 1 <= share
             if allowed:
@@ -95,12 +102,17 @@
                     window.allowed, window.refused, window.last = 0, 0, None
             return found
 
-    def _allowed(self, requests: int) -> float:
-        slack = self.policy.slack / max(1, self.routers)
-        allowed = _USED_PART * (self.policy.ratio * requests + slack)
-        if self._clock.monotonic_ms() - self._started_ms < self.policy.window_ms:
-            return allowed * _FIRST_WINDOW_PART
-        return allowed
+    def _share(self, requests: int) -> float:
+        """Return how many repeats this router may have in its window.
+
+        None before it has known the fleet for a window: until then an earlier run of it may have
+        used its share, and others may go by a number without it.
+        """
+        known_ms = self.fleet.known_ms()
+        if known_ms is None or known_ms < self.policy.window_ms + self.policy.start_ms:
+            return 0.0
+        slack = _SLACK_PART * self.policy.slack / self.routers
+        return _RATIO_PART * self.policy.ratio * requests + slack
 
     def _current(self, service: str) -> _Window:
         window = self._windows[service]
