Tests of repeats that arrive late, which fail

Cause: a repeat is counted when it is decided on, before its connection is opened; a router that stands still in between, or a replica that reads late, moves arrivals into a window in which new ones are allowed. Ruled out: sends that were not reached, as arrivals that no budget counts: they end before a byte has left (connections/_connection.py), so that no replica can have counted one. Change: two scenarios, one of them over any order of events; settle() is part of the interface and does nothing yet.

--- a/features/retries.feature
+++ b/features/retries.feature
@@ -29,3 +29,16 @@
     Given routers that share a retry budget
     When all of them start again twenty times in one window, and all requests fail
     Then in no window are there more repeats than the ratio of the requests and the slack
+
+  # A repeat is decided on before its connection is opened. A router that stood still in between,
+  # or a replica that reads late, moves arrivals into a later window, in which new repeats are
+  # allowed: with a share taken at the end of one window and again at the beginning of the next,
+  # replicas got two shares within one.
+  Scenario: Repeats that arrive late count until a window after their arrival
+    Given routers that share a retry budget
+    When all use their share, it arrives 4 seconds late, and they use it again as soon as they may
+    Then in no window are there more repeats than the ratio of the requests and the slack
+
+  Scenario: Whatever routers know of each other, and however late repeats arrive
+    Given routers that share a retry budget
+    Then no order of requests, late arrivals, deaths, starts and stops exceeds it
--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -9,6 +9,8 @@
 from aspengate.retries import RetryPolicy, SharedRetryBudget
 
 POLICY = RetryPolicy(ratio=0.2, slack=54.0, window_ms=10_000)
+# How long what a dead router sent may still be sent again by its system.
+RESENT_MS = 2_000
 EVENT = st.tuples(
     st.sampled_from(["request", "burst", "fail", "restart", "wait"]),
     st.integers(0, 3),
@@ -17,12 +19,14 @@
 
 
 class Fleet:
+    """Routers by number, None for one that was stopped; ``late`` are repeats under way."""
+
     def __init__(self, size):
         self.clock = ManualClock()
         self.size = size
-        self.requests, self.repeats = [], []
+        self.requests, self.repeats, self.late = [], [], []
         self.budgets = [self.start() for _ in range(size)]
-        self.clock.advance(POLICY.window_ms + POLICY.start_ms + 1)
+        self.advance(POLICY.window_ms + POLICY.start_ms + 1)
 
     def start(self, told=True):
         budget = SharedRetryBudget(POLICY, self.clock)
@@ -35,10 +39,37 @@
             self.budgets[number].note_request("portal")
             self.requests.append(self.clock.monotonic_ms())
 
-    def fail(self, number, count):
+    def fail(self, number, count, late_ms=0):
+        """Have a router repeat as often as it may; the repeats arrive ``late_ms`` later."""
+        budget = self.budgets[number]
         for _ in range(count):
-            if self.budgets[number].take("portal").allowed:
-                self.repeats.append(self.clock.monotonic_ms())
+            if budget.take("portal").allowed:
+                self.late.append((self.clock.monotonic_ms() + late_ms, number, budget))
+        self.advance(0)
+
+    def advance(self, duration_ms):
+        """Let time go by, and repeats arrive that are due."""
+        last_ms = self.clock.monotonic_ms() + duration_ms
+        for due_ms, number, budget in sorted(self.late, key=lambda each: each[0]):
+            if due_ms > last_ms:
+                continue
+            self.late.remove((due_ms, number, budget))
+            self.clock.advance(due_ms - self.clock.monotonic_ms())
+            self.repeats.append(due_ms)
+            budget.settle("portal", allowed=1, arrived=1, arrived_ms=due_ms)
+        self.clock.advance(last_ms - self.clock.monotonic_ms())
+
+    def kill(self, number):
+        """End a router; what it sent arrives within two seconds, or is lost."""
+        last_ms = self.clock.monotonic_ms() + RESENT_MS
+        self.late = [each for each in self.late if each[1] != number or each[0] <= last_ms]
+        self.budgets[number] = None
+
+    def tell(self):
+        """Tell the routers that run how many they are, with those that were killed."""
+        for budget in self.budgets:
+            if budget is not None:
+                budget.note_routers(self.size)
 
     def worst(self):
         """Return by how much the repeats of some window exceed what it allows."""
@@ -72,7 +103,7 @@
             fleet.request(number, 20)
             fleet.fail(number, 200)
             fleet.budgets[number] = fleet.start()
-        fleet.clock.advance(POLICY.window_ms / 5)
+        fleet.advance(POLICY.window_ms / 5)
 
 
 @when("all use their share and start again twice in one window, and are told nothing")
@@ -83,7 +114,19 @@
             fleet.request(number, 5)
             fleet.fail(number, 200)
             fleet.budgets[number] = fleet.start(told=False)
-        fleet.clock.advance(1_000)
+        fleet.advance(1_000)
+
+
+@when("all use their share, it arrives 4 seconds late, and they use it again as soon as they may")
+def late_repeats(context):
+    fleet = context.fleet = Fleet(context.routers)
+    for number in range(context.routers):
+        fleet.request(number, 5)
+        fleet.fail(number, 200, late_ms=4_000)
+    fleet.advance(POLICY.window_ms + 1)
+    for number in range(context.routers):
+        fleet.request(number, 5)
+        fleet.fail(number, 200)
 
 
 @when("all of them start again twenty times in one window, and all requests fail")
@@ -94,7 +137,7 @@
             fleet.budgets[number] = fleet.start()
             fleet.request(number, 1)
             fleet.fail(number, 1)
-        fleet.clock.advance(POLICY.window_ms / 25)
+        fleet.advance(POLICY.window_ms / 25)
 
 
 @then("in no window are there more repeats than the ratio of the requests and the slack")
@@ -118,7 +161,7 @@
             elif name == "restart":
                 fleet.budgets[number] = fleet.start()
             else:
-                fleet.clock.advance(size)
+                fleet.advance(size)
         assert fleet.worst() <= 0, fleet.worst()
 
     check()
@@ -135,3 +178,63 @@
 def share(context):
     share = POLICY.ratio * 100 + POLICY.slack / context.routers
     assert 0.6 * share <= len(context.fleet.repeats) <= share, len(context.fleet.repeats)
+
+
+ANY_EVENT = st.tuples(
+    st.sampled_from(
+        [
+            *("request", "late", "all late", "all late", "kill", "untold"),
+            *("start", "stop", "wait", "window", "rest"),
+        ]
+    ),
+    st.integers(0, 3),
+    st.integers(1, 4_000),
+)
+
+
+def play(fleet, name, number, size):
+    """Let one thing happen; ``number`` is the router, ``size`` how much or how late."""
+    budget = fleet.budgets[number]
+    if name == "wait":
+        fleet.advance(size)
+    elif name == "rest":
+        fleet.advance(POLICY.window_ms + POLICY.start_ms)
+    elif name == "window":
+        fleet.advance(POLICY.window_ms)
+    elif name == "all late":
+        for each in range(len(fleet.budgets)):
+            if fleet.budgets[each] is not None:
+                fleet.fail(each, 100, late_ms=size)
+    elif budget is None:
+        if name == "start":
+            fleet.size = max(fleet.size, sum(each is not None for each in fleet.budgets) + 1)
+            fleet.budgets[number] = fleet.start()
+            fleet.tell()
+    elif name == "request":
+        fleet.request(number, 1 + size % 100)
+    elif name == "late":
+        fleet.fail(number, 100, late_ms=size)
+    elif name == "kill":
+        fleet.kill(number)
+        fleet.budgets[number] = fleet.start()
+    elif name == "untold":
+        fleet.kill(number)
+        fleet.budgets[number] = fleet.start(told=False)
+    elif name == "stop":
+        fleet.kill(number)
+        fleet.size = max(1, fleet.size - 1)
+        fleet.tell()
+
+
+@then("no order of requests, late arrivals, deaths, starts and stops exceeds it")
+def any_order(context):
+    @settings(max_examples=1_000)
+    @given_any(st.lists(ANY_EVENT, min_size=10, max_size=60))
+    def check(events):
+        fleet = Fleet(context.routers)
+        for event in events:
+            play(fleet, *event)
+        fleet.advance(RESENT_MS * 2)
+        assert fleet.worst() <= 0, fleet.worst()
+
+    check()
--- a/src/aspengate/retries/_shared_budget.py
+++ b/src/aspengate/retries/_shared_budget.py
@@ -92,6 +92,13 @@
             window.note(decision)
             return decision
 
+    def settle(self, service: str, *, allowed: int, arrived: int, arrived_ms: float) -> None:
+        """Tell that a request has ended to which ``allowed`` repeats had been allowed.
+
+        At most ``arrived`` of them have reached a replica, the last one at ``arrived_ms`` or
+        before, in monotonic time.
+        """
+
     def tallies(self) -> list[RetryTally]:
         """Return the decisions by service since the last call, of services that had any."""
         with self._lock:
