Count a repeat until a window after its arrival

Cause: a repeat was counted when it was decided on; held up on its way it met those of the next window at the replica. Ruled out: counting from the end of the request: a stream of twelve seconds would hold its repeat for a window longer than it counts at the replica. Change: an allowed repeat counts as under way until its request ends; then from when the last attempt's answer began or, without an answer, 2 s after its connection was closed, as long as the system sends again. Repeats that never left are given back.

--- a/src/aspengate/connections/__init__.py
+++ b/src/aspengate/connections/__init__.py
@@ -3,10 +3,11 @@
 from aspengate.connections._answer import ReplicaAnswer
 from aspengate.connections._connection import ReplicaConnection, RequestHead
 from aspengate.connections._pool import ConnectionPool
-from aspengate.connections._silence import detect_silence
+from aspengate.connections._silence import UNACKNOWLEDGED_MS, detect_silence
 from aspengate.connections._waiter import CallerGoneError, Waiter
 
 __all__ = [
+    "UNACKNOWLEDGED_MS",
     "CallerGoneError",
     "ConnectionPool",
     "ReplicaAnswer",
--- a/src/aspengate/connections/_silence.py
+++ b/src/aspengate/connections/_silence.py
@@ -5,7 +5,9 @@
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
-_UNACKNOWLEDGED_MS = 2_000
+# How long the system sends again what the other side does not acknowledge, in ms, also after the
+# connection was closed.
+UNACKNOWLEDGED_MS = 2_000
 
 
 def detect_silence(connected: socket.socket) -> None:
@@ -15,7 +17,7 @@
     way and is not acknowledged in time, and probes while nothing is, tell them from a slow one.
     """
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
     connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -4,6 +4,7 @@
 
 from aspengate.clock import Clock
 from aspengate.connections import (
+    UNACKNOWLEDGED_MS,
     ConnectionPool,
     ReplicaAnswer,
     ReplicaConnection,
@@ -128,6 +129,18 @@
             self.connection.close()
             self.connection = None
 
+    @property
+    def arrived_by_ms(self) -> float:
+        """By when the replica got the request if it ever does, in monotonic milliseconds.
+
+        Without an answer that is as long after the end of the connection as the system sends
+        again what was not acknowledged.
+        """
+        if self.first_ms is not None:
+            return self.begun_ms + self.first_ms
+        ended_ms = self.ended_ms if self.ended_ms is not None else self.parts.clock.monotonic_ms()
+        return ended_ms + UNACKNOWLEDGED_MS
+
     def told(self) -> dict[str, object]:
         """Return what the log tells of this attempt; durations are in milliseconds."""
         ended_ms = self.ended_ms if self.ended_ms is not None else self.parts.clock.monotonic_ms()
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -44,6 +44,14 @@
         """Answer the caller with a replica's answer; raises AspengateError where none serves."""
         self.retries.note_request(exchange.known_service.name)
         progress.last_event_id = exchange.request.last_event_id
+        try:
+            self._try_replicas(exchange, caller, progress)
+        finally:
+            self._settle_repeats(exchange, progress)
+
+    def _try_replicas(
+        self, exchange: Exchange, caller: CallerConnection, progress: Progress
+    ) -> None:
         while True:
             attempt = self._attempt(exchange, progress)
             try:
@@ -61,6 +69,19 @@
             finally:
                 attempt.end("fault", failed=False)
 
+    def _settle_repeats(self, exchange: Exchange, progress: Progress) -> None:
+        """Tell the retry budget when the last of the request's arrivals was, or will have been."""
+        allowed = sum(decision.allowed for decision in progress.repeats)
+        if not allowed:
+            return
+        sent = [attempt for attempt in progress.made if attempt.sent]
+        self.retries.settle(
+            exchange.known_service.name,
+            allowed=allowed,
+            arrived=len(sent) - 1,
+            arrived_ms=max((attempt.arrived_by_ms for attempt in sent), default=0.0),
+        )
+
     def _attempt(self, exchange: Exchange, progress: Progress) -> Attempt:
         candidate = self._choose(exchange, progress)
 
--- a/src/aspengate/retries/_shared_budget.py
+++ b/src/aspengate/retries/_shared_budget.py
@@ -1,5 +1,6 @@
 """One router's share of the fleet's retry budget, in every sliding window."""
 
+import bisect
 import threading
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
@@ -32,12 +33,26 @@
 
 @dataclass
 class _Window:
+    """One service's requests and repeats; ``arrived`` holds the times of arrivals, in order."""
+
     requests: deque[float] = field(default_factory=deque)
-    repeats: deque[float] = field(default_factory=deque)
+    under_way: int = 0
+    arrived: list[float] = field(default_factory=list)
     allowed: int = 0
     refused: int = 0
     last: RetryDecision | None = None
 
+    @property
+    def repeats(self) -> int:
+        """How many repeats count now."""
+        return self.under_way + len(self.arrived)
+
+    def forget(self, oldest_ms: float) -> None:
+        """Drop what was before ``oldest_ms``."""
+        while self.requests and self.requests[0] < oldest_ms:
+            self.requests.popleft()
+        del self.arrived[: bisect.bisect_left(self.arrived, oldest_ms)]
+
     def note(self, decision: RetryDecision) -> None:
         """Count a decision for the next tally."""
         self.allowed += decision.allowed
@@ -80,15 +95,15 @@
             window.requests.append(self._clock.monotonic_ms())
 
     def take(self, service: str) -> RetryDecision:
-        """Decide on one more repeat, and count it where it is allowed."""
+        """Decide on one more repeat; one that is allowed counts at least until it is settled."""
         with self._lock:
             window = self._current(service)
             share = self._share(len(window.requests))
-            repeats = len(window.repeats)
-            allowed = repeats + 1 <= share
-            if allowed:
-                window.repeats.append(self._clock.monotonic_ms())
-            decision = RetryDecision(allowed, repeats, share, len(window.requests), self.routers)
+            allowed = window.repeats + 1 <= share
+            decision = RetryDecision(
+                allowed, window.repeats, share, len(window.requests), self.routers
+            )
+            window.under_way += allowed
             window.note(decision)
             return decision
 
@@ -98,6 +113,13 @@
         At most ``arrived`` of them have reached a replica, the last one at ``arrived_ms`` or
         before, in monotonic time.
         """
+        with self._lock:
+            window = self._current(service)
+            window.under_way -= allowed
+            # A repeat counts for a window after it arrived, not after it was allowed: one that
+            # was held up would meet those of the next window at the replica.
+            for _ in range(min(allowed, arrived)):
+                bisect.insort(window.arrived, arrived_ms)
 
     def tallies(self) -> list[RetryTally]:
         """Return the decisions by service since the last call, of services that had any."""
@@ -123,8 +145,5 @@
 
     def _current(self, service: str) -> _Window:
         window = self._windows[service]
-        oldest = self._clock.monotonic_ms() - self.policy.window_ms
-        for times in (window.requests, window.repeats):
-            while times and times[0] < oldest:
-                times.popleft()
+        window.forget(self._clock.monotonic_ms() - self.policy.window_ms)
         return window
