A test of leaders whose connections to the store fell silent, which fails

Three of four routers, all that led, were cut off from the store at 23.0 s. Their watches ended at 26.0 s, by keep-alive; until then they told that the store answers them. The fourth, not cut off, rested behind them until 26.4 s and did not know a change acknowledged at 24.2 s.

--- a/features/leadership.feature
+++ b/features/leadership.feature
@@ -51,3 +51,13 @@
     Given a fleet of three gateways in one failure domain
     When a key is taken away and a replica is listed
     Then all three know of both soon, and one of them watched nothing
+
+  # The leaders' connections to the store went silent without an end, while the third router's did
+  # not. Their watches noticed it after three seconds of keep-alive, or never where the system of
+  # the store still answers that; until then they told that the store answers them, and the third
+  # one rested behind them: store.followed_alone came 3.4 s after the silence, and a key that had
+  # been taken away 2.0 s ago was still known.
+  Scenario: A router that rests hears of a change though its leaders' connections fell silent
+    Given a fleet of three gateways in one failure domain
+    When the store says nothing more to the two that lead, and a key is taken away
+    Then the third one knows of it within 10 seconds
--- a/features/platform_standins/store.py
+++ b/features/platform_standins/store.py
@@ -11,12 +11,14 @@
 from urllib.parse import parse_qs, urlsplit
 
 WATCH_STEP_S = 0.05
+QUIET = ("silent", "mute")
 RESET = struct.pack("ii", 1, 0)
 
 
 class Door:
-    """One address of the store, with its own faults: ``busy``, ``reset``, ``silent`` or none.
+    """One address of the store, with its own faults: ``busy``, ``reset``, ``silent``, ``mute``.
 
+    A silent one ends the watches that wait, a mute one leaves them open and tells nothing more.
     ``lose_writes`` next writes are done, or done ``late_s`` later, and not answered.
     """
 
@@ -84,13 +86,13 @@
             handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             handler.connection.close()
             handler.close_connection = True
-        elif self.fault == "silent":
+        elif self.fault in QUIET:
             self._say_nothing(handler)
         return bool(self.fault)
 
     def _say_nothing(self, handler):
         while not self.store.closing.wait(0.05):
-            if self.fault != "silent" and not self.lose_writes:
+            if self.fault not in QUIET and not self.lose_writes:
                 break
         handler.close_connection = True
 
@@ -180,6 +182,9 @@
         last = time.monotonic() + int(query["waitMs"]) / 1_000
         with self.changed:
             while True:
+                if door.fault == "mute" and not self.closing.is_set():
+                    self.changed.wait(WATCH_STEP_S)
+                    continue
                 if since < self.forgotten:
                     return 410, {}
                 events = [
--- a/features/steps/leadership_steps.py
+++ b/features/steps/leadership_steps.py
@@ -298,3 +298,17 @@
         assert eventually(lambda: router.find("configuration.applied", version=context.version))  # noqa: B023
     third = context.fleet.routers[2]
     assert third.find("domain.led") is None, third.lines
+
+
+@when("the store says nothing more to the two that lead, and a key is taken away")
+def leaders_unheard(context):
+    for router in context.fleet.routers[:2]:
+        router.door.fault = "mute"
+    context.version = context.fleet.operator.revoke("key-two")
+
+
+@then("the third one knows of it within 10 seconds")
+def third_knows(context):
+    third = context.fleet.routers[2]
+    applied = eventually(lambda: third.find("configuration.applied", version=context.version), 10)
+    assert applied, third.lines[-10:]
