Find out within a second that the store no longer answers a leader

Ruled out: a shorter keep-alive: its steps are whole seconds, two at least, which leaves nothing of the 2 s. Ending watches after a single call without an answer: it may be lost by itself, or meet a store that has just become slow. Change: a leader without an answer for 0.5 s asks for one (a read that may be old, a tenth of a call); two calls in a row without an answer end the waiting watches; the loss is told at once, and looked at at once.

--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -9,6 +9,7 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
 from aspengate.gateway._mirror_sharing import MirrorSharing
+from aspengate.gateway._store_probe import StoreProbe
 from aspengate.peers import (
     MEMBER_PREFIX,
     CeilingNotice,
@@ -125,6 +126,9 @@
             tell=self._tell_news,
             addresses=self._addresses,
         )
+        self._probe = StoreProbe(
+            store, clock, counters, lambda: self.members.leads and self.reaches_store
+        )
         self._beat = threading.Event()
         self._closing = threading.Event()
         self._thread = threading.Thread(target=self._send, daemon=True, name="peers-send")
@@ -142,11 +146,13 @@
         for mirror in self.mirrors.values():
             mirror.on_news = self._beat.set
         self.sharing.start()
+        self._probe.start()
         self._thread.start()
 
     def close(self) -> None:
         """Stop, and withdraw from the store; others are to lead in this router's place."""
         self._closing.set()
+        self._probe.close()
         self.sharing.close()
         self._beat.set()
         self.members.leads = False
@@ -288,7 +294,8 @@
             if self.members.leads:
                 self._datagrams.send(self._news(), news.member.address)
         is_near = news.member.failure_domain == self.members.own.failure_domain
-        if is_near and news.leads and self.leadership.leader != news.member:
+        is_other = self.leadership.leader != news.member
+        if is_near and news.leads and (is_other or not news.reaches_store):
             self._look()
         for prefix, revision in news.revisions.items():
             self.sharing.note_behind(prefix, revision, news.member.address)
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -1,6 +1,7 @@
 """The client of the platform's metadata store."""
 
 import base64
+import contextlib
 import http.client
 import socket
 import threading
@@ -31,6 +32,9 @@
 _CONNECT_TIMEOUT_S = 0.5
 _WATCH_MARGIN_S = 2.0
 _IDLE_CONNECTIONS = 4
+# So many calls in a row without an answer put the waiting watches in doubt: one may be lost by
+# itself, or meet a store that has just become slow.
+_UNANSWERED = 2
 
 
 class _Item(msgspec.Struct):
@@ -94,6 +98,8 @@
         self.answered_ms = float("-inf")
         self.calls: Counter[str] = Counter()
         self._idle: list[http.client.HTTPConnection] = []
+        self._unanswered = 0
+        self._watches: set[http.client.HTTPConnection] = set()
         self._lock = threading.Lock()
 
     def get(self, key: str) -> StoreItem | None:
@@ -103,6 +109,10 @@
             return None
         return _decode(body, _Item).to_item()
 
+    def probe(self) -> None:
+        """Ask for the cheapest answer there is; raises STORE_UNAVAILABLE where none comes."""
+        self._call("GET", _PROBE, kind="probe")
+
     def list_items(self, prefix: str) -> Snapshot:
         """Return the items whose keys begin with ``prefix``.
 
@@ -166,10 +176,12 @@
         *,
         wait_s: float | None = None,
         is_write: bool = False,
+        kind: str = "",
     ) -> tuple[int, bytes]:
-        connection = self._take()
+        is_watch = wait_s is not None
+        connection = self._take(is_watch=is_watch)
         with self._lock:
-            self.calls[_KINDS[target.partition("?")[0]]] += 1
+            self.calls[kind or _KINDS[target.partition("?")[0]]] += 1
         unknown = ErrorKind.OUTCOME_UNKNOWN if is_write else ErrorKind.STORE_UNAVAILABLE
         begun_ms = self.clock.monotonic_ms()
         try:
@@ -181,10 +193,15 @@
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             self._drop_idle()
-            if wait_s is None and isinstance(error, TimeoutError):
+            if not is_watch:
+                self._note_unanswered()
+            if not is_watch and isinstance(error, TimeoutError):
                 self.timeout.missed()
             raise AspengateError(unknown, repr(error), where=target.partition("?")[0]) from error
-        if wait_s is None:
+        finally:
+            self._forget_watch(connection)
+        self._unanswered = 0
+        if not is_watch:
             self.timeout.answered(self.clock.monotonic_ms() - begun_ms)
         self._give_back(connection)
         if answer.status in _NOTHING_DONE:
@@ -197,21 +214,49 @@
         self.answered_ms = self.clock.monotonic_ms()
         return answer.status, content
 
-    def _take(self) -> http.client.HTTPConnection:
+    def _take(self, *, is_watch: bool) -> http.client.HTTPConnection:
+        connection = self._take_idle() or self._open()
+        if is_watch:
+            with self._lock:
+                self._watches.add(connection)
+        return connection
+
+    def _take_idle(self) -> http.client.HTTPConnection | None:
         with self._lock:
-            if self._idle:
-                return self._idle.pop()
+            return self._idle.pop() if self._idle else None
+
+    def _open(self) -> http.client.HTTPConnection:
         connection = http.client.HTTPConnection(self.address, timeout=_CONNECT_TIMEOUT_S)
         try:
             connection.connect()
             detect_silence(connection.sock)
         except OSError as error:
             connection.close()
+            self._note_unanswered()
             raise AspengateError(
                 ErrorKind.STORE_UNAVAILABLE, repr(error), where=self.address
             ) from error
         return connection
 
+    def _forget_watch(self, connection: http.client.HTTPConnection) -> None:
+        with self._lock:
+            self._watches.discard(connection)
+
+    def _note_unanswered(self) -> None:
+        """End the watches that wait after two calls in a row without an answer.
+
+        Their connections probably say nothing any more either. Their callers ask anew and learn
+        at once whether the store answers, instead of waiting for keep-alive.
+        """
+        self._unanswered += 1
+        if self._unanswered < _UNANSWERED:
+            return
+        with self._lock:
+            watches, self._watches = self._watches, set()
+        for connection in watches:
+            with contextlib.suppress(OSError):
+                connection.sock.shutdown(socket.SHUT_RDWR)
+
     def idle_sockets(self) -> list[socket.socket]:
         """Return the sockets of the connections that wait for a call."""
         with self._lock:
@@ -232,6 +277,8 @@
         connection.close()
 
 
+# A key that is never there: nothing but a short 404 comes. A read that may be old costs a tenth.
+_PROBE = "/kv-key?key=aspengate%2Fprobe&stale=1"
 _KINDS = {"/kv-key": "get", "/kv-range": "list", "/kv-watch": "watch", "/kv-txn": "write"}
 _NOTHING_DONE = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
 _EXPECTED = frozenset(
--- a/src/aspengate/store/_mirror.py
+++ b/src/aspengate/store/_mirror.py
@@ -61,7 +61,7 @@
     Unless its ``stance`` is to follow, the mirror makes no call: another process tells of changes
     by ``apply`` and ``offer``. ``on_followed`` is called with what an own watch told, and the
     revision of the newest change that was known before; ``on_news`` where an own call to the
-    store told more than a watch does: that it answers again, or all items anew.
+    store told more than a watch does: that it answers again or no more, or all items anew.
     """
 
     def __init__(
@@ -216,6 +216,7 @@
         if self.connected:
             self.connected = False
             log_change("store.lost", prefix=self.prefix, error=str(error))
+            self.on_news()
 
 
 def _apply(changes: Changes, items: dict[str, StoreItem]) -> int:
--- a/src/aspengate/store/_port.py
+++ b/src/aspengate/store/_port.py
@@ -83,6 +83,9 @@
     def get(self, key: str) -> StoreItem | None:
         """Return the item under ``key``, if any; the read is linearizable."""
 
+    def probe(self) -> None:
+        """Ask for the cheapest answer there is; raises STORE_UNAVAILABLE where none comes."""
+
     def list_items(self, prefix: str) -> Snapshot:
         """Return the items whose keys begin with ``prefix``."""
 
