A test of a router that the store does not answer, which fails

Cause: the loop that tells of a router waits for each of its calls to the store, so that others hear of it seconds late, and it of them; meanwhile it knows no number of routers.

--- a/features/leadership.feature
+++ b/features/leadership.feature
@@ -61,3 +61,10 @@
     Given a fleet of three gateways in one failure domain
     When the store says nothing more to the two that lead, and a key is taken away
     Then the third one knows of it within 10 seconds
+
+  # A router that started while the store was slow was heard of by the others, and heard of them,
+  # up to 3.8 s later: the loop that tells of it waited for each call that lists it.
+  Scenario: A router that the store does not answer tells of itself all the same
+    Given a seed that listens
+    When a router starts whose store says nothing, and four of its calls are given up
+    Then the seed was told of it six times or more
--- a/features/steps/leadership_steps.py
+++ b/features/steps/leadership_steps.py
@@ -1,10 +1,11 @@
 """Steps on routers that lead their failure domain, and on those that rest meanwhile."""
 
 from behave import given, then, when
+from platform_standins import Fleet
 from platform_standins.fleet import eventually
 
 from aspengate.clock import ManualClock, SystemClock
-from aspengate.peers import DomainLeadership, Member, MemberList
+from aspengate.peers import DatagramPort, DomainLeadership, Member, MemberList
 from aspengate.store import Changes, Removal, Snapshot, Stance, StoreItem, StoreMirror
 from aspengate.telemetry import NullCounters
 from gateway_world import start
@@ -312,3 +313,28 @@
     third = context.fleet.routers[2]
     applied = eventually(lambda: third.find("configuration.applied", version=context.version), 10)
     assert applied, third.lines[-10:]
+
+
+@given("a seed that listens")
+def listening_seed(context):
+    context.told = []
+    context.seed = DatagramPort(
+        "127.0.0.1:0", NullCounters(), lambda message, _: context.told.append(message)
+    )
+    context.seed.start()
+    context.cleanup.callback(context.seed.close)
+
+
+@when("a router starts whose store says nothing, and four of its calls are given up")
+def unanswered(context):
+    fleet = context.fleet = Fleet(context.cleanup)
+    door = fleet.store.open_door()
+    door.fault = "mute"
+    fleet.peer_port = int(context.seed.address.rpartition(":")[2])
+    fleet.add_router(ready=False, door=door, seeds=context.seed.address)
+    assert eventually(lambda: door.calls["POST /kv-txn"] >= 4)
+
+
+@then("the seed was told of it six times or more")
+def told_often(context):
+    assert len(context.told) >= 6, context.told
