List a router on a thread of its own, and read the list where the writing fails

Cause: the loop that tells of a router waited for its calls to the store. A store that does not answer kept it silent for the wait of each call, so that others and it heard of each other seconds late; a lost answer to the registration kept it from reading the list at all. Ruled out: shorter waits: a slow store would never be read. Change: a thread that lists; registration and list are two calls that fail apart. The choice of a leader still waits for the first try to read the list.

--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -131,7 +131,9 @@
         )
         self._beat = threading.Event()
         self._closing = threading.Event()
+        self._list_tried = threading.Event()
         self._thread = threading.Thread(target=self._send, daemon=True, name="peers-send")
+        self._list_thread = threading.Thread(target=self._list, daemon=True, name="peers-list")
 
     @property
     def reaches_store(self) -> bool:
@@ -148,6 +150,7 @@
         self.sharing.start()
         self._probe.start()
         self._thread.start()
+        self._list_thread.start()
 
     def close(self) -> None:
         """Stop, and withdraw from the store; others are to lead in this router's place."""
@@ -185,9 +188,8 @@
 
     def _send(self) -> None:
         while True:
-            if self._may_list():
-                self._keep_listed()
-            self._look()
+            if self._list_tried.is_set():
+                self._look()
             self._tell()
             self.outages.note(answered=self._fleet_reaches_store())
             if not self.reaches_store:
@@ -198,6 +200,16 @@
             if self._closing.is_set():
                 return
 
+    def _list(self) -> None:
+        """Stay listed, apart from the loop that tells: a call may wait seconds for its answer."""
+        while not self._closing.is_set():
+            if self._may_list():
+                self._keep_listed()
+            if not self._list_tried.is_set():
+                self._list_tried.set()
+                self._beat.set()
+            self._closing.wait(_NEWS_MS / 1_000)
+
     def _may_list(self) -> bool:
         if not self.members.listed or not self.members.registered:
             return True
@@ -247,15 +259,23 @@
         now = self._clock.monotonic_ms()
         alone = self.members.count == 1
         due_ms = _LIST_ALONE_MS if alone else _LIST_MS
+        if not self.members.registered:
+            self._call_store(lambda: self.members.register(self._store))
+        if now - self._listed_ms >= due_ms and self._call_store(self._read_list):
+            self._listed_ms = now
+
+    def _read_list(self) -> None:
+        self.members.update(self._store.list_items(MEMBER_PREFIX))
+
+    def _call_store(self, call: Callable[[], None]) -> bool:
+        """Make a call that may fail; return whether it was answered."""
         try:
-            if not self.members.registered:
-                self.members.register(self._store)
-            if now - self._listed_ms >= due_ms:
-                self.members.update(self._store.list_items(MEMBER_PREFIX))
-                self._listed_ms = now
+            call()
         except AspengateError as error:
             self._counters.count("members.not_listed")
             log_change("member.not_listed", error=str(error))
+            return False
+        return True
 
     def _on_datagram(self, datagram: Datagram, address: str) -> None:
         match datagram:
