Share a region's limits by the routers that are listed, and not at all before

Cause: as of the retry budget: a number that begins at 1 and counts those heard. Ruled out: counting restarts: a limit's bucket holds two seconds of a share, and an empty one at the start would refuse each account's first request. Change: the number of listed routers of the region, heard or not; what is limited is refused while the list was never read.

--- a/src/aspengate/limits/_limiter.py
+++ b/src/aspengate/limits/_limiter.py
@@ -15,12 +15,13 @@
     """Admits requests within this router's share of the limits in the table.
 
     The limits hold for a region; each of its ``routers`` routers takes an equal share, since
-    the balancer spreads the requests, so that no message is needed.
+    the balancer spreads the requests, so that no message is needed. ``routers`` is 0 while their
+    number is not known: then nothing that is limited is admitted.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.routers = 1
+        self.routers = 0
         self._buckets: dict[str, TokenBucket] = {}
         self._running: Counter[str] = Counter()
         self._lock = threading.Lock()
@@ -28,6 +29,7 @@
     def enter(self, account: ClientAccountRow, service: ServiceRow) -> None:
         """Count a request in; raises AspengateError of kind RATE_LIMITED."""
         with self._lock:
+            self._check_known(account, service)
             for identity, most in _concurrency(account, service):
                 if most and self._running[identity] >= self._share(most):
                     raise AspengateError(
@@ -44,6 +46,21 @@
             for identity, _ in _concurrency(account, service):
                 self._running[identity] += 1
 
+    def _check_known(self, account: ClientAccountRow, service: ServiceRow) -> None:
+        """Refuse what is limited where the share of it is unknown.
+
+        Several routers that start at once would each admit the whole limit.
+        """
+        limited = account.requests_per_second or any(
+            most for _, most in _concurrency(account, service)
+        )
+        if limited and not self.routers:
+            raise AspengateError(
+                ErrorKind.RATE_LIMITED,
+                "how many routers share the limits is not known yet",
+                where=f"client_account {account.name}",
+            )
+
     def leave(self, account: ClientAccountRow, service: ServiceRow) -> None:
         """Count a request out."""
         with self._lock:
@@ -53,10 +70,10 @@
                     del self._running[identity]
 
     def _share(self, most: int) -> int:
-        return max(1, -(-most // max(1, self.routers)))
+        return max(1, -(-most // self.routers))
 
     def _bucket(self, account: ClientAccountRow) -> TokenBucket:
-        rate = account.requests_per_second / max(1, self.routers)
+        rate = account.requests_per_second / self.routers
         burst = max(1.0, rate * _BURST_SECONDS)
         bucket = self._buckets.get(account.name)
         if bucket is None:
--- a/src/aspengate/router/_daemon.py
+++ b/src/aspengate/router/_daemon.py
@@ -204,7 +204,7 @@
         regional = self.members.routers(regional=True)
         self.money.routers = regional
         self.claims.routers = self.members.routers(regional=False)
-        self.limiter.routers = len(regional) + 1
+        self.limiter.routers = self.members.sharing_region()
 
     def _tick_money(self) -> None:
         self.money.tick()
--- a/src/aspengate/router/_members.py
+++ b/src/aspengate/router/_members.py
@@ -121,6 +121,24 @@
                 and (instance.region != self.region or self._is_heard(instance.name, now))
             }
 
+    def sharing_region(self) -> int:
+        """Return how many live routers of the region are listed, heard or not, with this one.
+
+        0 where the list was never read.
+        """
+        if not self.listed_ms:
+            return 0
+        with self._lock:
+            others = [
+                instance
+                for instance in self.instances
+                if instance.role == "router"
+                and instance.name != self.name
+                and instance.region == self.region
+                and instance.state is InstanceState.LIVE
+            ]
+        return 1 + len(others)
+
     def processes(self) -> frozenset[str]:
         """Return the addresses of all listed processes but this one."""
         return frozenset(
