Leave alone the sockets of watches that have just ended

Cause: reread: a watch that fails at the same moment has closed its socket already, and the call that doubts it would have failed with it.

--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -248,14 +248,16 @@
         Their connections probably say nothing any more either. Their callers ask anew and learn
         at once whether the store answers, instead of waiting for keep-alive.
         """
-        self._unanswered += 1
-        if self._unanswered < _UNANSWERED:
-            return
         with self._lock:
+            self._unanswered += 1
+            if self._unanswered < _UNANSWERED:
+                return
             watches, self._watches = self._watches, set()
-        for connection in watches:
-            with contextlib.suppress(OSError):
-                connection.sock.shutdown(socket.SHUT_RDWR)
+        for sock in [connection.sock for connection in watches]:
+            # A watch that has just ended by itself has no socket any more.
+            if sock is not None:
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
 
     def idle_sockets(self) -> list[socket.socket]:
         """Return the sockets of the connections that wait for a call."""
