--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -1,6 +1,7 @@
 """A replica of a plain service or of a model engine, which answers as it is told to."""
 
 import itertools
+import select
 import socket
 import struct
 import threading
@@ -34,8 +35,10 @@
 class ReplicaStandIn:
     """Serves on a free port; ``behave`` maps a request's number, from 1, to a behaviour's name.
 
-    ``requests`` are all that were read; ``runs`` counts those that were run by request id,
-    ``cancelled`` those whose connection ended during the run.
+    It reads a request ``stall_s`` after its bytes may have come; ``gone`` marks one that crashed.
+
+    ``requests`` are all that were read; ``sent_events`` counts events by request id, ``runs``
+    those that were run, ``cancelled`` those whose connection ended during the run.
     """
 
     def __init__(self, store, service, *, events=5, pause_s=0.01, work_s=0.0, slots=8):
@@ -47,6 +50,9 @@
         self.slots = slots
         self.behaviour = "well"
         self.behaviours = {}
+        self.stall_s = 0.0
+        self.gone = False
+        self.sent_events = Counter()
         self.early = False
         self.early_bodies = []
         self.requests = []
@@ -112,7 +118,7 @@
     def _serve(self, connection):
         reader = connection.makefile("rb")
         try:
-            while (request := read_head(reader)) is not None:
+            while (request := self._read(connection, reader)) is not None:
                 if self.early and int(request.header("Content-Length") or 0) > LONG_BYTES:
                     connection.sendall(
                         self.head(request, 503, length=0, extra=["X-Not-Executed: 1"])
@@ -138,6 +144,12 @@
             except OSError:
                 pass
 
+    def _read(self, connection, reader):
+        if self.stall_s:
+            select.select([connection], [], [])
+            time.sleep(self.stall_s)
+        return read_head(reader)
+
     def head(self, request, status=200, *, length=None, stream=False, extra=()):
         lines = [f"HTTP/1.1 {status} {'OK' if status == 200 else 'Failed'}"]
         lines.append(f"X-Request-Id: {request.identity}")
@@ -230,6 +242,7 @@
             return False
         replica.wait(connection, request, replica.pause_s)
         replica.send(connection, chunk(event(replica, request, number)), request)
+        replica.sent_events[request.identity] += 1
     replica.send(connection, b"0\r\n\r\n", request)
     return True
 
--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,13 @@
+Feature: What must hold holds under faults from outside
+
+  Scenario: The plan of a run follows from its seed
+    Then two plans of one seed are the same, and those of 20 seeds hold every kind of fault
+
+  Scenario Outline: A short run of real gateways keeps every promise
+    When the plan of seed <seed> is played for 20 seconds on <routers> gateways
+    Then no promise is broken, and all gateways serve at the end
+
+    Examples:
+      | seed | routers |
+      | 1    | 4       |
+      | 2    | 4       |
