--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -13,7 +13,7 @@
     parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--routers", type=int, default=4)
-    parser.add_argument("--callers", type=int, default=8)
+    parser.add_argument("--callers", type=int, default=16)
     parser.add_argument("--prepaid", type=int, default=2_000_000, help="tokens")
     parser.add_argument("--logs", type=Path, help="folder for the lines of runs that broke one")
     chosen = parser.parse_args()
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -6,15 +6,16 @@
 # How often each kind is drawn, beside the others.
 KINDS = {
     "kill": 4,
-    "kill all": 4,
+    "kill all": 1,
     "terminate": 2,
     "stop": 3,
     "hang up": 1,
     "store": 4,
-    "store of all": 5,
+    "store of all": 3,
     "replicas": 6,
     "replica crashes": 2,
     "key": 1,
+    "storm": 3,
 }
 STORE_FAULTS = ("busy", "reset", "silent", "mute", "slow", "lose")
 REPLICA_FAULTS = ("refuse", "fail", "lose", "stall", "mute", "surplus", "break off")
@@ -45,11 +46,25 @@
     while at_s < seconds:
         kind = chance.choices(list(KINDS), list(KINDS.values()))[0]
         faults += series(chance, kind, at_s, routers)
-        at_s += chance.uniform(0.2, 2.5)
+        at_s += chance.uniform(0.3, 5.0)
     return sorted((each for each in faults if each.at_s < seconds), key=lambda each: each.at_s)
 
 
+def storm(chance, at_s):
+    """Return what strikes all at once: replicas and store fail while all routers start again."""
+    # A store that still reads lets routers start: without a configuration they serve nothing.
+    how = chance.choice(("lose", "lose", "slow"))
+    return [
+        Fault(at_s, "storm", 0, 6.0),
+        Fault(at_s, "store of all", 0, 6.0, how),
+        Fault(at_s, "replicas", 0, 6.0, "refuse"),
+        *(Fault(at_s + number * 1.4, "kill all", 0, 0.5) for number in range(4)),
+    ]
+
+
 def series(chance, kind, at_s, routers):
+    if kind == "storm":
+        return storm(chance, at_s)
     how, longest_s = "", 6.0
     if kind.startswith("store"):
         how, longest_s = chance.choice(STORE_FAULTS), 12.0
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -14,6 +14,7 @@
 from soak.plan import draw_plan
 
 ENDED_S = 20.0
+RECOVERED_S = 60.0
 PACE_S = 0.12
 STALL_S = 1.2
 TOKENS = (400, 60)
@@ -39,9 +40,10 @@
 class Soak:
     """One run; ``calls`` are what callers sent and got, ``figures`` what the checks counted."""
 
-    def __init__(self, seed, seconds, routers=4, callers=8, prepaid=2_000_000):
+    def __init__(self, seed, seconds, routers=4, callers=16, prepaid=2_000_000):
         self.seed, self.seconds, self.size, self.callers = seed, seconds, routers, callers
-        self.ratio, self.slack, self.window_s, self.events = 0.2, 20, 3, 5
+        # A small ratio: callers ask so often that a usual one would hide what the slack allows.
+        self.ratio, self.slack, self.window_s, self.events = 0.02, 40, 10, 5
         self.prepaid = prepaid
         self.plan = draw_plan(seed, seconds, routers)
         self.calls, self.figures, self.happened = [], {}, []
@@ -143,7 +145,7 @@
                 self._restart(number)
             return all(each.is_ready() for each in list(self.fleet.routers))
 
-        return bool(eventually(all_serve, ENDED_S))
+        return bool(eventually(all_serve, RECOVERED_S))
 
     def _wake_all(self):
         for router in list(self._stopped.values()):
@@ -283,6 +285,11 @@
         soak.fleet.add_replica(service, events=soak.events, work_s=0.005)
 
 
+@strike("storm")
+def storm(soak, fault):
+    """Mark the beginning in the plan; what it consists of strikes by itself."""
+
+
 @strike("key")
 def key(soak, fault):
     soak.fleet.operator.revoke("key-two")
