Judge repeats in one place, and start gateways again by one function, in tests

Cause: the window that the retry budget allows was worked out three times, in the budget's steps, in those on real gateways and in the soak, there with the list of requests made anew for each repeat; the soak started gateways again by a copy of the fleet's function; two steps on restarts differed in their counts. No assertion, bound or expectation differs; nothing in src does.

--- a/features/platform_standins/__init__.py
+++ b/features/platform_standins/__init__.py
@@ -3,7 +3,17 @@
 from platform_standins.client import Answer, Caller
 from platform_standins.fleet import Fleet
 from platform_standins.operator import Operator
+from platform_standins.repeats import repeated, worst_window
 from platform_standins.replica import ReplicaStandIn
 from platform_standins.store import StoreStandIn
 
-__all__ = ["Answer", "Caller", "Fleet", "Operator", "ReplicaStandIn", "StoreStandIn"]
+__all__ = [
+    "Answer",
+    "Caller",
+    "Fleet",
+    "Operator",
+    "ReplicaStandIn",
+    "StoreStandIn",
+    "repeated",
+    "worst_window",
+]
--- a/features/platform_standins/fleet.py
+++ b/features/platform_standins/fleet.py
@@ -63,6 +63,7 @@
         self.port = port
         self.host = host
         self.door = door
+        self.seeds = seeds
         self.path = Path(folder) / f"{name}.ini"
         self.bounds = bounds
         self.write_settings(peer_port, seeds)
@@ -190,14 +191,25 @@
             assert eventually(router.is_ready), router.lines
         return router
 
-    def start_again(self, router):
-        """Start a router that has ended once more, under its name and address; return it."""
+    def start_again(self, router, *, ready=True, same_port=False):
+        """Start a router that has ended once more, under its name and host; return it.
+
+        With ``same_port`` callers reach it where they did, which needs that port to be free.
+        """
         again = RouterProcess(
-            self.folder, router.name, router.host, router.door, self.peer_port, **router.bounds
+            self.folder,
+            router.name,
+            router.host,
+            router.door,
+            self.peer_port,
+            router.seeds,
+            port=int(router.address.rpartition(":")[2]) if same_port else 0,
+            **router.bounds,
         )
         self.cleanup.callback(again.kill)
         self.routers[self.routers.index(router)] = again
-        assert eventually(again.is_ready), again.lines
+        if ready:
+            assert eventually(again.is_ready), again.lines
         return again
 
     def runs(self, identity):
--- a/features/platform_standins/store.py
+++ b/features/platform_standins/store.py
@@ -96,6 +96,10 @@
                 break
         handler.close_connection = True
 
+    def mend(self):
+        """End all of this door's faults."""
+        self.fault, self.slow_s, self.lose_writes = "", 0.0, 0
+
     def close(self):
         self.server.shutdown()
         self.server.server_close()
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+from platform_standins import repeated, worst_window
+
 REFUSALS = (408, 421, 429, 503)
 EVENT_TOKENS = 3
 
@@ -19,34 +21,16 @@
     ]
 
 
-def arrivals(soak, service):
-    return sorted(
-        (request.at_s, request.identity)
-        for replica in soak.fleet.of(service)
-        for request in list(replica.requests)
-    )
-
-
 def repeats_beyond(soak, service):
     """In no window more arrivals beyond the first than the policy allows."""
-    seen, repeats = set(), []
-    for at_s, identity in arrivals(soak, service):
-        if identity in seen:
-            repeats.append(at_s)
-        seen.add(identity)
+    replicas = soak.fleet.of(service)
+    repeats = repeated(each for replica in replicas for each in list(replica.requests))
+    sent = [call.sent_s for call in soak.calls if call.service == service]
+    worst, worst_s = worst_window(
+        repeats, sent, ratio=soak.ratio, slack=soak.slack, window=soak.window_s
+    )
     soak.figures[f"repeats {service}"] = len(repeats)
-    soak.figures[f"requests {service}"] = len([c for c in soak.calls if c.service == service])
-    worst, worst_s = -float(soak.slack), 0.0
-    for end in repeats:
-        count = sum(1 for at in repeats if end - soak.window_s < at <= end)
-        sent = [call.sent_s for call in soak.calls if call.service == service]
-        most = max(
-            sum(1 for at in sent if end - shift - soak.window_s < at <= end - shift)
-            for shift in (0, soak.window_s / 2, soak.window_s)
-        )
-        above = count - soak.ratio * most - soak.slack
-        if above > worst:
-            worst, worst_s = above, end
+    soak.figures[f"requests {service}"] = len(sent)
     soak.figures[f"worst {service}"] = round(worst, 1)
     if worst > 0:
         yield f"repeats: {worst:.1f} beyond what {service} may get, {soak.moment(worst_s)}"
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -120,26 +120,15 @@
             router = self.fleet.routers[number]
             if self._ended.is_set() or not router.has_ended:
                 return
-            again = type(router)(
-                self.fleet.folder,
-                router.name,
-                router.host,
-                router.door,
-                self.fleet.peer_port,
-                self.seeds,
-                # At its old address: callers still know that, and the system would hand the port
-                # to another server of the new process, whose answers then look like a caller's.
-                port=int(router.address.rpartition(":")[2]),
-                **router.bounds,
-            )
-            self.fleet.cleanup.callback(again.kill)
+            # At its old address: callers still know that, and the system would hand the port
+            # to another server of the new process, whose answers then look like a caller's.
+            again = self.fleet.start_again(router, ready=False, same_port=True)
             again.lines[:0] = router.lines
-            self.fleet.routers[number] = again
 
     def _recovers(self):
         """Return whether all routers serve again once nothing strikes any more."""
         for door in self.fleet.store.doors:
-            door.fault, door.slow_s, door.lose_writes = "", 0.0, 0
+            door.mend()
         for replica in self.fleet.replicas:
             replica.behaviour = "well"
         self._wake_all()
@@ -264,7 +253,7 @@
 
     def mend():
         for door in doors:
-            door.fault, door.slow_s, door.lose_writes = "", 0.0, 0
+            door.mend()
 
     soak._later(fault.for_s, mend)
 
--- a/features/steps/gateway_repeats_steps.py
+++ b/features/steps/gateway_repeats_steps.py
@@ -4,7 +4,7 @@
 import time
 
 from behave import given, then, when
-from platform_standins import Fleet
+from platform_standins import Fleet, repeated, worst_window
 from platform_standins.fleet import eventually
 
 RATIO = 0.2
@@ -53,32 +53,13 @@
 
 
 def repeats(context):
-    """Return when the replicas got requests that one of them had got before."""
-    arrived = sorted(
-        (request.at_s, request.identity)
-        for replica in context.fleet.replicas
-        for request in replica.requests
-    )
-    seen, found = set(), []
-    for at_s, identity in arrived:
-        if identity in seen:
-            found.append(at_s)
-        seen.add(identity)
-    return found
-
-
-def worst_window(context):
-    """Return by how much the repeats of some window exceed what it allows."""
-    found, window_s = repeats(context), context.window_s
-    worst = -SLACK
-    for end in found:
-        count = sum(1 for at in found if end - window_s < at <= end)
-        requests = max(
-            sum(1 for at in context.sent if end - shift - window_s < at <= end - shift)
-            for shift in (0, window_s / 2, window_s)
-        )
-        worst = max(worst, count - RATIO * requests - SLACK)
-    return worst
+    requests = [each for replica in context.fleet.replicas for each in list(replica.requests)]
+    return repeated(requests)
+
+
+def worst(context):
+    found = repeats(context)
+    return worst_window(found, context.sent, ratio=RATIO, slack=SLACK, window=context.window_s)[0]
 
 
 @given("four gateways that hear of nobody, before replicas that refuse every request")
@@ -98,7 +79,7 @@
 
 @then("in no window did the replicas get more repeats than the fleet may make")
 def within_budget(context):
-    assert worst_window(context) <= 0, (worst_window(context), len(repeats(context)))
+    assert worst(context) <= 0, (worst(context), len(repeats(context)))
 
 
 @given("four gateways that share repeats in windows of 2 s, before replicas that refuse")
@@ -118,4 +99,4 @@
         return repeats(context)
 
     assert eventually(pressed), context.fleet.routers[0].lines[-5:]
-    assert worst_window(context) <= 0, worst_window(context)
+    assert worst(context) <= 0, worst(context)
--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -4,6 +4,7 @@
 from hypothesis import given as given_any
 from hypothesis import settings
 from hypothesis import strategies as st
+from platform_standins import worst_window
 
 from aspengate.clock import ManualClock
 from aspengate.retries import RetryPolicy, SharedRetryBudget
@@ -73,16 +74,8 @@
 
     def worst(self):
         """Return by how much the repeats of some window exceed what it allows."""
-        worst = -POLICY.slack
-        for end in self.repeats:
-            begin = end - POLICY.window_ms
-            repeats = sum(1 for at in self.repeats if begin < at <= end)
-            counts = [
-                sum(1 for at in self.requests if begin - shift < at <= end - shift)
-                for shift in (0, POLICY.window_ms / 2, POLICY.window_ms)
-            ]
-            worst = max(worst, repeats - POLICY.ratio * max(counts) - POLICY.slack)
-        return worst
+        policy = {"ratio": POLICY.ratio, "slack": POLICY.slack, "window": POLICY.window_ms}
+        return worst_window(self.repeats, self.requests, **policy)[0]
 
 
 @given("routers that share a retry budget")
@@ -95,26 +88,25 @@
     pass
 
 
-@when("all of them use their share and start again three times in one window")
-def restarts(context):
+def use_and_start_again(context, times, requests, pause_ms, *, told=True):
+    """Have all use their share and start again, so many times, with pauses between."""
     fleet = context.fleet = Fleet(context.routers)
-    for _ in range(4):
+    for _ in range(times):
         for number in range(context.routers):
-            fleet.request(number, 20)
+            fleet.request(number, requests)
             fleet.fail(number, 200)
-            fleet.budgets[number] = fleet.start()
-        fleet.advance(POLICY.window_ms / 5)
+            fleet.budgets[number] = fleet.start(told=told)
+        fleet.advance(pause_ms)
+
+
+@when("all of them use their share and start again three times in one window")
+def restarts(context):
+    use_and_start_again(context, 4, 20, POLICY.window_ms / 5)
 
 
 @when("all use their share and start again twice in one window, and are told nothing")
 def restarts_untold(context):
-    fleet = context.fleet = Fleet(context.routers)
-    for _ in range(3):
-        for number in range(context.routers):
-            fleet.request(number, 5)
-            fleet.fail(number, 200)
-            fleet.budgets[number] = fleet.start(told=False)
-        fleet.advance(1_000)
+    use_and_start_again(context, 3, 5, 1_000, told=False)
 
 
 @when("all use their share, it arrives 4 seconds late, and they use it again as soon as they may")
