--- a/features/platform_standins/fleet.py
+++ b/features/platform_standins/fleet.py
@@ -113,12 +113,16 @@
 
     def find(self, message, **fields):
         """Return the first logged line of a kind, or None."""
-        for line in list(self.lines):
-            if line.get("message_type", "") == f"aspengate.{message}" and all(
-                line.get(key) == value for key, value in fields.items()
-            ):
-                return line
-        return None
+        return next(iter(self.find_all(message, **fields)), None)
+
+    def find_all(self, message, **fields):
+        """Return the logged lines of a kind."""
+        return [
+            line
+            for line in list(self.lines)
+            if line.get("message_type", "") == f"aspengate.{message}"
+            if all(line.get(key) == value for key, value in fields.items())
+        ]
 
     def call(self):
         return Caller(self.address)
--- a/features/platform_standins/operator.py
+++ b/features/platform_standins/operator.py
@@ -87,6 +87,13 @@
     def add_route(self, made):
         return self.change(lambda configuration: configuration["routes"].append(made))
 
+    def evacuate(self, domain):
+        """Ask for nothing to be sent to a failure domain; return the store's revision."""
+        return self.store.put(f"op/evacuate/{domain}", {})
+
+    def take_back(self, domain):
+        self.store.remove(f"op/evacuate/{domain}")
+
     def revoke(self, key):
         def apply(configuration):
             for each in configuration["tenants"]:
--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -41,13 +41,26 @@
     those that were run, ``cancelled`` those whose connection ended during the run.
     """
 
-    def __init__(self, store, service, *, events=5, pause_s=0.01, work_s=0.0, slots=8):
+    def __init__(
+        self,
+        store,
+        service,
+        *,
+        events=5,
+        pause_s=0.01,
+        work_s=0.0,
+        slots=8,
+        domain="hall-1",
+        cold_ms=0,
+    ):
         self.identity = f"i-{next(_numbers):08x}"
         self.service = service
         self.events = events
         self.pause_s = pause_s
         self.work_s = work_s
         self.slots = slots
+        self.domain = domain
+        self.cold_ms = cold_ms
         self.behaviour = "well"
         self.behaviours = {}
         self.stall_s = 0.0
@@ -73,11 +86,11 @@
             {
                 "service": self.service,
                 "address": self.address,
-                "zone": "hall-1",
+                "zone": self.domain,
                 "configVersion": "v1",
                 "slots": self.slots,
                 "state": state,
-                "coldRemainingMs": 0,
+                "coldRemainingMs": self.cold_ms,
                 "seq": 1,
             },
         )
