Let a cold replica get only what it bears, from all routers together

Cause: a replica's record says how long it is cold, and its service how many requests it then bears; neither was used, and an empty replica is everybody's cheapest choice. Ways: equal shares as for repeats (ruled out by arithmetic: a share is one request at least, and 26 routers with one each exceed 14); leaders that hand out slots (ruled out: a leader that is cut off hands out what its successor hands out too); a few routers by rank for each replica. Chosen: rank. A router that knows of more routers than there are takes less, so that old lists are safe; a run takes part once all can have heard of it; the slack is not shared out and covers newcomers. A router that hears of no changes can't know who is cold: it holds every replica to that rate by what it sends and hears, by permits alone where it hears nobody.

--- a/features/platform_standins/operator.py
+++ b/features/platform_standins/operator.py
@@ -87,6 +87,16 @@
     def add_route(self, made):
         return self.change(lambda configuration: configuration["routes"].append(made))
 
+    def bear_when_cold(self, service, *, per_second, start_s):
+        """Bound what a service's cold replicas get."""
+
+        def apply(configuration):
+            for each in configuration["services"]:
+                if each["name"] == service:
+                    each.update(coldPerS=per_second, coldStartS=start_s)
+
+        return self.change(apply)
+
     def evacuate(self, domain):
         """Ask for nothing to be sent to a failure domain; return the store's revision."""
         return self.store.put(f"op/evacuate/{domain}", {})
--- a/src/aspengate/cli/_pages.py
+++ b/src/aspengate/cli/_pages.py
@@ -67,6 +67,7 @@
     ErrorKind.NOT_CONFIGURED: "this router knows no configuration yet",
     ErrorKind.NO_UPSTREAM: "no upstream of the service is live",
     ErrorKind.OVERLOADED: "every upstream of the service is at its limit",
+    ErrorKind.WARMING_UP: "every upstream of the service may be cold and has got its share",
     ErrorKind.DEADLINE_EXCEEDED: "the deadline passed before the request started",
     ErrorKind.LEAVING: "this router or agent is being stopped",
     ErrorKind.FENCED: "the money or claim of the request had lapsed; the router was told to stop",
--- /dev/null
+++ b/src/aspengate/cold_starts/_policy.py
@@ -0,0 +1,27 @@
+"""The bound on what a cold replica may get, as the platform states it."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class ColdStartPolicy:
+    """In any second a cold replica gets at most its rate x ``overage`` + ``slack`` requests.
+
+    The rate is that of its service, in requests a second. Within ``start_ms`` all routers have
+    heard of one that starts. Requests count for ``window_ms``: a second, and a twentieth of one
+    for clocks that run unevenly.
+    """
+
+    overage: float = 1.0
+    slack: float = 0.0
+    window_ms: float = 1_050.0
+    start_ms: float = 3_000.0
+
+    def permits(self, per_second: float) -> int:
+        """Return how many requests in a window the routers share out for one cold replica.
+
+        The slack is not shared out: it covers what arrives before its routers know that a
+        replica is cold, and routers of which others have not heard.
+        """
+        most = int(per_second * self.overage + self.slack)
+        return min(most, max(1, int(per_second * self.overage)))
--- a/src/aspengate/configuration/_model.py
+++ b/src/aspengate/configuration/_model.py
@@ -67,11 +67,17 @@
 
 @dataclass(frozen=True)
 class Service:
-    """A group of replicas; ``engine`` is there where they are model engines."""
+    """A group of replicas; ``engine`` is there where they are model engines.
+
+    A replica is cold for ``cold_start_ms`` after it has begun, and bears ``cold_per_second``
+    requests a second then; 0 where the operator sets no bound.
+    """
 
     name: str
     health_path: str = "/health"
     max_connections: int = 0
+    cold_start_ms: float = 0.0
+    cold_per_second: float = 0.0
     engine: Engine | None = None
 
 
--- a/src/aspengate/errors/_kinds.py
+++ b/src/aspengate/errors/_kinds.py
@@ -27,6 +27,7 @@
     NOT_CONFIGURED = "not_configured"
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
+    WARMING_UP = "warming_up"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     LEAVING = "leaving"
     FENCED = "fenced"
@@ -64,6 +65,7 @@
     ErrorKind.NOT_CONFIGURED: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=1),
     ErrorKind.NO_UPSTREAM: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=2),
     ErrorKind.OVERLOADED: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=2),
+    ErrorKind.WARMING_UP: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=1),
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, RunState.NOT_RUN),
     ErrorKind.LEAVING: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=0),
     ErrorKind.FENCED: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=1),
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from aspengate.clock import Clock
+from aspengate.cold_starts import ColdStartPermit
 from aspengate.connections import (
     UNACKNOWLEDGED_MS,
     ConnectionPool,
@@ -53,13 +54,19 @@
     """
 
     def __init__(
-        self, parts: AttemptParts, exchange: Exchange, candidate: Candidate, patience: Patience
+        self,
+        parts: AttemptParts,
+        exchange: Exchange,
+        candidate: Candidate,
+        patience: Patience,
+        permit: ColdStartPermit,
     ) -> None:
         self.parts = parts
         self.exchange = exchange
         self.candidate = candidate
         self.view = candidate.view
         self.patience = patience
+        self.permit = permit
         self.sent = False
         self.reused = False
         self.outcome = ""
@@ -87,6 +94,7 @@
                 raise
             self.sent = False
             raise TryAnotherError(error, sent=False) from error
+        self.permit.settle(sent=True)
         answer = self._await_head(connection)
         self.note_first()
         return answer
@@ -118,6 +126,7 @@
             return
         self.ended_ms = self.parts.clock.monotonic_ms()
         self.outcome = outcome
+        self.permit.settle(sent=self.sent)
         self.view.end(self._work, self.ended_ms)
         if failed:
             self.view.failed(self.ended_ms)
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from aspengate.clock import Clock
+from aspengate.cold_starts import ColdStartLimiter, ColdStartPolicy, Contact
 from aspengate.configuration import ConfigurationHolder, FleetConfiguration
 from aspengate.connections import ConnectionPool
 from aspengate.errors import AspengateError
@@ -92,6 +93,12 @@
         self.retries = SharedRetryBudget(_retry_policy(settings), clock)
         self.operator = self._mirror(deployment.operator_prefix, self._on_operator)
         self.replicas = self._mirror(deployment.replica_prefix, self._on_replicas)
+        self.cold_starts = ColdStartLimiter(
+            ColdStartPolicy(settings.cold_overage, settings.cold_slack),
+            settings.name,
+            clock,
+            self._contact,
+        )
         self.peering = self._make_peering()
         self.witness = self._make_witness()
         self.loans = self._make_loans()
@@ -230,6 +237,7 @@
         view = self.registry.view(placed.replica)
         if view is None:
             return
+        self.cold_starts.note_heard(placed.replica)
         view.note_placed(placed.tokens, placed.expected_ms, now)
         for part in placed.parts:
             self.parts.note(part, placed.replica, now)
@@ -382,6 +390,7 @@
                 ),
                 self.registry,
                 self.retries,
+                self.cold_starts,
                 self.counters,
                 self.peering.placements,
             ),
@@ -390,6 +399,11 @@
             refusing=lambda: self.refusing,
         )
 
+    def _contact(self) -> Contact:
+        if self.peering.reaches_store:
+            return Contact.CURRENT
+        return Contact.PEERS if self.peering.members.hears_leader else Contact.NONE
+
     def _limit_of(self, account: str) -> LimitSource | None:
         if not self.holder.known:
             return None
@@ -427,10 +441,12 @@
     def _on_replica_gone(self, identity: str) -> None:
         self.pool.forget(identity)
         self.parts.forget(identity)
+        self.cold_starts.forget(identity)
 
     def _on_members(self, count: int) -> None:
         if self.peering.members.count_known:
             self.retries.note_routers(count)
+            self.cold_starts.note_routers(self.peering.members.names(), count)
         self.tokens.routers = count
 
     def _apply_configuration(self, configuration: FleetConfiguration) -> None:
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -2,6 +2,8 @@
 
 import random
 
+from aspengate.cold_starts import ColdStartLimiter, ColdStartPermit
+from aspengate.configuration import Service
 from aspengate.connections import ReplicaAnswer
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._attempt import Attempt, AttemptParts, TryAnotherError
@@ -10,7 +12,7 @@
 from aspengate.gateway._progress import Progress
 from aspengate.gateway._relay import AnswerRelay
 from aspengate.peers import PlacedRequest, PlacementSink
-from aspengate.replicas import Candidate, PromptShape, ReplicaRegistry
+from aspengate.replicas import Candidate, PromptShape, ReplicaRegistry, ReplicaView
 from aspengate.retries import SharedRetryBudget
 from aspengate.serving import CallerConnection
 from aspengate.telemetry import Counters
@@ -29,6 +31,7 @@
         parts: AttemptParts,
         registry: ReplicaRegistry,
         retries: SharedRetryBudget,
+        cold_starts: ColdStartLimiter,
         counters: Counters,
         placements: PlacementSink,
     ) -> None:
@@ -36,6 +39,7 @@
         self.registry = registry
         self.chooser = parts.chooser
         self.retries = retries
+        self.cold_starts = cold_starts
         self.counters = counters
         self.placements = placements
         self.relay = AnswerRelay(parts.spelling, counters)
@@ -83,28 +87,45 @@
         )
 
     def _attempt(self, exchange: Exchange, progress: Progress) -> Attempt:
-        candidate = self._choose(exchange, progress)
+        candidate, permit = self._choose(exchange, progress)
 
         def may_repeat() -> bool:
             return self._may_repeat(exchange, progress, attempts=progress.attempts + 1)
 
         patience = Patience(exchange.known_route, candidate, self.parts.clock, may_repeat)
-        attempt = Attempt(self.parts, exchange, candidate, patience)
+        attempt = Attempt(self.parts, exchange, candidate, patience, permit)
         progress.made.append(attempt)
         return attempt
 
-    def _choose(self, exchange: Exchange, progress: Progress) -> Candidate:
-        ready = self.registry.ready(exchange.known_service.name, progress.excluded)
+    def _choose(self, exchange: Exchange, progress: Progress) -> tuple[Candidate, ColdStartPermit]:
+        service = exchange.known_service
+        ready = self.registry.ready(service.name, progress.excluded)
         if not ready:
-            raise self._no_replica(exchange.known_service.name)
+            raise self._no_replica(service.name)
         prompt = _prompt_shape(exchange)
         now = self.parts.clock.monotonic_ms()
-        candidate = self.chooser.choose(ready, prompt, random.random(), now)
+        candidate, permit = self._choose_open(ready, prompt, service, now)
         for part, _ in prompt.shared:
             self.chooser.parts.note(part, candidate.view.identity, now)
-        if prompt.tokens:
+        if prompt.tokens or service.cold_per_second:
             self.placements.note(_placed(candidate, prompt))
-        return candidate
+        return candidate, permit
+
+    def _choose_open(
+        self, ready: list[ReplicaView], prompt: PromptShape, service: Service, now_ms: float
+    ) -> tuple[Candidate, ColdStartPermit]:
+        """Return the best replica of those that may get one more request, and its permission."""
+        views = self.cold_starts.open(ready, service)
+        while views:
+            candidate = self.chooser.choose(views, prompt, random.random(), now_ms)
+            permit = self.cold_starts.take(candidate.view, service)
+            if permit is not None:
+                return candidate, permit
+            views.remove(candidate.view)
+        self.counters.count("gateway.warming_up")
+        raise AspengateError(
+            ErrorKind.WARMING_UP, "every replica may be cold and has its share", where=service.name
+        )
 
     def _no_replica(self, service: str) -> AspengateError:
         reason = "no replica is ready"
@@ -185,7 +206,9 @@
         """
         if attempts >= exchange.known_route.max_attempts:
             return False
-        if not self.registry.ready(exchange.known_service.name, progress.excluded):
+        service = exchange.known_service
+        ready = self.registry.ready(service.name, progress.excluded)
+        if not self.cold_starts.open(ready, service):
             return False
         decision = self.retries.take(exchange.known_service.name)
         progress.repeats.append(decision)
--- a/src/aspengate/gateway/_settings.py
+++ b/src/aspengate/gateway/_settings.py
@@ -130,6 +130,21 @@
         "time in which all have heard of a router that starts, and a dead one's requests arrived",
         3_000,
     )
+    cold_overage: float = setting(
+        "bounds",
+        number(0, 1e3),
+        "what all routers may send to a cold replica, for what its service's bear",
+        accepts="0 to 1000",
+        default=1.0,
+    )
+    cold_slack: float = setting(
+        "bounds",
+        number(0, 1e6),
+        "requests a second that a cold replica may get beyond that",
+        accepts="0 to 1e6",
+        unit="requests/s",
+        default=0.0,
+    )
     settle_ms: float = _milliseconds(
         "bounds", "time within which an ended request's tokens are settled", 1_500
     )
--- a/src/aspengate/losses/_reasons.py
+++ b/src/aspengate/losses/_reasons.py
@@ -13,6 +13,7 @@
     TOKENS_EXHAUSTED = "refused: its account's tokens are spent or held"
     TOKENS_UNAVAILABLE = "refused: tokens are left, none can be granted now"
     LOAD = "refused: replicas are full or away"
+    WARMING_UP = "refused: replicas may be cold"
     LEAVING = "refused: the router is being stopped"
     NOT_ALLOWED = "refused: no route, key or configuration"
     LATE_FIRST = "served late: the first event or answer"
@@ -30,6 +31,7 @@
     ErrorKind.OVERLOADED.value: Loss.LOAD,
     ErrorKind.NO_UPSTREAM.value: Loss.LOAD,
     ErrorKind.RATE_LIMITED.value: Loss.LOAD,
+    ErrorKind.WARMING_UP.value: Loss.WARMING_UP,
     ErrorKind.LEAVING.value: Loss.LEAVING,
     ErrorKind.NOT_FOUND.value: Loss.NOT_ALLOWED,
     ErrorKind.UNAUTHENTICATED.value: Loss.NOT_ALLOWED,
--- a/src/aspengate/peers/_members.py
+++ b/src/aspengate/peers/_members.py
@@ -128,6 +128,20 @@
         with self._lock:
             return list(self._recent(within_ms).values())
 
+    @property
+    def hears_leader(self) -> bool:
+        """Whether this router leads, or has just heard one that leads its failure domain."""
+        domain = self.own.failure_domain
+        signs = self.signs(_LEADER_ALIVE_MS)
+        return self.leads or any(
+            sign.leads and sign.member.failure_domain == domain for sign in signs
+        )
+
+    def names(self) -> list[str]:
+        """Return the names of the other routers, heard of or only listed."""
+        with self._lock:
+            return list(self._members)
+
     def in_domain(self) -> list[Member]:
         """Return the other routers of this router's failure domain, heard of or only listed."""
         with self._lock:
--- a/src/aspengate/platform/_records.py
+++ b/src/aspengate/platform/_records.py
@@ -57,6 +57,8 @@
     name: str
     health_path: str = "/health"
     max_conns: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: _Engine | None = None
 
 
@@ -121,7 +123,7 @@
         failure_domain=record.zone,
         slots=record.slots,
         state=ReplicaState.READY if record.state == "ready" else ReplicaState.DRAINING,
-        warm_up_ms=record.cold_remaining_ms,
+        cold_ms=record.cold_remaining_ms,
     )
 
 
@@ -159,6 +161,8 @@
         name=record.name,
         health_path=record.health_path,
         max_connections=record.max_conns,
+        cold_start_ms=record.cold_start_s * 1_000,
+        cold_per_second=record.cold_per_s,
         engine=Engine(engine.slots, engine.kv_capacity, engine.stride) if engine else None,
     )
 
--- a/src/aspengate/replicas/_registry.py
+++ b/src/aspengate/replicas/_registry.py
@@ -49,6 +49,9 @@
         with self._lock:
             before = self._evacuated
             self._evacuated = {domain: before.get(domain, now) for domain in asked}
+            for view in self._views.values():
+                if view.replica.failure_domain in set(before) - set(asked):
+                    view.returned_ms = now
         for domain in sorted(set(asked) - set(before)):
             log_change("evacuation.began", failure_domain=domain, revision=asked[domain].revision)
         for domain in sorted(set(before) - set(asked)):
@@ -101,7 +104,8 @@
     def _take(self, replica: Replica) -> None:
         view = self._views.get(replica.identity)
         if view is None:
-            self._views[replica.identity] = ReplicaView(replica)
+            view = self._views[replica.identity] = ReplicaView(replica)
+            self._note_cold(view)
             log_change(
                 "replica.listed",
                 replica=replica.identity,
@@ -118,4 +122,14 @@
                 state=replica.state.value,
                 revision=self.revision,
             )
-        view.replica = replica
+        is_changed, view.replica = view.replica != replica, replica
+        if is_changed:
+            self._note_cold(view)
+
+    def _note_cold(self, view: ReplicaView) -> None:
+        """Take over how long a replica says that it is still cold, in a record that is new here."""
+        now = self.clock.monotonic_ms()
+        was_cold = now < view.cold_until_ms
+        view.cold_until_ms = now + view.replica.cold_ms
+        if view.replica.cold_ms and not was_cold:
+            log_change("replica.cold", replica=view.identity, cold_ms=round(view.replica.cold_ms))
--- a/src/aspengate/replicas/_replica.py
+++ b/src/aspengate/replicas/_replica.py
@@ -15,8 +15,8 @@
 class Replica:
     """One start of one replica; ``identity`` is never used again.
 
-    ``slots`` is how many requests it works on at once. ``warm_up_ms`` is how long it is still
-    slow after its start.
+    ``slots`` is how many requests it works on at once. ``cold_ms`` is how long it is still
+    cold, as of its record: it bears few requests then.
     """
 
     identity: str
@@ -25,4 +25,4 @@
     failure_domain: str = ""
     slots: int = 0
     state: ReplicaState = ReplicaState.READY
-    warm_up_ms: float = 0.0
+    cold_ms: float = 0.0
--- a/src/aspengate/replicas/_view.py
+++ b/src/aspengate/replicas/_view.py
@@ -73,6 +73,8 @@
     other routers' load. ``interval_ms`` is the usual time between two events of a stream, 0 where
     it is not known. ``answer_ms`` is how long whole answers usually take. Until
     ``replaced_until_ms``, in monotonic time, it gets no request: another replica answers there.
+    By its own word it is cold until ``cold_until_ms``; it may be cold from ``returned_ms`` on, when
+    its failure domain's evacuation ended.
     """
 
     def __init__(self, replica: Replica) -> None:
@@ -83,6 +85,8 @@
         self.last_sign_ms = float("-inf")
         self.avoid_until_ms = float("-inf")
         self.replaced_until_ms = float("-inf")
+        self.cold_until_ms = float("-inf")
+        self.returned_ms = float("-inf")
         self._failure_rate = 0.0
         self._failed_ms = 0.0
         self._late_part = 0.0
@@ -102,6 +106,10 @@
         """How many of this router's requests are there."""
         return len(self._works)
 
+    def is_cold(self, now_ms: float, cold_start_ms: float) -> bool:
+        """Return whether it may be cold; ``cold_start_ms`` is how long its service's stay so."""
+        return now_ms < max(self.cold_until_ms, self.returned_ms + cold_start_ms)
+
     @property
     def backlog_tokens(self) -> float:
         """The prompt tokens of this router's requests that wait there to be read."""
