Replay load patterns against the choice of replicas, and take decisions out of other modules

aspengate bench overload plays burst, jump, hot key and half of the engines away on the project's own engine model, seeded and without timing, under each way of the choice (ChoicePolicy): the own wait alone (as it stands and stays here), and the wait of those behind charged once or twice. Moved: when waiting watches are in doubt is decided in store/, the lines that a gateway tells of itself in gateway/_reporting.py, and the end of an attempt is worked out once.

--- a/src/aspengate/cli/_experiments.py
+++ b/src/aspengate/cli/_experiments.py
@@ -59,6 +59,22 @@
             experiments.plot_routing(results, self.plot)
 
 
+@cappa.command(description="Where prompts are placed while callers press, each way compared.")
+@dataclass
+class Overload:
+    """Replay the load patterns."""
+
+    seed: _Seed = 1
+    scenario: _Scenarios = ""
+
+    def __call__(self) -> None:
+        """Run and report."""
+        from aspengate import experiments
+
+        results = experiments.run_overload(self.seed, _names(self.scenario))
+        sys.stdout.write(experiments.overload_text(results))
+
+
 @cappa.command(description="Measure the slopes that docs/CAPACITY.md multiplies.")
 @dataclass
 class Capacity:
@@ -77,7 +93,7 @@
 class Bench:
     """The experiments."""
 
-    command: cappa.Subcommands[Budgets | Routing | Capacity]
+    command: cappa.Subcommands[Budgets | Routing | Overload | Capacity]
 
 
 @cappa.command(description="Check the core protocol on a small specification.")
--- a/src/aspengate/experiments/__init__.py
+++ b/src/aspengate/experiments/__init__.py
@@ -16,6 +16,14 @@
 )
 from aspengate.experiments._capacity import TARGET, TODAY, capacity_lines, capacity_page
 from aspengate.experiments._designs import design_names
+from aspengate.experiments._overload import (
+    PATTERNS,
+    WAYS,
+    LoadPattern,
+    OverloadResult,
+    overload_text,
+    run_overload,
+)
 from aspengate.experiments._routing_report import (
     plot_routing,
     routing_json,
@@ -31,10 +39,14 @@
 from aspengate.experiments._slopes import measure_slopes
 
 __all__ = [
+    "PATTERNS",
     "TARGET",
     "TODAY",
+    "WAYS",
     "BudgetResult",
     "BudgetScenario",
+    "LoadPattern",
+    "OverloadResult",
     "RoutingResult",
     "RoutingScenario",
     "budget_json",
@@ -45,6 +57,7 @@
     "capacity_page",
     "design_names",
     "measure_slopes",
+    "overload_text",
     "plot_budgets",
     "plot_routing",
     "routing_json",
@@ -52,6 +65,7 @@
     "routing_text",
     "run_budget_experiments",
     "run_budget_scenario",
+    "run_overload",
     "run_routing_experiments",
     "run_routing_scenario",
     "scaled",
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -147,12 +147,15 @@
         """
         if self.first_ms is not None:
             return self.begun_ms + self.first_ms
-        ended_ms = self.ended_ms if self.ended_ms is not None else self.parts.clock.monotonic_ms()
-        return ended_ms + UNACKNOWLEDGED_MS
+        return self._ended_or_now_ms + UNACKNOWLEDGED_MS
+
+    @property
+    def _ended_or_now_ms(self) -> float:
+        return self.ended_ms if self.ended_ms is not None else self.parts.clock.monotonic_ms()
 
     def told(self) -> dict[str, object]:
         """Return what the log tells of this attempt; durations are in milliseconds."""
-        ended_ms = self.ended_ms if self.ended_ms is not None else self.parts.clock.monotonic_ms()
+        ended_ms = self._ended_or_now_ms
         return {
             "replica": self.view.identity,
             "cost_ms": round(self.candidate.cost_ms),
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -15,6 +15,7 @@
 from aspengate.gateway._peering import Peering, Reply
 from aspengate.gateway._ports import Deployment
 from aspengate.gateway._ready import ReadyApplication
+from aspengate.gateway._reporting import GatewayReport
 from aspengate.gateway._settings import GatewaySettings
 from aspengate.gateway._stop import StopPlan
 from aspengate.gateway._story import RequestLog
@@ -53,8 +54,6 @@
 # How often documents that can wait are written together, in s: a reserve of ten seconds of demand
 # is refilled in time by that, and a router that draws for all makes one call in it at most.
 _TICK_S = 1.0
-# How often the calls to the store are told, in ms: often enough to see which fault cost them.
-_CALLS_TOLD_MS = 5_000.0
 _SMALL_BODY = 64 * 1024
 
 _RELOADED = frozenset(
@@ -104,6 +103,9 @@
         self.loans = self._make_loans()
         self.tokens = self._make_tokens()
         self._connect_tokens()
+        self.report = GatewayReport(
+            self.retries, deployment.store, lambda: self.peering.session, clock
+        )
         self.log = RequestLog(clock, counters, settings.log_lines_per_second)
         self.application = self._application()
         self.server = self._make_server()
@@ -202,7 +204,7 @@
 
     def close(self) -> None:
         """Stop at once; what is not in progress any more is settled."""
-        self._tell_calls()
+        self.report.tell_calls()
         self._closing.set()
         self.server.stop()
         self.ready_server.close()
@@ -249,30 +251,9 @@
         self.clock.sleep_ms(until_ms - self.clock.monotonic_ms())
 
     def _tick(self) -> None:
-        told_ms = self.clock.monotonic_ms()
         while not self._closing.wait(_TICK_S):
             self.tokens.tick()
-            self._tell_retries()
-            if self.clock.monotonic_ms() - told_ms >= _CALLS_TOLD_MS:
-                told_ms = self.clock.monotonic_ms()
-                self._tell_calls()
-
-    def _tell_retries(self) -> None:
-        """Tell the decisions on repeats: a killed router's requests never get their own lines."""
-        told_ms = self.retries.told_ms()
-        for tally in self.retries.tallies():
-            log_change(
-                "retry.decided",
-                service=tally.service,
-                allowed_since=tally.allowed,
-                refused_since=tally.refused,
-                routers_told_ms=None if told_ms is None else round(told_ms),
-                **tally.last.told(),
-            )
-
-    def _tell_calls(self) -> None:
-        calls = dict(self.deployment.store.calls)
-        log_change("store.calls", session=self.peering.session, calls=calls)
+            self.report.tell()
 
     def _mirror(self, prefix: str, on_change: Callable[[MirrorState], None]) -> StoreMirror:
         return StoreMirror(
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -23,6 +23,7 @@
     HistoryLostError,
     Put,
     Removal,
+    SilenceCount,
     Snapshot,
     StoreItem,
 )
@@ -32,9 +33,6 @@
 _CONNECT_TIMEOUT_S = 0.5
 _WATCH_MARGIN_S = 2.0
 _IDLE_CONNECTIONS = 4
-# So many calls in a row without an answer put the waiting watches in doubt: one may be lost by
-# itself, or meet a store that has just become slow.
-_UNANSWERED = 2
 
 
 class _Item(msgspec.Struct):
@@ -98,7 +96,7 @@
         self.answered_ms = float("-inf")
         self.calls: Counter[str] = Counter()
         self._idle: list[http.client.HTTPConnection] = []
-        self._unanswered = 0
+        self._silence = SilenceCount()
         self._watches: set[http.client.HTTPConnection] = set()
         self._lock = threading.Lock()
 
@@ -200,7 +198,7 @@
             raise AspengateError(unknown, repr(error), where=target.partition("?")[0]) from error
         finally:
             self._forget_watch(connection)
-        self._unanswered = 0
+        self._silence.answered()
         if not is_watch:
             self.timeout.answered(self.clock.monotonic_ms() - begun_ms)
         self._give_back(connection)
@@ -243,14 +241,9 @@
             self._watches.discard(connection)
 
     def _note_unanswered(self) -> None:
-        """End the watches that wait after two calls in a row without an answer.
-
-        Their connections probably say nothing any more either. Their callers ask anew and learn
-        at once whether the store answers, instead of waiting for keep-alive.
-        """
+        """Note a call without an answer, and end the watches that wait where these are in doubt."""
         with self._lock:
-            self._unanswered += 1
-            if self._unanswered < _UNANSWERED:
+            if not self._silence.unanswered():
                 return
             watches, self._watches = self._watches, set()
         for sock in [connection.sock for connection in watches]:
--- a/src/aspengate/replicas/__init__.py
+++ b/src/aspengate/replicas/__init__.py
@@ -1,6 +1,6 @@
 """The replicas that are known, how they do, and which of them a request may go to."""
 
-from aspengate.replicas._choice import Candidate, PromptShape, ReplicaChooser
+from aspengate.replicas._choice import Candidate, ChoicePolicy, PromptShape, ReplicaChooser
 from aspengate.replicas._evacuation import Evacuation
 from aspengate.replicas._parts import PartMemory
 from aspengate.replicas._pauses import PauseModel
@@ -11,6 +11,7 @@
 
 __all__ = [
     "Candidate",
+    "ChoicePolicy",
     "Evacuation",
     "PartMemory",
     "PauseModel",
--- a/src/aspengate/replicas/_choice.py
+++ b/src/aspengate/replicas/_choice.py
@@ -60,6 +60,20 @@
         return self.own_tokens + sum(tokens for _, tokens in self.shared)
 
 
+@dataclass(frozen=True)
+class ChoicePolicy:
+    """What weighs in a choice beside the request's own wait.
+
+    ``behind_part`` is what a ms by which others wait longer counts against one of its own: a
+    shared part that is read again holds up all that wait at that replica, and those to come.
+    """
+
+    behind_part: float = 0.0
+
+
+CHOICE_POLICY = ChoicePolicy()
+
+
 @dataclass(frozen=True)
 class Candidate:
     """A replica with the expected cost of a request there.
@@ -91,8 +105,11 @@
 class ReplicaChooser:
     """Scores replicas; all routers rank them alike for a part, without a message."""
 
-    def __init__(self, parts: PartMemory, failure_domain: str) -> None:
+    def __init__(
+        self, parts: PartMemory, failure_domain: str, policy: ChoicePolicy = CHOICE_POLICY
+    ) -> None:
         self.parts = parts
+        self.policy = policy
         self.failure_domain = failure_domain
         self.reading = ReadingModel()
         self.pauses = PauseModel()
@@ -109,8 +126,10 @@
         else:
             ranks = _ranks(views, prompt.anchor)
             held = {part: self._fresh_holders(part, now_ms) for part, _ in prompt.shared}
+            waiting = sum(view.waiting(now_ms) for view in views) / len(views)
+            behind = self.policy.behind_part * waiting
             candidates = [
-                self._engine(view, prompt, held, ranks.get(view.identity, 0), now_ms)
+                self._engine(view, prompt, held, ranks.get(view.identity, 0), behind, now_ms)
                 for view in rotated
             ]
         return min(candidates, key=lambda each: each.cost_ms)
@@ -153,15 +172,18 @@
         prompt: PromptShape,
         held: dict[str, frozenset[str]],
         rank: int,
+        behind: float,
         now_ms: float,
     ) -> Candidate:
-        tokens = _unread(view, prompt, held) + prompt.own_tokens
+        unread_tokens = _unread(view, prompt, held)
+        tokens = unread_tokens + prompt.own_tokens
         backlog_tokens = view.backlog_tokens + view.others_tokens(now_ms)
         first_ms = self.reading.expected_ms(tokens + backlog_tokens) * view.slowness
         shared_ms = self.reading.ms_a_token * (prompt.tokens - prompt.own_tokens)
         harm_ms = self._harm_ms(view, tokens) + view.late_part(now_ms) * prompt.gap_aim_ms
         cost = first_ms + harm_ms + self._distance_ms(view) + _RUNNING_MS * view.in_flight
         cost += _RANK_PART * shared_ms * min(rank, _MOST_RANK)
+        cost += behind * self.reading.ms_a_token * unread_tokens
         cost += _trouble_ms(view, now_ms, _FAILURE_MS)
         return Candidate(view, cost, first_ms, tokens, backlog_tokens, harm_ms)
 
--- a/src/aspengate/replicas/_view.py
+++ b/src/aspengate/replicas/_view.py
@@ -128,6 +128,12 @@
                 heapq.heappop(self._others)
             return sum(tokens for _, tokens in self._others)
 
+    def waiting(self, now_ms: float) -> int:
+        """Return how many requests probably wait there for their first token, of all routers."""
+        self.others_tokens(now_ms)
+        with self._lock:
+            return len(self._others) + sum(not work.answered for work in self._works.values())
+
     def note_placed(self, tokens: float, expected_ms: float, now_ms: float) -> None:
         """Note a request of another router, whose first token is expected after ``expected_ms``.
 
--- a/src/aspengate/store/__init__.py
+++ b/src/aspengate/store/__init__.py
@@ -13,6 +13,7 @@
     Snapshot,
     StoreItem,
 )
+from aspengate.store._silence import SilenceCount
 from aspengate.store._timeout import AdaptiveTimeout
 
 __all__ = [
@@ -27,6 +28,7 @@
     "OutageOutlook",
     "Put",
     "Removal",
+    "SilenceCount",
     "Snapshot",
     "Stance",
     "StoreItem",
