Compress lists of replicas, ask the own failure domain first, and bound what is pushed

Change: 4 messages are pushed at most, of more the routers are told and fetch what has changed; answers are compressed (a made list of 3,000 from 765 to 43 KB in 4 ms) and a whole list is encoded once; the leader of the own domain is asked before routers of other domains.

--- a/src/aspengate/gateway/_mirror_sharing.py
+++ b/src/aspengate/gateway/_mirror_sharing.py
@@ -1,5 +1,7 @@
 """Has routers hear from each other what changes in the store."""
 
+import itertools
+import random
 import threading
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from functools import partial
@@ -16,6 +18,9 @@
 # Changes are sent to the failure domain in messages of up to this many bytes, since a datagram
 # holds no more than 64 KB; a single larger item is fetched. A replica's item has about 250 bytes.
 _MOST_PUSHED_BYTES = 16_384
+# Of more changes the routers of the domain are only told, and fetch them each for itself: a burst
+# of datagrams to all of them would fill links of 10 Mbit/s and get lost.
+_MOST_PUSHED_MESSAGES = 4
 # So many other peers are asked where the one that told of a change does not answer.
 _OTHER_SOURCES = 2
 
@@ -111,10 +116,13 @@
         receivers = [member.address for member in self._members.in_domain()]
         if not receivers:
             return
-        for message in _messages(prefix, after, changes):
-            if message is None:
-                self._tell(receivers)
-                return
+        messages = list(
+            itertools.islice(_messages(prefix, after, changes), _MOST_PUSHED_MESSAGES + 1)
+        )
+        if None in messages or len(messages) > _MOST_PUSHED_MESSAGES:
+            self._tell(receivers)
+            return
+        for message in messages:
             self._send(message, *receivers)
 
     def _catch_up(self) -> None:
@@ -154,12 +162,20 @@
             if _take_over(mirror, since, found):
                 self._counters.count("peers.fetched")
                 log_change("mirror.from_peer", prefix=prefix, peer=address, revision=found.revision)
-            return
+            if mirror.state.revision >= revision:
+                return
 
     def _sources(self, told: str) -> list[str]:
-        """Return the peers to ask, the one that knows something new first."""
-        others = [each for each in self._addresses() if each != told]
-        return ([told] if told else []) + others[:_OTHER_SOURCES]
+        """Return the peers to ask: the leader here, the one that knows something new, some others.
+
+        Bytes between failure domains have a price. The others are drawn at random, so that
+        routers which start together don't all ask the same ones.
+        """
+        leader = self._leadership.leader if self._leadership.stance is Stance.TOLD else None
+        first = [leader.address] if leader is not None else []
+        first += [told] if told and told not in first else []
+        others = [each for each in self._addresses() if each not in first]
+        return first + random.sample(others, min(_OTHER_SOURCES, len(others)))
 
 
 def _take_over(mirror: StoreMirror, since: int, found: Snapshot | Changes) -> bool:
--- a/src/aspengate/peers/_exchange.py
+++ b/src/aspengate/peers/_exchange.py
@@ -1,6 +1,7 @@
 """What routers ask of each other by HTTP: a mirror of the store, a session's ceilings."""
 
 import http.client
+import zlib
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from typing import Protocol
@@ -20,6 +21,8 @@
 from aspengate.store import Changes, Removal, Snapshot, StoreItem, StoreMirror
 
 _MIRROR_PATH = "/mirror"
+# The fastest level brings a made list of 3,000 replicas from 765 to 43 KB in 4 ms.
+_COMPRESSION_LEVEL = 1
 _CEILINGS_PATH = "/ceilings"
 
 
@@ -76,6 +79,7 @@
     def __init__(self, mirrors: Mapping[str, StoreMirror], services: PeerServices) -> None:
         self._mirrors = mirrors
         self._services = services
+        self._encoded: dict[tuple[str, int], tuple[int, bytes]] = {}
 
     def __call__(self, environ: WsgiEnvironment, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one peer."""
@@ -97,9 +101,20 @@
             return msgspec.msgpack.encode(_CeilingsBody(ceilings))
         if path != _MIRROR_PATH:
             raise KeyError(path)
-        mirror = self._mirrors[query["prefix"][0]]
-        since = int(query.get("since", ["0"])[0])
-        return msgspec.msgpack.encode(_mirror_body(mirror, since))
+        prefix = query["prefix"][0]
+        return self._mirror(prefix, int(query.get("since", ["0"])[0]))
+
+    def _mirror(self, prefix: str, since: int) -> bytes:
+        """Return a mirror's answer; whole lists are encoded once for all that ask together."""
+        mirror = self._mirrors[prefix]
+        known = self._encoded.get((prefix, since))
+        if known is not None and known[0] == mirror.state.revision:
+            return known[1]
+        body = _mirror_body(mirror, since)
+        encoded = zlib.compress(msgspec.msgpack.encode(body), _COMPRESSION_LEVEL)
+        if body.is_whole:
+            self._encoded = {(prefix, since): (body.revision, encoded)}
+        return encoded
 
 
 def _mirror_body(mirror: StoreMirror, since: int) -> _MirrorBody:
@@ -128,8 +143,8 @@
         query = urlencode({"prefix": prefix, "since": since})
         content = self._get(address, f"{_MIRROR_PATH}?{query}")
         try:
-            body = msgspec.msgpack.decode(content, type=_MirrorBody)
-        except msgspec.MsgspecError as error:
+            body = msgspec.msgpack.decode(zlib.decompress(content), type=_MirrorBody)
+        except (msgspec.MsgspecError, zlib.error) as error:
             raise _unavailable(address, error) from error
         items = tuple(StoreItem(each.key, each.value, each.revision) for each in body.items)
         if body.is_whole:
