--- a/src/aspengate/experiments/_capacity.py
+++ b/src/aspengate/experiments/_capacity.py
@@ -429,8 +429,9 @@
 The first part is about gateways, the program that runs on the users' platform; the rest is about
 the routers of `aspengate demo`. There every figure is a slope that `aspengate bench capacity`
 measured on this code (the committed `measurements/capacity-slopes.json`) times a size. The page is
-made by `aspengate docs`, and a test holds it against the slopes. Limits: 4.4% of a core, 32 MB and 6 KB a second of control for a
-node, 100 writes and 2,000 reads a second of the store, of which half the writes are left for others.
+made by `aspengate docs`, and a test holds it against the slopes. Limits: 4.4% of a core, 32 MB and
+6 KB a second of control for a node, 100 writes and 2,000 reads a second of the store, of which half
+the writes are left for others.
 
 Assumed, not measured: budgets are used by Zipf's law with exponent 1; the balancer spreads every
 budget's requests over all routers of a region; 5% of the calls carry a key; at the target the
