Count nothing for each replica while none may be cold; a smaller reserve was tried and left

Cause: each choice took a lock and looked at the recent requests of each replica, also while all were warm.

--- a/src/aspengate/cold_starts/_limiter.py
+++ b/src/aspengate/cold_starts/_limiter.py
@@ -91,10 +91,17 @@
             self.shares.forget(replica)
 
     def open(self, views: list[ReplicaView], service: Service) -> list[ReplicaView]:
-        """Return those of a service's replicas that may get one more request now."""
+        """Return those of a service's replicas that may get one more request now, in a new list.
+
+        While none may be cold, which is nearly always, nothing is counted for each replica.
+        """
         if not service.cold_per_second:
-            return views
+            return list(views)
         contact = self.contact()
+        if contact is Contact.CURRENT:
+            now = self._clock.monotonic_ms()
+            if not any(view.is_cold(now, service.cold_start_ms) for view in views):
+                return list(views)
         with self._lock:
             return [view for view in views if self._admits(view, service, contact)]
 
