Keep what a cold replica got when its entry lapses and comes back

Cause: found by rereading. What was counted of a replica was dropped with its entry in the list; a permit that was settled after that made the count negative, one permit more for good. Entries lapse while the store is away and come back under the same id. Change: a permit settles what it was taken from, and only empty counts are dropped.

--- a/features/cold_starts.feature
+++ b/features/cold_starts.feature
@@ -68,3 +68,11 @@
     Given a gateway before two engines that are cold and bear one request a second
     When ten streams are asked for at once
     Then no engine gets more than two in a second, and the others are refused with the time to come back
+
+  # A replica's entry may lapse while the store is away and come back under the same id. What was
+  # counted of it was dropped with the entry, and a request that was sent in between then counted as
+  # less than none: the router had one permit more for good.
+  Scenario: A replica whose entry lapses and comes back has got what it has got
+    Given a router that knows the fleet, and a cold replica of which it has permits
+    When the replica's entry lapses while a request is under way to it, and comes back
+    Then the router sends it no more than its permits in a second, then and later
--- a/features/steps/cold_starts_steps.py
+++ b/features/steps/cold_starts_steps.py
@@ -341,3 +341,26 @@
     refused = [each for each in context.answers if each.status == 503]
     assert refused and all(each.header("Retry-After") == "1" for each in refused)
     assert {each.status for each in context.answers} <= {200, 503}
+
+
+@given("a router that knows the fleet, and a cold replica of which it has permits")
+def has_permits(context):
+    context.limiter, context.clock = known_limiter()
+    context.replica = view("i-1")
+    context.permits = context.limiter.shares.permits("i-1", PERMITS)
+    assert context.permits > 1
+
+
+@when("the replica's entry lapses while a request is under way to it, and comes back")
+def lapses(context):
+    under_way = context.limiter.take(context.replica, SERVICE)
+    assert send(context.limiter, context.replica)
+    context.limiter.forget("i-1")
+    under_way.settle(sent=True)
+
+
+@then("the router sends it no more than its permits in a second, then and later")
+def no_more_than_permits(context):
+    assert sent_of(context.limiter, context.replica) == context.permits - 2
+    context.clock.advance(POLICY.window_ms + 1)
+    assert sent_of(context.limiter, context.replica) == context.permits
--- a/src/aspengate/cold_starts/_limiter.py
+++ b/src/aspengate/cold_starts/_limiter.py
@@ -85,10 +85,16 @@
             self._current(replica).heard.append(self._clock.monotonic_ms())
 
     def forget(self, replica: str) -> None:
-        """Forget a replica that is gone."""
+        """Forget a replica that is gone, but not what it got within the window.
+
+        Its entry may have lapsed and come back under the same id.
+        """
         with self._lock:
-            self._recent.pop(replica, None)
             self.shares.forget(replica)
+            for each in list(self._recent):
+                recent = self._current(each)
+                if not (recent.own or recent.heard):
+                    del self._recent[each]
 
     def open(self, views: list[ReplicaView], service: Service) -> list[ReplicaView]:
         """Return those of a service's replicas that may get one more request now, in a new list.
@@ -113,12 +119,12 @@
         with self._lock:
             if not self._admits(view, service, contact):
                 return None
-            self._current(view.identity).under_way += 1
-        return ColdStartPermit(lambda sent: self._settle(view.identity, sent=sent))
+            recent = self._current(view.identity)
+            recent.under_way += 1
+        return ColdStartPermit(lambda sent: self._settle(recent, sent=sent))
 
-    def _settle(self, replica: str, *, sent: bool) -> None:
+    def _settle(self, recent: _Recent, *, sent: bool) -> None:
         with self._lock:
-            recent = self._current(replica)
             recent.under_way -= 1
             # It counts from now and not from the decision: one that was held up in between would
             # meet those of the next window at the replica.
