Pass on what the only replica answers, late or failed, instead of an error of the router's own

Cause: whether a request may be repeated asked for a ready replica that was not excluded, and the one of the attempt in hand is excluded only afterwards. So a request of a service's only ready replica was given up when that was slow, or its failure thrown away, and then ended in 504 since there was no other. Evacuations and cold starts leave a service with few replicas more often.

--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -207,8 +207,10 @@
         if attempts >= exchange.known_route.max_attempts:
             return False
         service = exchange.known_service
-        ready = self.registry.ready(service.name, progress.excluded)
-        if not self.cold_starts.open(ready, service):
+        # The replica of the attempt in hand is not another one: a slow answer or a failure of the
+        # only replica is passed on, and not replaced by an error of this router.
+        tried = progress.excluded | {attempt.view.identity for attempt in progress.made}
+        if not self.cold_starts.open(self.registry.ready(service.name, tried), service):
             return False
         decision = self.retries.take(exchange.known_service.name)
         progress.repeats.append(decision)
