Tell which requests are the same, and which replicas have ended under them

Cause: a request's line named its account and size, and a lost connection, a reset and a cut answer all read alike, so that nobody could say whether one request ended many replicas, or many replicas ended. Change: the line has the id of the request's content (a hash of account, path, query and body); where an answer breaks off, the router looks whether anybody listens at the replica's address, and tells replica.ended where nobody does. Test changed: 'A reused connection that is reset counts as sent' counted connections, of which that look is one more; it now demands that both requests came on one connection, which is what it was for.

--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -14,7 +14,10 @@
 
 
 class Request:
-    """One request as its bytes were read; ``at_s`` is when its head had come."""
+    """One request as its bytes were read; ``at_s`` is when its head had come.
+
+    ``connection`` is the number of the connection that it came on.
+    """
 
     def __init__(self, method, target, headers, body):
         self.method = method
@@ -22,6 +25,7 @@
         self.headers = headers
         self.body = body
         self.at_s = time.monotonic()
+        self.connection = 0
 
     def header(self, name):
         found = [value for key, value in self.headers if key.lower() == name.lower()]
@@ -36,6 +40,8 @@
     """Serves on a free port; ``behave`` maps a request's number, from 1, to a behaviour's name.
 
     It reads a request ``stall_s`` after its bytes may have come; ``gone`` marks one that crashed.
+    It crashes ``crash_after_s`` after it began a request whose target contains ``crash_on``, where
+    that is not empty, and calls ``on_crash``.
 
     ``requests`` are all that were read; ``sent_events`` counts events by request id, ``runs``
     those that were run, ``cancelled`` those whose connection ended during the run.
@@ -65,6 +71,10 @@
         self.behaviours = {}
         self.stall_s = 0.0
         self.gone = False
+        self.crash_on = ""
+        self.crash_after_s = 0.1
+        self.crashed_s = None
+        self.on_crash = lambda replica: None
         self.sent_events = Counter()
         self.early = False
         self.early_bodies = []
@@ -101,6 +111,10 @@
 
     def crash(self):
         """Reset every connection and accept no more."""
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
         self._socket.close()
         with self._lock:
             connections = list(self._open)
@@ -126,9 +140,10 @@
             self.connections += 1
             with self._lock:
                 self._open.add(connection)
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+            arguments = (connection, self.connections)
+            threading.Thread(target=self._serve, args=arguments, daemon=True).start()
 
-    def _serve(self, connection):
+    def _serve(self, connection, connection_number):
         reader = connection.makefile("rb")
         try:
             while (request := self._read(connection, reader)) is not None:
@@ -141,10 +156,13 @@
                     self.early_bodies.append(request.body)
                     continue
                 read_body(reader, request)
+                request.connection = connection_number
                 with self._lock:
                     self.requests.append(request)
                     number = len(self.requests)
                 name = self.behaviours.get(number, self.behaviour)
+                if self.crash_on and self.crash_on in request.target:
+                    name = "crash"
                 if not BEHAVIOURS[name](self, connection, request):
                     break
         except (OSError, ValueError):
@@ -295,6 +313,23 @@
     return False
 
 
+@behaviour("crash")
+def run_and_crash(replica, connection, request):
+    """Begin to run and end as a process does, with all that ran beside; a stream has begun."""
+    replica.run(request)
+    if is_stream(request):
+        replica.send(connection, replica.head(request, stream=True), request)
+        first = int(request.header("Last-Event-Id") or 0) + 1
+        replica.send(connection, chunk(event(replica, request, first)), request)
+    time.sleep(replica.crash_after_s)
+    if not replica.gone:
+        replica.gone = True
+        replica.crashed_s = time.monotonic()
+        replica.crash()
+        replica.on_crash(replica)
+    return False
+
+
 @behaviour("mute")
 def say_nothing(replica, connection, request):
     replica.run(request)
--- a/features/steps/gateway_answers_steps.py
+++ b/features/steps/gateway_answers_steps.py
@@ -242,7 +242,8 @@
 @then("the second caller gets 502, and the replica ran each once")
 def kept_connection_counted(context):
     replica = context.fleet.of("portal")[0]
-    assert replica.connections == 1, "the connection was not kept"
+    used = {request.connection for request in replica.requests}
+    assert len(replica.requests) == 2 and len(used) == 1, "the connection was not kept"
     assert context.answer.status == 502
     assert set(replica.runs.values()) == {1}
 
--- a/src/aspengate/connections/__init__.py
+++ b/src/aspengate/connections/__init__.py
@@ -1,7 +1,11 @@
 """HTTP connections to replicas, whose every answer is bound to its request."""
 
 from aspengate.connections._answer import ReplicaAnswer
-from aspengate.connections._connection import ReplicaConnection, RequestHead
+from aspengate.connections._connection import (
+    ReplicaConnection,
+    RequestHead,
+    refuses_connections,
+)
 from aspengate.connections._pool import ConnectionPool
 from aspengate.connections._silence import UNACKNOWLEDGED_MS, detect_silence
 from aspengate.connections._waiter import CallerGoneError, Waiter
@@ -15,4 +19,5 @@
     "RequestHead",
     "Waiter",
     "detect_silence",
+    "refuses_connections",
 ]
--- a/src/aspengate/connections/_connection.py
+++ b/src/aspengate/connections/_connection.py
@@ -24,6 +24,21 @@
     headers: tuple[tuple[str, str], ...]
 
 
+def refuses_connections(address: str, timeout_ms: float) -> bool:
+    """Return whether nobody listens at an address: the process that did has ended.
+
+    A machine that says nothing within ``timeout_ms`` may be cut off, and is not taken for that.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), timeout_ms / 1_000).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 class ReplicaConnection:
     """A connection to ``address``; raises NO_UPSTREAM where none comes up.
 
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -4,7 +4,7 @@
 
 from aspengate.cold_starts import ColdStartLimiter, ColdStartPermit
 from aspengate.configuration import Service
-from aspengate.connections import ReplicaAnswer
+from aspengate.connections import ReplicaAnswer, refuses_connections
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._attempt import Attempt, AttemptParts, TryAnotherError
 from aspengate.gateway._exchange import Exchange
@@ -15,11 +15,14 @@
 from aspengate.replicas import Candidate, PromptShape, ReplicaRegistry, ReplicaView
 from aspengate.retries import SharedRetryBudget
 from aspengate.serving import CallerConnection
-from aspengate.telemetry import Counters
+from aspengate.telemetry import Counters, log_change
 
 _SUCCESS = range(200, 300)
 _SERVER_ERROR = range(500, 600)
 _MOST_UNREACHED = 4
+# How long an address is asked, in ms, whether its replica has ended: a port that nobody listens at
+# refuses within a round trip, which is some ms; only a machine that is cut off takes longer.
+_PROBE_MS = 100.0
 _REPLICA_FAILURES = frozenset({ErrorKind.UPSTREAM_FAILED, ErrorKind.DEADLINE_EXCEEDED})
 
 
@@ -63,16 +66,28 @@
                 attempt.end("answered", failed=False)
                 return
             except TryAnotherError as failure:
+                self._look_after_break(attempt, failure.cause, exchange)
                 refused = failure.cause.kind is ErrorKind.OVERLOADED
                 attempt.end(str(failure), failed=failure.sent and not refused)
                 progress.excluded.add(attempt.view.identity)
                 self._check_another(exchange, progress, failure)
             except AspengateError as error:
+                self._look_after_break(attempt, error, exchange)
                 attempt.end(str(error), failed=error.kind in _REPLICA_FAILURES)
                 raise
             finally:
                 attempt.end("fault", failed=False)
 
+    def _look_after_break(
+        self, attempt: Attempt, error: AspengateError, exchange: Exchange
+    ) -> None:
+        """Tell whether a replica that lost a request has ended."""
+        if not attempt.sent or error.kind is not ErrorKind.UPSTREAM_FAILED:
+            return
+        if refuses_connections(attempt.view.replica.address, _PROBE_MS):
+            self.counters.count("gateway.replica_ended")
+            log_change("replica.ended", replica=attempt.view.identity, content=exchange.content)
+
     def _settle_repeats(self, exchange: Exchange, progress: Progress) -> None:
         """Tell the retry budget when the last of the request's arrivals was, or will have been."""
         allowed = sum(decision.allowed for decision in progress.repeats)
--- a/src/aspengate/gateway/_exchange.py
+++ b/src/aspengate/gateway/_exchange.py
@@ -5,6 +5,7 @@
 
 from aspengate.configuration import ClientAccount, FleetConfiguration, Route, Service
 from aspengate.connections import Waiter
+from aspengate.crashes import content_id
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._request import CallerRequest
 
@@ -38,6 +39,12 @@
             raise AspengateError(ErrorKind.INTERNAL, "the route filter comes first")
         return self.service
 
+    @property
+    def content(self) -> str:
+        """The id that this request shares with those that are the same, come again."""
+        account = self.account.name if self.account else ""
+        return content_id(account, self.request.target, self.request.body)
+
 
 @dataclass(frozen=True)
 class Outcome:
--- a/src/aspengate/gateway/_story.py
+++ b/src/aspengate/gateway/_story.py
@@ -83,6 +83,7 @@
         "route": exchange.route.name if exchange.route else "",
         "service": exchange.service.name if exchange.service else "",
         "account": exchange.account.name if exchange.account else "",
+        "content": exchange.content,
         "tokens": exchange.request.tokens.most if exchange.request.tokens else 0,
         "settled": progress.settled_tokens,
         "aim_ms": exchange.route.objective_ms if exchange.route else 0,
