Tests of entries that other writers leave in the list of replicas, which fail

Cause: fields are optional or unbounded in the decoder, a RecursionError is no error that it expects, and an unforeseen fault ends the thread of a mirror. Figures: of the entries tried, one ends the following of the list; those without slots or state, with port 99999, -1 slots or cold for 1e300 ms are listed as ready.

--- /dev/null
+++ b/features/foreign_entries.feature
@@ -0,0 +1,19 @@
+Feature: Entries of other writers name no replica to use, and do no other harm
+
+  # An entry of 200,000 nested brackets in the list of replicas ended the thread that follows it:
+  #   Exception in thread mirror-servers/: RecursionError: maximum recursion depth exceeded
+  # and the router heard of no replica again. Of 25 others 13 were listed as ready, among them ones
+  # without slots or state, with port 99999, -1 slots, or cold for 1e300 ms.
+  Scenario: A gateway passes over what it can't use, and goes on hearing of replicas
+    Given a gateway before one replica of each service
+    When entries of other writers come into the list of replicas
+    Then none of them is listed, and a replica that comes later is
+
+  Scenario: Any bytes are read as a replica that can be used, or not at all
+    Given any bytes, any JSON and any good entry with changes
+    Then each is read as a replica with an address, slots and bounded times, or refused with its key
+
+  Scenario: A fault while changes are taken over does not end the following
+    Given a mirror whose owner fails at the first change
+    When two changes come
+    Then the owner gets the second one, and a line tells of the fault
