Read entries of other writers strictly, and keep threads going after faults

Cause: fields of a replica's record were optional and unbounded; nested lists raised RecursionError, which ended the thread that follows the list; any unforeseen fault would have ended any of twelve threads. Change: all fields are needed, of their type and within bounds; one function decodes values of the store, with a bound on their size; a line for an unreadable item once a revision; lasting_thread goes on.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -17,3 +17,16 @@
     Given a mirror whose owner fails at the first change
     When two changes come
     Then the owner gets the second one, and a line tells of the fault
+
+  Scenario: A good entry that another writer spoils takes its replica out
+    Given a gateway before two replicas of each service
+    When another writer overwrites the entry of one of them
+    Then that one gets nothing more, and one line tells of the entry
+
+  Scenario: A thread that meets a fault nobody foresaw goes on
+    Given a thread whose loop fails twice
+    Then it goes on after each fault, which a line and a counter tell
+
+  Scenario: Whatever follows, leads or settles runs on such a thread
+    When the sources of gateway, peers and store are searched for threads
+    Then all of them go on after a fault
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -15,8 +15,9 @@
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.platform import PlatformDeployment
 from aspengate.store import Changes, Snapshot, StoreItem, StoreMirror
-from aspengate.telemetry import NullCounters
+from aspengate.telemetry import NullCounters, lasting_thread
 from crashes_steps import ask
+from structure_steps import SOURCE
 
 GOOD = {
     "service": "portal",
@@ -204,3 +205,46 @@
     told = context.router.find_all("replica.unreadable")
     revisions = [line.get("revision") for line in told]
     assert revisions and len(revisions) == len(set(revisions)), told
+
+
+@given("a thread whose loop fails twice")
+def failing_thread(context):
+    context.rounds = []
+    context.counters = NullCounters()
+
+    def loop():
+        context.rounds.append(1)
+        if len(context.rounds) <= 2:
+            raise KeyError("unforeseen")
+
+    context.thread = lasting_thread(loop, "a loop", context.counters)
+
+
+@then("it goes on after each fault, which a line and a counter tell")
+def goes_on(context):
+    context.thread.start()
+    context.thread.join(10)
+    assert len(context.rounds) == 3, context.rounds
+    assert context.counters.values["threads.faults"] == 2
+
+
+@when("the sources of gateway, peers and store are searched for threads")
+def search_threads(context):
+    folders = [SOURCE / name for name in ("gateway", "peers", "store")]
+    context.found = [
+        path.name
+        for folder in folders
+        for path in folder.rglob("*.py")
+        if "threading.Thread(" in path.read_text(encoding="utf-8")
+    ]
+    context.lasting = sum(
+        path.read_text(encoding="utf-8").count(" lasting_thread(")
+        for folder in folders
+        for path in folder.rglob("*.py")
+    )
+
+
+@then("all of them go on after a fault")
+def all_last(context):
+    assert not context.found, context.found
+    assert context.lasting >= 10, context.lasting
--- a/src/aspengate/allowances/_document.py
+++ b/src/aspengate/allowances/_document.py
@@ -152,7 +152,7 @@
     """Return the document in a store value; raises INTERNAL for other bytes."""
     try:
         return msgspec.json.decode(value, type=AllowanceDocument)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise AspengateError(ErrorKind.INTERNAL, str(error), where="allowances") from error
 
 
--- a/src/aspengate/crashes/_record.py
+++ b/src/aspengate/crashes/_record.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from aspengate.crashes._policy import CrashPolicy, Verdict
-from aspengate.errors import AspengateError, ErrorKind
+from aspengate.store import decode_value
 
 RECORD_PREFIX = "aspengate/crashes/"
 # An end is a replica's id and start, and a record holds some of them.
@@ -76,9 +76,4 @@
 
 def decode_record(value: bytes, key: str) -> CrashRecord:
     """Return the record that a value holds; raises BAD_REQUEST for other bytes."""
-    if len(value) > _MOST_BYTES:
-        raise AspengateError(ErrorKind.BAD_REQUEST, f"has {len(value)} bytes", where=key)
-    try:
-        return msgspec.json.decode(value, type=CrashRecord)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise AspengateError(ErrorKind.BAD_REQUEST, str(error), where=key) from error
+    return decode_value(value, CrashRecord, key, _MOST_BYTES)
--- a/src/aspengate/gateway/_crash_records.py
+++ b/src/aspengate/gateway/_crash_records.py
@@ -14,8 +14,9 @@
     encode_record,
 )
 from aspengate.errors import AspengateError
+from aspengate.gateway._unreadable import UnreadableItems
 from aspengate.store import ConditionFailedError, KeyValueStore, MirrorState, Put, StoreItem
-from aspengate.telemetry import Counters, log_change
+from aspengate.telemetry import Counters, lasting_thread, log_change
 
 # How long to wait, in ms, before a change of a record that failed is made again. No request waits
 # for it: it is known here, and was told to the other routers.
@@ -64,12 +65,13 @@
         self._policy = policy
         self._ends_of = ends_of
         self._on_gone = on_gone
+        self._unreadable = UnreadableItems(counters)
         self._known: dict[str, _Known] = {}
         self._changes: dict[str, Change] = {}
         self._lock = threading.Lock()
         self._some = threading.Event()
         self._closing = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True, name="crash-records")
+        self._thread = lasting_thread(self._run, "crash-records", counters)
 
     def start(self) -> None:
         """Begin to make changes."""
@@ -132,8 +134,7 @@
         try:
             return _Known(decode_record(item.value, item.key), item.revision)
         except AspengateError as error:
-            self._counters.count("crashes.unreadable")
-            log_change("crash.unreadable", key=item.key, revision=item.revision, error=str(error))
+            self._unreadable.tell("crash", item, error)
             return None
 
     def _run(self) -> None:
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -21,6 +21,7 @@
 from aspengate.gateway._settings import GatewaySettings
 from aspengate.gateway._stop import StopPlan
 from aspengate.gateway._story import RequestLog
+from aspengate.gateway._unreadable import UnreadableItems
 from aspengate.gateway.filters import FilterParts, make_filters
 from aspengate.gateway.prepaid import LimitSource, PeerLoans, RemoteWitness, TokenAccounts
 from aspengate.peers import (
@@ -37,7 +38,7 @@
 from aspengate.retries import RetryPolicy, SharedRetryBudget
 from aspengate.serving import RelayServer, WsgiServer
 from aspengate.store import MirrorState, StoreItem, StoreMirror
-from aspengate.telemetry import Counters, log_change
+from aspengate.telemetry import Counters, lasting_thread, log_change
 
 _READY_THREADS = 2
 _WATCH_MS = 25_000
@@ -91,6 +92,7 @@
         self.holder = ConfigurationHolder(clock)
         self.pool = ConnectionPool(clock, _LONGEST_REST_MS)
         self.parts = PartMemory()
+        self._unreadable = UnreadableItems(counters)
         self.registry = ReplicaRegistry(clock, self._on_replica_gone)
         self.retries = SharedRetryBudget(_retry_policy(settings), clock)
         self.operator = self._mirror(deployment.operator_prefix, self._on_operator)
@@ -127,7 +129,7 @@
         )
         self.holder.on_change(self._apply_configuration)
         self._closing = threading.Event()
-        self._ticker = threading.Thread(target=self._tick, daemon=True, name="ticker")
+        self._ticker = lasting_thread(self._tick, "ticker", counters)
 
     @property
     def mirrors(self) -> tuple[StoreMirror, ...]:
@@ -433,7 +435,7 @@
         try:
             self.holder.offer(self.deployment.read_configuration(item))
         except AspengateError as error:
-            log_change("configuration.unreadable", revision=item.revision, error=str(error))
+            self._unreadable.tell("configuration", item, error)
 
     def _on_replicas(self, state: MirrorState) -> None:
         replicas = []
@@ -441,7 +443,7 @@
             try:
                 replicas.append(self.deployment.read_replica(item))
             except AspengateError as error:
-                log_change("replica.unreadable", key=item.key, error=str(error))
+                self._unreadable.tell("replica", item, error)
         self.registry.update(replicas, state.revision)
 
     def _on_replica_gone(self, identity: str) -> None:
--- a/src/aspengate/gateway/_mirror_sharing.py
+++ b/src/aspengate/gateway/_mirror_sharing.py
@@ -9,7 +9,7 @@
 from aspengate.errors import AspengateError
 from aspengate.peers import ChangedItem, DomainLeadership, MemberList, MirrorChanges, PeerClient
 from aspengate.store import Changes, Removal, Snapshot, Stance, StoreItem, StoreMirror
-from aspengate.telemetry import Counters, log_change
+from aspengate.telemetry import Counters, lasting_thread, log_change
 
 # How long a router waits for its own watch, or for its leader, before it asks a peer for what
 # that one told of, in ms.
@@ -57,7 +57,7 @@
         self._behind: dict[str, tuple[str, int]] = {}
         self._wake = threading.Event()
         self._closing = threading.Event()
-        self._thread = threading.Thread(target=self._catch_up, daemon=True, name="peers-fetch")
+        self._thread = lasting_thread(self._catch_up, "peers-fetch", counters)
 
     @property
     def reaches_store(self) -> bool:
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -42,7 +42,7 @@
     Stance,
     StoreMirror,
 )
-from aspengate.telemetry import Counters, log_change
+from aspengate.telemetry import Counters, lasting_thread, log_change
 
 # How often a router tells of itself, in ms: a leader is missed after three of its beats.
 _NEWS_MS = 300.0
@@ -135,8 +135,8 @@
         self._beat = threading.Event()
         self._closing = threading.Event()
         self._list_tried = threading.Event()
-        self._thread = threading.Thread(target=self._send, daemon=True, name="peers-send")
-        self._list_thread = threading.Thread(target=self._list, daemon=True, name="peers-list")
+        self._thread = lasting_thread(self._send, "peers-send", counters)
+        self._list_thread = lasting_thread(self._list, "peers-list", counters)
 
     @property
     def reaches_store(self) -> bool:
--- a/src/aspengate/gateway/_store_probe.py
+++ b/src/aspengate/gateway/_store_probe.py
@@ -6,7 +6,7 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
 from aspengate.store import KeyValueStore
-from aspengate.telemetry import Counters
+from aspengate.telemetry import Counters, lasting_thread
 
 # A leader asks the store for a sign of life where it has had none for so long, in ms. With two
 # calls that get no answer (700 ms at most while the store is quick) and the takeover by another
@@ -35,7 +35,7 @@
         self._counters = counters
         self._is_needed = is_needed
         self._closing = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True, name="store-probe")
+        self._thread = lasting_thread(self._run, "store-probe", counters)
 
     def start(self) -> None:
         """Begin to look."""
--- a/src/aspengate/gateway/prepaid/_loans.py
+++ b/src/aspengate/gateway/prepaid/_loans.py
@@ -10,7 +10,7 @@
 
 from aspengate.clock import Clock
 from aspengate.peers import PENDING, LoanReply, LoanRequest, Member, Repayment, RepaymentReply
-from aspengate.telemetry import Counters, log_change
+from aspengate.telemetry import Counters, lasting_thread, log_change
 
 _REPEAT_MS = 40.0
 _LOST_MS = 200.0
@@ -144,7 +144,7 @@
         self._suspects: dict[str, float] = {}
         self._changed = threading.Condition()
         self._closing = False
-        self._thread = threading.Thread(target=self._run, daemon=True, name="loans")
+        self._thread = lasting_thread(self._run, "loans", counters)
 
     def start(self) -> None:
         """Begin to repeat what is not answered."""
--- a/src/aspengate/gateway/prepaid/_witness.py
+++ b/src/aspengate/gateway/prepaid/_witness.py
@@ -10,7 +10,7 @@
 
 from aspengate.clock import Clock
 from aspengate.peers import CeilingNotice, CeilingReply, Member
-from aspengate.telemetry import Counters, log_change
+from aspengate.telemetry import Counters, lasting_thread, log_change
 
 _REPEAT_MS = 30.0
 _LOST_MS = 400.0
@@ -122,7 +122,7 @@
         self._waiting_since: float | None = None
         self._changed = threading.Condition()
         self._closing = False
-        self._thread = threading.Thread(target=self._run, daemon=True, name="witness")
+        self._thread = lasting_thread(self._run, "witness", counters)
 
     def start(self) -> None:
         """Begin to tell ceilings."""
--- a/src/aspengate/peers/_crashes.py
+++ b/src/aspengate/peers/_crashes.py
@@ -5,7 +5,7 @@
 
 from aspengate.clock import Clock
 from aspengate.peers._messages import CrashNotice, LostRun
-from aspengate.telemetry import Counters, log_change
+from aspengate.telemetry import Counters, lasting_thread
 
 # When a notice is sent, in ms after it was made. At once, since its router may end as well: peers
 # have it within some ms. Again, since a datagram may get lost, 1 in 100 on a calm day.
@@ -30,14 +30,13 @@
         addresses: Callable[[], list[str]],
     ) -> None:
         self._clock = clock
-        self._counters = counters
         self._send = send
         self._addresses = addresses
         self._due: list[tuple[float, CrashNotice]] = []
         self._lock = threading.Lock()
         self._some = threading.Event()
         self._closing = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True, name="crash-notices")
+        self._thread = lasting_thread(self._run, "crash-notices", counters)
 
     def start(self) -> None:
         """Begin to tell."""
@@ -57,12 +56,7 @@
 
     def _run(self) -> None:
         while not self._closing.is_set():
-            try:
-                pause_ms = self._send_due()
-            except Exception as error:
-                self._counters.count("crashes.not_told")
-                log_change("crash.not_told", error=repr(error))
-                pause_ms = _SEND_MS[-1]
+            pause_ms = self._send_due()
             self._some.wait(None if pause_ms is None else pause_ms / 1_000)
             self._some.clear()
 
--- a/src/aspengate/peers/_datagrams.py
+++ b/src/aspengate/peers/_datagrams.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from aspengate.peers._messages import Datagram
-from aspengate.telemetry import Counters, log_change
+from aspengate.telemetry import Counters, lasting_thread, log_change
 
 _MOST_BYTES = 64 * 1024
 _PAUSE_S = 0.1
@@ -31,7 +31,7 @@
         self._counters = counters
         self._on_datagram = on_datagram
         self._closing = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True, name="datagrams")
+        self._thread = lasting_thread(self._run, "datagrams", counters)
 
     def start(self) -> None:
         """Begin to receive."""
@@ -66,7 +66,7 @@
                 continue
             try:
                 message = msgspec.msgpack.decode(data, type=Datagram)
-            except msgspec.MsgspecError:
+            except (msgspec.MsgspecError, ValueError, RecursionError):
                 self._counters.count("datagrams.unreadable")
                 continue
             self._hand_over(message, f"{sender[0]}:{sender[1]}")
--- a/src/aspengate/peers/_exchange.py
+++ b/src/aspengate/peers/_exchange.py
@@ -151,7 +151,7 @@
         content = self._get(address, f"{_MIRROR_PATH}?{query}")
         try:
             body = msgspec.msgpack.decode(zlib.decompress(content), type=_MirrorBody)
-        except (msgspec.MsgspecError, zlib.error) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError, zlib.error) as error:
             raise _unavailable(address, error) from error
         items = tuple(StoreItem(each.key, each.value, each.revision) for each in body.items)
         if body.is_whole:
@@ -168,7 +168,7 @@
         content = self._get(address, target, method="POST")
         try:
             return msgspec.msgpack.decode(content, type=_CeilingsBody).ceilings
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise _unavailable(address, error) from error
 
     def _get(self, address: str, target: str, method: str = "GET") -> bytes:
--- a/src/aspengate/peers/_members.py
+++ b/src/aspengate/peers/_members.py
@@ -11,7 +11,7 @@
 from aspengate.allowances import router_of
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
-from aspengate.store import KeyValueStore, Put, Snapshot
+from aspengate.store import KeyValueStore, Put, Snapshot, decode_value
 from aspengate.telemetry import log_change
 
 MEMBER_PREFIX = "aspengate/routers/"
@@ -88,8 +88,8 @@
         members = {}
         for item in listed.items:
             try:
-                member = msgspec.json.decode(item.value, type=Member)
-            except msgspec.MsgspecError as error:
+                member = decode_value(item.value, Member, item.key)
+            except AspengateError as error:
                 log_change("member.unreadable", key=item.key, error=str(error))
                 continue
             if member.name != self.own.name:
--- a/src/aspengate/peers/_placements.py
+++ b/src/aspengate/peers/_placements.py
@@ -8,7 +8,7 @@
 from aspengate.peers._leadership import DomainLeadership
 from aspengate.peers._members import Member, MemberList
 from aspengate.peers._messages import PlacedRequest, Placements, PlacementScope
-from aspengate.telemetry import Counters
+from aspengate.telemetry import Counters, lasting_thread
 
 # How long placements are gathered before they are told, in s. They pass two or three routers, so
 # that all know them after 100 ms, a fifth of a usual first token.
@@ -57,7 +57,7 @@
         self._lock = threading.Lock()
         self._some = threading.Event()
         self._closing = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True, name="placements")
+        self._thread = lasting_thread(self._run, "placements", counters)
 
     def start(self) -> None:
         """Begin to tell."""
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -43,7 +43,12 @@
     at: int = 0
 
     def to_item(self) -> StoreItem:
-        return StoreItem(self.key, base64.b64decode(self.value), self.revision)
+        try:
+            value = base64.b64decode(self.value, validate=True)
+        except ValueError:
+            # Whoever reads the item finds that it can't be read, and tells with its key.
+            value = self.value.encode()
+        return StoreItem(self.key, value, self.revision)
 
 
 class _Page(msgspec.Struct):
@@ -284,7 +289,7 @@
 def _decode(body: bytes, kind: type[_Body]) -> _Body:
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise AspengateError(
             ErrorKind.STORE_UNAVAILABLE, str(error), where="the store's answer"
         ) from error
--- a/src/aspengate/platform/_records.py
+++ b/src/aspengate/platform/_records.py
@@ -1,6 +1,7 @@
 """The records that the operator and the replicas write to the store, as the product's types."""
 
-from typing import TypeVar
+import re
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
@@ -16,7 +17,7 @@
 )
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.replicas import Evacuation, Replica, ReplicaState
-from aspengate.store import StoreItem
+from aspengate.store import MOST_VALUE_BYTES, StoreItem, decode_value
 
 # All that the operator writes lies below one prefix, so that one watch tells of all of it, and a
 # router that knows a configuration also knows the evacuations of that moment.
@@ -24,6 +25,16 @@
 CONFIGURATION_KEY = f"{OPERATOR_PREFIX}config"
 _EVACUATION_PREFIX = f"{OPERATOR_PREFIX}evacuate/"
 REPLICA_PREFIX = "servers/"
+# Bounds on what a replica may say of itself: no machine runs more requests at once, and none is
+# cold for longer than an hour, in ms.
+_MOST_SLOTS = 100_000
+_LONGEST_COLD_MS = 3_600_000.0
+_MOST_NUMBER = 2**63 - 1
+# The store's longest value.
+_MOST_CONFIGURATION_BYTES = 1024 * 1024
+_ADDRESS_PATTERN = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})", re.ASCII)
+_MOST_OCTET = 255
+_MOST_PORT = 2**16 - 1
 
 
 class _Backend(msgspec.Struct):
@@ -84,13 +95,22 @@
     tenants: list[_Tenant] = []
 
 
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_Number = Annotated[int, msgspec.Meta(ge=0, le=_MOST_NUMBER)]
+
+
 class _Server(msgspec.Struct, rename="camel"):
-    service: str
-    address: str
-    zone: str = ""
-    slots: int = 0
-    state: str = "ready"
-    cold_remaining_ms: float = 0.0
+    """What a replica says of itself; ``born`` is absent in the records of older ones."""
+
+    service: _Text
+    address: _Text
+    zone: str
+    config_version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=_LONGEST_COLD_MS)]
+    seq: _Number
+    born: _Number = 0
 
 
 _KINDS = {kind.value: kind for kind in RouteKind}
@@ -99,7 +119,7 @@
 
 def read_configuration(item: StoreItem) -> FleetConfiguration:
     """Return the configuration that the operator wrote; raises BAD_REQUEST for other bytes."""
-    record = _decode(item, _Configuration)
+    record = _decode(item, _Configuration, _MOST_CONFIGURATION_BYTES)
     return FleetConfiguration(
         version=record.config_version,
         revision=item.revision,
@@ -116,8 +136,14 @@
 def read_replica(item: StoreItem) -> Replica:
     """Return the replica that wrote an item; raises BAD_REQUEST for other bytes."""
     record = _decode(item, _Server)
+    identity = item.key.removeprefix(REPLICA_PREFIX)
+    if not identity:
+        raise AspengateError(ErrorKind.BAD_REQUEST, "names no replica", where=item.key)
+    if not _is_address(record.address):
+        message = f"{record.address[:50]!r} is no address"
+        raise AspengateError(ErrorKind.BAD_REQUEST, message, where=item.key)
     return Replica(
-        identity=item.key.removeprefix(REPLICA_PREFIX),
+        identity=identity,
         service=record.service,
         address=record.address,
         failure_domain=record.zone,
@@ -167,8 +193,14 @@
     )
 
 
-def _decode(item: StoreItem, kind: type[_Record]) -> _Record:
-    try:
-        return msgspec.json.decode(item.value, type=kind)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise AspengateError(ErrorKind.BAD_REQUEST, str(error), where=item.key) from error
+def _is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 number and a port that can be called."""
+    found = _ADDRESS_PATTERN.fullmatch(text)
+    if found is None:
+        return False
+    *octets, port = (int(group) for group in found.groups())
+    return max(octets) <= _MOST_OCTET and 0 < port <= _MOST_PORT
+
+
+def _decode(item: StoreItem, kind: type[_Record], most_bytes: int = MOST_VALUE_BYTES) -> _Record:
+    return decode_value(item.value, kind, item.key, most_bytes)
--- a/src/aspengate/store/__init__.py
+++ b/src/aspengate/store/__init__.py
@@ -15,8 +15,10 @@
 )
 from aspengate.store._silence import SilenceCount
 from aspengate.store._timeout import AdaptiveTimeout
+from aspengate.store._values import MOST_VALUE_BYTES, decode_value
 
 __all__ = [
+    "MOST_VALUE_BYTES",
     "AdaptiveTimeout",
     "Changes",
     "ConditionFailedError",
@@ -33,4 +35,5 @@
     "Stance",
     "StoreItem",
     "StoreMirror",
+    "decode_value",
 ]
--- a/src/aspengate/store/_mirror.py
+++ b/src/aspengate/store/_mirror.py
@@ -17,7 +17,7 @@
     Snapshot,
     StoreItem,
 )
-from aspengate.telemetry import Counters, log_change
+from aspengate.telemetry import Counters, lasting_thread, log_change
 
 _FIRST_PAUSE_MS = 50.0
 _LONGEST_PAUSE_MS = 1_500.0
@@ -29,6 +29,8 @@
 _MOST_REMOVALS = 4_096
 # How often a mirror that rests looks whether it still may where nothing wakes it up, in ms.
 _REST_LOOK_MS = 250.0
+# What a line tells of a fault, in characters.
+_MOST_TOLD = 300
 
 OnFollowed = Callable[[int, Changes], None]
 
@@ -105,7 +107,7 @@
         self._removals_since = 0
         self._wake = threading.Event()
         self._closing = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True, name=f"mirror-{prefix}")
+        self._thread = lasting_thread(self._run, f"mirror-{prefix}", counters)
 
     def start(self) -> None:
         """Begin to follow."""
@@ -164,7 +166,7 @@
             self._removals.clear()
             self._removals_since = snapshot.revision
             if differs:
-                self._on_change(self.state)
+                self._hand_on()
             return True
 
     def _run(self) -> None:
@@ -194,6 +196,9 @@
                 self._note_lost(error)
                 self._closing.wait(pause_ms * random.uniform(0.5, 1.0) / 1_000)
                 pause_ms = min(pause_ms * _PAUSE_GROWTH, self._longest_pause_ms())
+            except Exception as error:
+                self._note_fault(error)
+                self._closing.wait(_LONGEST_PAUSE_MS / 1_000)
 
     def _rest(self, stance: Stance) -> None:
         """Make no call for a while; what another process tells counts as the store's word."""
@@ -232,7 +237,18 @@
         changed = max(_apply(changes, items), self.state.changed)
         self.state = MirrorState(items, changes.revision, changed)
         if changes.written or changes.removed:
+            self._hand_on()
+
+    def _hand_on(self) -> None:
+        """Hand a new state to its owner; a fault there must not end the thread that follows."""
+        try:
             self._on_change(self.state)
+        except Exception as error:
+            self._note_fault(error)
+
+    def _note_fault(self, error: Exception) -> None:
+        self._counters.count("mirror.faults")
+        log_change("mirror.fault", prefix=self.prefix, error=repr(error)[:_MOST_TOLD])
 
     def _note_connected(self) -> None:
         was_proven, self._proven = self._proven, True
