Tests of replicas that start again under their id, which fail

Cause: an id is taken for one process everywhere; neither the time of its start nor its number is decoded.

--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -58,8 +58,11 @@
         slots=8,
         domain="hall-1",
         cold_ms=0,
+        identity=None,
+        born=None,
     ):
-        self.identity = f"i-{next(_numbers):08x}"
+        self.identity = identity or f"i-{next(_numbers):08x}"
+        self.born = born
         self.service = service
         self.events = events
         self.pause_s = pause_s
@@ -90,10 +93,12 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def list(self, state="ready"):
-        """Write this replica's record into the store."""
+        """Write this replica's record into the store; older ones say nothing of their start."""
+        born = {} if self.born is None else {"born": self.born}
         self._store.put(
             f"servers/{self.identity}",
             {
+                **born,
                 "service": self.service,
                 "address": self.address,
                 "zone": self.domain,
