Take a replica that starts again under its id for another one

Cause: an id was taken for one process: a replica that had started again was not cold, kept failures, parts and connections of before, and where another one had answered at its old address it was left out for 15 s. Change: born and seq are decoded; a start has a name (life), by which connections, notes of replacement, what other routers tell and ends of replicas are kept; a new start gets a new view.

--- a/src/aspengate/connections/_pool.py
+++ b/src/aspengate/connections/_pool.py
@@ -11,9 +11,10 @@
 
 
 class ConnectionPool:
-    """Idle connections by replica identity.
+    """Idle connections by the start of a replica that they lead to.
 
-    An address may pass to another replica, so that a connection belongs to an identity. One that
+    An address may pass to another replica, and a replica may start again under its id, so that a
+    connection belongs to neither. One that
     rested longer than ``longest_rest_ms`` is not used again.
     """
 
@@ -24,11 +25,11 @@
         self._idle: dict[str, list[ReplicaConnection]] = {}
         self._lock = threading.Lock()
 
-    def take(self, identity: str) -> ReplicaConnection | None:
+    def take(self, start: str) -> ReplicaConnection | None:
         """Return an idle connection that seems sound, if there is one."""
         while True:
             with self._lock:
-                idle = self._idle.get(identity)
+                idle = self._idle.get(start)
                 if not idle:
                     return None
                 connection = idle.pop()
@@ -44,9 +45,7 @@
         self.opened += 1
         return ReplicaConnection(address, self.clock, min(timeout_ms, _CONNECT_TIMEOUT_MS))
 
-    def give_back(
-        self, identity: str, connection: ReplicaConnection, rest_ms: float | None
-    ) -> None:
+    def give_back(self, start: str, connection: ReplicaConnection, rest_ms: float | None) -> None:
         """Keep a connection whose answer was whole, or close it where it can't go on.
 
         ``rest_ms`` is how long the replica lets it rest, where the replica says so.
@@ -55,20 +54,20 @@
             if rest_ms is not None:
                 connection.idle_until_ms = self.clock.monotonic_ms() + rest_ms * _REST_PART
             with self._lock:
-                idle = self._idle.setdefault(identity, [])
+                idle = self._idle.setdefault(start, [])
                 if len(idle) < _MOST_IDLE:
                     idle.append(connection)
                     return
         connection.close()
 
-    def forget(self, identity: str) -> None:
+    def forget(self, start: str) -> None:
         """Close the idle connections of a replica that is gone."""
         with self._lock:
-            idle = self._idle.pop(identity, [])
+            idle = self._idle.pop(start, [])
         for connection in idle:
             connection.close()
 
     def close(self) -> None:
         """Close all idle connections."""
-        for identity in list(self._idle):
-            self.forget(identity)
+        for start in list(self._idle):
+            self.forget(start)
--- a/src/aspengate/crashes/__init__.py
+++ b/src/aspengate/crashes/__init__.py
@@ -5,7 +5,7 @@
 request that came twice a second (4 routers, 6 replicas).
 """
 
-from aspengate.crashes._book import SuspectBook
+from aspengate.crashes._book import SuspectBook, replica_of
 from aspengate.crashes._content import content_id
 from aspengate.crashes._policy import CrashPolicy, Verdict
 from aspengate.crashes._record import (
@@ -26,4 +26,5 @@
     "decode_record",
     "encode_record",
     "judge",
+    "replica_of",
 ]
--- a/src/aspengate/crashes/_book.py
+++ b/src/aspengate/crashes/_book.py
@@ -14,6 +14,15 @@
 _MOST_APART_MS = 5_000.0
 
 
+# Marks the number of a run in its name, which no id or time holds.
+_RUN_MARK = "~"
+
+
+def replica_of(run: str) -> str:
+    """Return the replica that ``SuspectBook.run_of`` named a run of."""
+    return run.partition(_RUN_MARK)[0]
+
+
 @dataclass
 class _Suspect:
     """When runs of replicas lost the request, and those of them that speak no more against it."""
@@ -49,7 +58,7 @@
         with self._lock:
             while name in self._ended:
                 number += 1
-                name = f"{replica}+{number}"
+                name = f"{replica}{_RUN_MARK}{number}"
         return name
 
     def note_lost(self, content: str, run: str) -> None:
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -67,6 +67,7 @@
         self.exchange = exchange
         self.candidate = candidate
         self.view = candidate.view
+        self.life = candidate.view.life
         self.patience = patience
         self.permit = permit
         self.replica_run = replica_run
@@ -120,7 +121,7 @@
     def release(self, answer: ReplicaAnswer) -> None:
         """Keep the connection for further requests; the answer was whole."""
         if self.connection is not None:
-            self.parts.pool.give_back(self.view.identity, self.connection, answer.rest_ms)
+            self.parts.pool.give_back(self.life, self.connection, answer.rest_ms)
             self.connection = None
 
     def end(self, outcome: str, *, failed: bool) -> None:
@@ -194,7 +195,7 @@
 
     def _connect(self) -> ReplicaConnection:
         self.exchange.waiter.check_caller()
-        connection = self.parts.pool.take(self.view.identity)
+        connection = self.parts.pool.take(self.life)
         self.reused = connection is not None
         if connection is None:
             connection = self._open()
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -8,7 +8,7 @@
 from aspengate.cold_starts import ColdStartLimiter, ColdStartPolicy, Contact
 from aspengate.configuration import ConfigurationHolder, FleetConfiguration
 from aspengate.connections import ConnectionPool
-from aspengate.crashes import RECORD_PREFIX
+from aspengate.crashes import RECORD_PREFIX, replica_of
 from aspengate.errors import AspengateError
 from aspengate.gateway._application import ADMISSION, GatewayApplication
 from aspengate.gateway._attempt import AttemptParts
@@ -34,7 +34,7 @@
     Repayment,
     RepaymentReply,
 )
-from aspengate.replicas import PartMemory, ReplicaChooser, ReplicaRegistry
+from aspengate.replicas import PartMemory, ReplicaChooser, ReplicaRegistry, ReplicaView
 from aspengate.retries import RetryPolicy, SharedRetryBudget
 from aspengate.serving import RelayServer, WsgiServer
 from aspengate.store import MirrorState, StoreItem, StoreMirror
@@ -108,7 +108,7 @@
             clock,
             counters,
             tell=lambda notice: self.peering.crashes.tell(notice),
-            on_ended=self.pool.forget,
+            on_ended=lambda run: self.pool.forget(replica_of(run)),
             reaches_store=lambda: self.peering.reaches_store,
             is_first=lambda content: self.peering.members.is_first(content),
         )
@@ -254,13 +254,13 @@
     def take_placed(self, placed: PlacedRequest) -> None:
         """Note a request that another router has sent to a replica."""
         now = self.clock.monotonic_ms()
-        view = self.registry.view(placed.replica)
+        view = self.registry.view_of_life(placed.replica)
         if view is None:
             return
-        self.cold_starts.note_heard(placed.replica)
+        self.cold_starts.note_heard(view.identity)
         view.note_placed(placed.tokens, placed.expected_ms, now)
         for part in placed.parts:
-            self.parts.note(part, placed.replica, now)
+            self.parts.note(part, view.identity, now)
 
     def take_crashes(self, notice: CrashNotice) -> None:
         """Note under which requests another router saw replicas end."""
@@ -446,10 +446,10 @@
                 self._unreadable.tell("replica", item, error)
         self.registry.update(replicas, state.revision)
 
-    def _on_replica_gone(self, identity: str) -> None:
-        self.pool.forget(identity)
-        self.parts.forget(identity)
-        self.cold_starts.forget(identity)
+    def _on_replica_gone(self, view: ReplicaView) -> None:
+        self.pool.forget(view.life)
+        self.parts.forget(view.identity)
+        self.cold_starts.forget(view.identity)
 
     def _on_members(self, count: int) -> None:
         if self.peering.members.count_known:
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -124,7 +124,7 @@
             return self._may_repeat(exchange, progress, attempts=progress.attempts + 1)
 
         patience = Patience(exchange.known_route, candidate, self.parts.clock, may_repeat)
-        replica_run = self.crashes.run_of(candidate.view.identity)
+        replica_run = self.crashes.run_of(candidate.view.life)
         attempt = Attempt(self.parts, exchange, candidate, patience, permit, replica_run)
         progress.made.append(attempt)
         return attempt
@@ -203,7 +203,7 @@
         Of the requests that met replicas which had come back under new ids, 2% of a day's were
         refused after one attempt with time and other replicas left (1 day, 68 routers).
         """
-        self.registry.note_replaced(attempt.view.identity)
+        self.registry.note_replaced(attempt.life)
         progress.attempts -= 1
         self.counters.count("gateway.misdirected")
 
@@ -275,9 +275,7 @@
 def _placed(candidate: Candidate, prompt: PromptShape) -> PlacedRequest:
     """Return what other routers are told of a request that is sent to a candidate."""
     parts = [part for part, _ in prompt.shared]
-    return PlacedRequest(
-        candidate.view.identity, int(candidate.tokens), int(candidate.first_ms), parts
-    )
+    return PlacedRequest(candidate.view.life, int(candidate.tokens), int(candidate.first_ms), parts)
 
 
 def _is_event_stream(answer: ReplicaAnswer) -> bool:
--- a/src/aspengate/peers/_messages.py
+++ b/src/aspengate/peers/_messages.py
@@ -13,8 +13,8 @@
     ``revisions`` maps a prefix of the store to the newest change known below it;
     ``reaches_store`` tells whether the store answers this router, ``leads`` whether it follows
     the store for its failure domain, and ``listed`` how many routers this one knows, 0 where it
-    has not read the store's list. ``replaced`` are listed replicas at whose addresses others
-    answer.
+    has not read the store's list. ``replaced`` are starts of listed replicas at whose addresses
+    others answer.
     """
 
     member: Member
@@ -54,7 +54,7 @@
 
 
 class PlacedRequest(msgspec.Struct, frozen=True, array_like=True):
-    """A request that was sent to a replica just now.
+    """A request that was sent to a start of a replica, ``replica``, just now.
 
     ``tokens`` of its prompt are probably to be read there, and its first token is expected after
     ``expected_ms``. ``parts`` are the shared parts of its prompt, which the replica then holds.
--- a/src/aspengate/platform/_records.py
+++ b/src/aspengate/platform/_records.py
@@ -150,6 +150,8 @@
         slots=record.slots,
         state=ReplicaState.READY if record.state == "ready" else ReplicaState.DRAINING,
         cold_ms=record.cold_remaining_ms,
+        born_ms=record.born,
+        number=record.seq,
     )
 
 
--- a/src/aspengate/replicas/_registry.py
+++ b/src/aspengate/replicas/_registry.py
@@ -9,18 +9,23 @@
 from aspengate.replicas._view import ReplicaView
 from aspengate.telemetry import log_change
 
-# How long a replica is left out after another one has answered at its address, in ms. Its id is
-# never used again, so this only bounds the harm of a false answer: the list drops it sooner.
+# How long a start of a replica is left out after another one has answered at its address, in ms.
+# Its record goes or tells of another start sooner: this only bounds the harm of a false answer.
 _REPLACED_MS = 15_000.0
 
 
 class ReplicaRegistry:
-    """All replicas that are listed; ``on_gone`` is called with the id of each that left."""
+    """All replicas that are listed; ``on_gone`` is called with the view of each start that ended.
 
-    def __init__(self, clock: Clock, on_gone: Callable[[str], None]) -> None:
+    One that starts again under its id is another one: it knows nothing of before, and nothing that
+    was learnt of the earlier start holds for it.
+    """
+
+    def __init__(self, clock: Clock, on_gone: Callable[[ReplicaView], None]) -> None:
         self.clock = clock
         self.revision = 0
         self._views: dict[str, ReplicaView] = {}
+        self._lives: dict[str, ReplicaView] = {}
         self._evacuated: dict[str, float] = {}
         self._on_gone = on_gone
         self._lock = threading.Lock()
@@ -31,11 +36,12 @@
         with self._lock:
             self.revision = revision
             gone = [self._views.pop(each) for each in set(self._views) - set(listed)]
-            for replica in listed.values():
-                self._take(replica)
+            ended = [view for each in listed.values() if (view := self._take(each)) is not None]
+            self._lives = {view.life: view for view in self._views.values()}
         for view in gone:
             log_change("replica.gone", replica=view.identity, revision=revision)
-            self._on_gone(view.identity)
+        for view in (*gone, *ended):
+            self._on_gone(view)
 
     @property
     def evacuated(self) -> tuple[str, ...]:
@@ -77,44 +83,60 @@
         with self._lock:
             return self._views.get(identity)
 
-    def note_replaced(self, identity: str, told_by: str = "") -> None:
-        """Leave a replica out: another one answers at its address, though it is still listed.
+    def view_of_life(self, life: str) -> ReplicaView | None:
+        """Return the view of a start of a listed replica; None where it has ended."""
+        with self._lock:
+            return self._lives.get(life)
+
+    def note_replaced(self, life: str, told_by: str = "") -> None:
+        """Leave a start of a replica out: another one answers there, though it is still listed.
 
         ``told_by`` is the router that saw it, empty for this one. What others tell counts once:
         they would keep each other's word alive.
         """
         now = self.clock.monotonic_ms()
         with self._lock:
-            view = self._views.get(identity)
+            view = self._lives.get(life)
             if view is None or now < view.replaced_until_ms:
                 return
             if told_by and view.was_replaced:
                 return
             view.replaced_until_ms = now + _REPLACED_MS
-        log_change("replica.replaced", replica=identity, told_by=told_by)
+        log_change("replica.replaced", replica=life, told_by=told_by)
 
     def replaced(self) -> list[str]:
-        """Return the listed replicas that are left out because another one answers there."""
+        """Return the starts of listed replicas that are left out: another one answers there."""
         now = self.clock.monotonic_ms()
         with self._lock:
-            return [
-                identity for identity, view in self._views.items() if now < view.replaced_until_ms
-            ]
+            return [view.life for view in self._views.values() if now < view.replaced_until_ms]
 
-    def _take(self, replica: Replica) -> None:
+    def _take(self, replica: Replica) -> ReplicaView | None:
+        """Take over a record; return the view of the start that it shows to have ended."""
         view = self._views.get(replica.identity)
         if view is None:
-            view = self._views[replica.identity] = ReplicaView(replica)
-            self._note_cold(view)
-            log_change(
-                "replica.listed",
-                replica=replica.identity,
-                service=replica.service,
-                address=replica.address,
-                state=replica.state.value,
-                revision=self.revision,
-            )
-            return
+            self._begin(ReplicaView(replica))
+            return None
+        if replica.is_another_start(view.replica):
+            starts = 0 if replica.born_ms else view.starts + 1
+            self._begin(ReplicaView(replica, starts))
+            return view
+        self._update(view, replica)
+        return None
+
+    def _begin(self, view: ReplicaView) -> None:
+        self._views[view.identity] = view
+        self._note_cold(view)
+        log_change(
+            "replica.listed",
+            replica=view.identity,
+            start=view.life,
+            service=view.replica.service,
+            address=view.replica.address,
+            state=view.replica.state.value,
+            revision=self.revision,
+        )
+
+    def _update(self, view: ReplicaView, replica: Replica) -> None:
         if view.replica.state is not replica.state:
             log_change(
                 "replica.state",
--- a/src/aspengate/replicas/_view.py
+++ b/src/aspengate/replicas/_view.py
@@ -38,6 +38,8 @@
 
 # Of other routers' requests at one replica so many are kept; more would not be read in time.
 _MOST_OTHERS = 256
+# Marks the number of a start in its name, which no id or time holds.
+_START_MARK = "#"
 
 _numbers = itertools.count()
 
@@ -66,8 +68,9 @@
 
 
 class ReplicaView:
-    """A replica with a router's own experience.
+    """One start of a replica with a router's own experience.
 
+    ``starts`` is how many earlier ones were seen that did not tell their time.
     ``failure_rate`` is the recent part of requests that failed there, fading with time.
     ``slowness`` is how long first tokens take there against what is usual, which also tells of
     other routers' load. ``interval_ms`` is the usual time between two events of a stream, 0 where
@@ -77,8 +80,9 @@
     its failure domain's evacuation ended.
     """
 
-    def __init__(self, replica: Replica) -> None:
+    def __init__(self, replica: Replica, starts: int = 0) -> None:
         self.replica = replica
+        self.starts = starts
         self.slowness = 1.0
         self.interval_ms = 0.0
         self.answer_ms = _USUAL_ANSWER_MS
@@ -101,6 +105,13 @@
         """The replica's own id."""
         return self.replica.identity
 
+    @property
+    def life(self) -> str:
+        """The name of its present start, which no other one has at this router."""
+        return (
+            f"{self.replica.life}{_START_MARK}{self.starts}" if self.starts else self.replica.life
+        )
+
     @property
     def in_flight(self) -> int:
         """How many of this router's requests are there."""
