--- a/src/aspengate/replicas/_replica.py
+++ b/src/aspengate/replicas/_replica.py
@@ -16,8 +16,9 @@
     """One replica as of its record; it may start again under its ``identity``.
 
     ``born_ms`` is when it started, in milliseconds since the Unix epoch, 0 where it does not say;
-    ``number`` is that of its record, which begins anew with each start and is not compared. ``slots`` is how many requests it works on at once. ``cold_ms`` is how long it is still
-    cold, as of its record: it bears few requests then.
+    ``number`` is that of its record, which begins anew with each start and is not compared.
+    ``slots`` is how many requests it works on at once. ``cold_ms`` is how long it is still cold, as
+    of its record: it bears few requests then.
     """
 
     identity: str
--- a/src/aspengate/replicas/_view.py
+++ b/src/aspengate/replicas/_view.py
@@ -108,9 +108,8 @@
     @property
     def life(self) -> str:
         """The name of its present start, which no other one has at this router."""
-        return (
-            f"{self.replica.life}{_START_MARK}{self.starts}" if self.starts else self.replica.life
-        )
+        mark = f"{_START_MARK}{self.starts}" if self.starts else ""
+        return f"{self.replica.life}{mark}"
 
     @property
     def in_flight(self) -> int:
