Count the time for which a machine was suspended

Cause: the steady clock does not count it, so that beliefs, deadlines and windows were taken for younger than they were; two modules read that clock for themselves, and waits went on for what was left before. Change: monotonic time is that since the machine's start; waits look at the clock each second; after a suspension the watches that wait for the store are ended and made anew; line clock.suspended and a counter.

--- a/features/suspensions.feature
+++ b/features/suspensions.feature
@@ -15,3 +15,8 @@
   Scenario: Nothing else reads the time for itself
     When the sources are searched for readings of the system's clocks
     Then none is found but in the clock's package
+
+  Scenario: A router that was suspended asks the store anew
+    Given a machine whose steady clock stands still while the others run for 5 s
+    When a router on it looks at its clock
+    Then it ends the watches that wait, and a line and a counter tell for how long it was suspended
--- a/src/aspengate/adapters/_etcd.py
+++ b/src/aspengate/adapters/_etcd.py
@@ -4,14 +4,16 @@
 import http.client
 import json
 import socket
-import time
 from typing import Any
 
 from aspengate.adapters._store import Entry
+from aspengate.clock import SystemClock
 from aspengate.errors import AspengateError, ErrorKind
 
 _CALL_TIMEOUT_S = 3.0
 
+_CLOCK = SystemClock()
+
 
 class EtcdStore:
     """Talks to one address of the store over HTTP.
@@ -62,7 +64,7 @@
             }
         }
         connection = http.client.HTTPConnection(self.address, timeout=timeout_ms / 1_000)
-        deadline = time.monotonic() + timeout_ms / 1_000
+        deadline_ms = _CLOCK.monotonic_ms() + timeout_ms
         try:
             connection.request("POST", "/v3/watch", json.dumps(body))
             response = connection.getresponse()
@@ -70,7 +72,7 @@
                 raise AspengateError(
                     ErrorKind.STORE_UNAVAILABLE, f"watch answered {response.status}", where=key
                 )
-            return _first_event(response, deadline)
+            return _first_event(response, deadline_ms)
         except TimeoutError:
             return None
         except (OSError, http.client.HTTPException) as error:
@@ -103,8 +105,8 @@
         return _decode_reply(data)
 
 
-def _first_event(response: http.client.HTTPResponse, deadline: float) -> Entry | None:
-    while time.monotonic() < deadline:
+def _first_event(response: http.client.HTTPResponse, deadline_ms: float) -> Entry | None:
+    while _CLOCK.monotonic_ms() < deadline_ms:
         line = response.readline()
         if not line:
             return None
--- a/src/aspengate/connections/_waiter.py
+++ b/src/aspengate/connections/_waiter.py
@@ -6,6 +6,11 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
 
+# The longest that a socket is waited for without a look at the clock, in ms: a wait does not count
+# the time for which the machine is suspended, in which deadlines pass. One that passed during two
+# minutes of it was noticed 60 s late, and is within 1 s (one silent socket, a clock that jumps).
+_LONGEST_WAIT_MS = 1_000.0
+
 _GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -73,8 +78,7 @@
         if not self._watch_caller(poller):
             raise CallerGoneError
         last_ms = self.deadline_ms if until_ms is None else min(until_ms, self.deadline_ms)
-        remaining = last_ms - self.clock.monotonic_ms()
-        found = dict(poller.poll(max(0.0, remaining)))
+        found = self._poll(poller, last_ms)
         flags = found.pop(descriptor, 0)
         if found:
             raise CallerGoneError
@@ -82,6 +86,14 @@
             raise _too_late()
         return flags
 
+    def _poll(self, poller: select.poll, last_ms: float) -> dict[int, int]:
+        """Return the flags of the sockets that can be used, none where ``last_ms`` comes first."""
+        while True:
+            remaining = last_ms - self.clock.monotonic_ms()
+            found = dict(poller.poll(max(0.0, min(remaining, _LONGEST_WAIT_MS))))
+            if found or remaining <= _LONGEST_WAIT_MS:
+                return found
+
     def _watch_caller(self, poller: select.poll) -> bool:
         if self._caller is None:
             return True
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -21,6 +21,7 @@
 from aspengate.gateway._settings import GatewaySettings
 from aspengate.gateway._stop import StopPlan
 from aspengate.gateway._story import RequestLog
+from aspengate.gateway._suspension import SuspensionWatch
 from aspengate.gateway._unreadable import UnreadableItems
 from aspengate.gateway.filters import FilterParts, make_filters
 from aspengate.gateway.prepaid import LimitSource, PeerLoans, RemoteWitness, TokenAccounts
@@ -128,6 +129,7 @@
             ReadyApplication(self._is_ready), settings.ready_listen, _READY_THREADS, _SMALL_BODY
         )
         self.holder.on_change(self._apply_configuration)
+        self._suspension = SuspensionWatch(clock, counters, deployment.store.end_watches)
         self._closing = threading.Event()
         self._ticker = lasting_thread(self._tick, "ticker", counters)
 
@@ -278,6 +280,7 @@
 
     def _tick(self) -> None:
         while not self._closing.wait(_TICK_S):
+            self._suspension.look()
             self.tokens.tick()
             self.report.tell()
 
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -250,6 +250,11 @@
         with self._lock:
             if not self._silence.unanswered():
                 return
+        self.end_watches()
+
+    def end_watches(self) -> None:
+        """Have the watches that wait fail, so that they are made anew."""
+        with self._lock:
             watches, self._watches = self._watches, set()
         for sock in [connection.sock for connection in watches]:
             # A watch that has just ended by itself has no socket any more.
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -3,7 +3,6 @@
 import contextlib
 import logging
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -12,6 +11,7 @@
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer
 
+from aspengate.clock import SystemClock
 from aspengate.serving._relay_task import CallerConnection, RelayTask
 from aspengate.serving._request_parser import StrictRequestParser
 
@@ -19,30 +19,32 @@
 
 _BACKLOG = 1_024
 _LOOP_SECONDS = 0.5
-_IDLE_CHECK_S = 0.5
+_IDLE_CHECK_MS = 500.0
 _BUFFER_BYTES = 1024 * 1024
 _NEVER = float("inf")
 
+_CLOCK = SystemClock()
+
 
 class RelayChannel(HTTPChannel):  # type: ignore[misc]
-    """A caller's connection; ``used_s`` is monotonic time of its last activity."""
+    """A caller's connection; ``used_ms`` is monotonic time of its last activity."""
 
     task_class = RelayTask
     parser_class = StrictRequestParser
 
     def __init__(self, *arguments: Any, **named: Any) -> None:
         super().__init__(*arguments, **named)
-        self.used_s = time.monotonic()
+        self.used_ms = _CLOCK.monotonic_ms()
 
     def received(self, data: bytes) -> bool:
         """Take bytes from the caller."""
-        self.used_s = time.monotonic()
+        self.used_ms = _CLOCK.monotonic_ms()
         return bool(super().received(data))
 
     def service(self) -> None:
         """Answer the request that is due; called on a thread of the pool."""
         super().service()
-        self.used_s = time.monotonic()
+        self.used_ms = _CLOCK.monotonic_ms()
 
     @property
     def is_idle(self) -> bool:
@@ -90,7 +92,7 @@
         self.idle_timeout_ms = 15_000.0
         self.header_timeout_ms = 3_000.0
         self.most_connections = most_connections
-        self._checked_s = 0.0
+        self._checked_ms = 0.0
         self._closing = threading.Event()
         adjustments = Adjustments(
             listen=listen,
@@ -150,9 +152,9 @@
 
     def readable(self) -> bool:
         """Return whether to accept callers; looks after idle connections on the way."""
-        now = time.monotonic()
-        if now - self._checked_s >= _IDLE_CHECK_S:
-            self._checked_s = now
+        now = _CLOCK.monotonic_ms()
+        if now - self._checked_ms >= _IDLE_CHECK_MS:
+            self._checked_ms = now
             self._close_stale(now)
         return bool(super().readable())
 
@@ -167,7 +169,7 @@
             if channel.requests:
                 continue
             allowed_ms = self.idle_timeout_ms if channel.request is None else self.header_timeout_ms
-            if (now - channel.used_s) * 1_000 > allowed_ms:
+            if now - channel.used_ms > allowed_ms:
                 channel.will_close = True
 
     def _serve(self) -> None:
@@ -180,4 +182,4 @@
 
 
 def _used(channel: RelayChannel) -> float:
-    return channel.used_s
+    return channel.used_ms
--- a/src/aspengate/serving/_request_parser.py
+++ b/src/aspengate/serving/_request_parser.py
@@ -1,22 +1,23 @@
 """Reads requests strictly: what two parsers could read differently is refused."""
 
-import time
 from typing import Any
 
 from waitress.parser import HTTPRequestParser, ParsingError, get_header_lines
 
+from aspengate.clock import Clock, SystemClock
 from aspengate.serving._relay_task import ReceivedRequest
 
-_MILLISECONDS = 1_000.0
 _VERSIONS = frozenset({"1.0", "1.1"})
 
 
 class StrictRequestParser(HTTPRequestParser):  # type: ignore[misc]
     """Keeps the header lines as they were sent, and refuses ambiguous framing."""
 
+    clock: Clock = SystemClock()
+
     def __init__(self, adjustments: Any) -> None:
         super().__init__(adjustments)
-        self.received_ms = time.monotonic() * _MILLISECONDS
+        self.received_ms = self.clock.monotonic_ms()
         self.header_pairs: tuple[tuple[str, str], ...] = ()
 
     def parse_header(self, header_plus: bytes) -> None:
--- a/src/aspengate/store/_port.py
+++ b/src/aspengate/store/_port.py
@@ -86,6 +86,9 @@
     def probe(self) -> None:
         """Ask for the cheapest answer there is; raises STORE_UNAVAILABLE where none comes."""
 
+    def end_watches(self) -> None:
+        """Have the calls of ``changes`` that wait fail, so that they are made anew."""
+
     def list_items(self, prefix: str) -> Snapshot:
         """Return the items whose keys begin with ``prefix``."""
 
