--- a/bench/play_days.py
+++ b/bench/play_days.py
@@ -3,7 +3,7 @@
     python bench/play_days.py BENCH --site SITE [--site SITE] --why "..." [--jobs N] DAY...
 
 BENCH is the users' bench program and SITE a site file of theirs. DAY is a day file, such as
-those in ``bench/days``, or the name of a standard day. Exits with 1 where a rule was broken or a
+those in ``deploy/days``, or the name of a standard day. Exits with 1 where a rule was broken or a
 day could not be played; the whole report of such a day is printed.
 """
 
--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -5,6 +5,11 @@
     When a receipt ends its replica, and another one's answer is lost
     Then one line tells which replica ended under which request, and none of the other
 
+  Scenario: The story of a refused request names the ends that led to it
+    Given a gateway before four portal replicas
+    When a receipt has ended three of them and is asked for once more
+    Then its story names each replica, when it ended and which router saw it
+
   Scenario: Requests are the same where account, path, query and body are
     Given requests of two accounts with paths and bodies of any kind
     Then two have the same id just where all of these are equal
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -1,5 +1,6 @@
 """Steps on requests under which replicas end."""
 
+import json
 import threading
 import time
 
@@ -9,6 +10,8 @@
 from platform_standins.fleet import eventually
 
 from aspengate.crashes import content_id
+from aspengate.explanation import read_lines, tell_story
+from aspengate.losses import cause_of
 from gateway_world import TOKENS, start
 
 
@@ -52,6 +55,28 @@
     assert [line["content"] for line in lines] == contents, lines
 
 
+@when("a receipt has ended three of them and is asked for once more")
+def asked_once_more(context):
+    for replica in context.fleet.of("portal"):
+        replica.crash_on = "/receipt/ending"
+    statuses = [ask(context.router, "/receipt/ending") for _ in range(4)]
+    assert statuses == [502, 502, 502, 503], statuses
+
+
+@then("its story names each replica, when it ended and which router saw it")
+def story_names_ends(context):
+    ended = [replica.identity for replica in context.fleet.of("portal") if replica.gone]
+    assert len(ended) == 3, ended
+    ends = eventually(lambda: len(found := context.router.find_all("request.ended")) == 4 and found)
+    lines = [json.dumps(line) for line in context.router.lines]
+    told = read_lines("router-1", lines)
+    story = "\n".join(tell_story(ends[-1]["request_id"], told).lines())
+    cause = cause_of(ends[-1]["request_id"], told)
+    for identity in ended:
+        assert f"replica.ended  replica={identity}" in story, story
+        assert f"{identity} " in cause and "as router-1 saw" in cause, cause
+
+
 @given("requests of two accounts with paths and bodies of any kind")
 def any_requests(context):
     context.requests = st.tuples(
--- a/src/aspengate/explanation/_story.py
+++ b/src/aspengate/explanation/_story.py
@@ -56,7 +56,8 @@
     """Return a request's story; raises NOT_FOUND where no line speaks of it.
 
     Around its ends stand the changes of the ten seconds before that touch what decided: the
-    store, the configuration, the request's account, and the replicas that it was sent to.
+    store, the configuration, the request's account, and the replicas that it was sent to; and at
+    any time before, at any router, what was told of replicas that ended under the same request.
     """
     listed = list(lines)
     ends = tuple(line for line in listed if line.fields.get("request_id") == request_id)
@@ -66,7 +67,20 @@
     return RequestStory(request_id, ends, around)
 
 
+def _is_about_content(line: LogLine, end: LogLine) -> bool:
+    """Return whether a line tells, before an end, of replicas that ended under its request.
+
+    Any router may have seen that, at any time before.
+    """
+    content = end.fields.get("content")
+    if not content or line.fields.get("content") != content or line.time_s > end.time_s:
+        return False
+    return line.change == "replica.ended" or line.change.startswith("crash.")
+
+
 def _touches(line: LogLine, end: LogLine) -> bool:
+    if line is not end and _is_about_content(line, end):
+        return True
     if line.machine != end.machine or line is end:
         return False
     held_s = float(end.fields.get("held_ms") or 0) / 1_000
--- a/src/aspengate/gateway/_crash_guard.py
+++ b/src/aspengate/gateway/_crash_guard.py
@@ -89,14 +89,18 @@
 
         ``held`` is what it got for an earlier attempt. Raises SUSPECTED or QUARANTINED.
         """
+        if self.check(content, held) is Verdict.TRY and held is None:
+            return self._begin_try(content)
+        return held if held is not None and not held.sent else None
+
+    def check(self, content: str, held: CrashTry | None) -> Verdict:
+        """Return whether a request may be sent as it is or has to be tried; raises as ``admit``."""
         if held is not None and not held.sent:
-            return held
+            return Verdict.SEND
         ends = self.book.ends(content)
         verdict = judge(ends, self.records.get(content), self._clock.now_ms(), self.policy)
-        if verdict is Verdict.SEND:
-            return None
-        if verdict is Verdict.TRY and held is None:
-            return self._begin_try(content)
+        if verdict is Verdict.SEND or (verdict is Verdict.TRY and held is None):
+            return verdict
         raise self._refusal(content, verdict)
 
     def end_try(self, made: CrashTry, *, answered: bool) -> None:
@@ -127,7 +131,8 @@
     def note_refused(self, run: str) -> None:
         """Note that nobody listens at a replica's address any more."""
         if self.book.is_lost_at(run) and self._note_ended(run):
-            log_change("replica.ended", replica=run, content="")
+            for content in self.book.contents_at(run):
+                log_change("replica.ended", replica=run, content=content)
             self._tell(CrashNotice(ended=[run]))
 
     def note_answered(self, content: str) -> None:
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -225,19 +225,26 @@
         self, exchange: Exchange, progress: Progress, failure: TryAnotherError
     ) -> None:
         """Raise the cause of a failure where no further attempt may be made."""
+        if failure.sent:
+            # A try of a suspect request is recorded only for a repeat that is made.
+            may_repeat = failure.paid or self._may_be_sent_again(exchange, progress)
+        else:
+            progress.unreached += 1
+            may_repeat = progress.unreached < _MOST_UNREACHED
+        if not may_repeat:
+            raise failure.cause
         try:
             self._admit(exchange, progress)
         except AspengateError as refusal:
             raise failure.cause from refusal
-        if not failure.sent:
-            progress.unreached += 1
-            if progress.unreached >= _MOST_UNREACHED:
-                raise failure.cause
-            return
-        if not failure.paid and not self._may_repeat(
-            exchange, progress, attempts=progress.attempts
-        ):
-            raise failure.cause
+
+    def _may_be_sent_again(self, exchange: Exchange, progress: Progress) -> bool:
+        """Take a repeat for a request that the crash guard does not refuse, if there is one."""
+        try:
+            self.crashes.check(exchange.content, progress.crash_try)
+        except AspengateError:
+            return False
+        return self._may_repeat(exchange, progress, attempts=progress.attempts)
 
     def _may_repeat(self, exchange: Exchange, progress: Progress, *, attempts: int) -> bool:
         """Take one more attempt from the route's bound and the retry budget, if there is one.
--- a/src/aspengate/losses/_cause.py
+++ b/src/aspengate/losses/_cause.py
@@ -79,6 +79,20 @@
     )
 
 
+def _crashes(end: LogLine, lines: list[LogLine]) -> str:
+    """Return which replicas ended under the request, when, and which router saw it."""
+    content = end.fields.get("content")
+    ends = [
+        f"{line.fields.get('replica')} {end.time_s - line.time_s:.1f} s before, as "
+        f"{line.machine} saw"
+        for line in lines
+        if line.change == "replica.ended" and line.fields.get("content") == content
+        if line.time_s <= end.time_s
+    ]
+    seen = "; ".join(ends) if ends else "no router of these logs saw which"
+    return f"{end.fields.get('reason')} ({seen})"
+
+
 def _plainly(end: LogLine, _: list[LogLine]) -> str:
     reason = str(end.fields.get("reason") or f"status {end.fields.get('status')}")
     replica = _replica(end)
@@ -95,4 +109,5 @@
     Loss.TOKENS_UNAVAILABLE: _tokens,
     Loss.LATE_PAUSE: _pause,
     Loss.LATE_FIRST: _begun_late,
+    Loss.CRASHES: _crashes,
 }
