A test of a record that another writer spoilt, which fails

Cause: found by rereading: the record of a suspect request that can't be read is taken for none, and a try is written on the condition that there is none, which never holds: the request is refused for good.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -101,3 +101,8 @@
   Scenario: Records that can't be read hold nothing against anybody
     Given any bytes and any changed record in the store
     Then reading them gives a record or says why not
+
+  Scenario: A record that another writer spoilt is replaced
+    Given 4 routers that share the records of a store
+    When a request met two ends, and its record holds what nobody can read
+    Then one router tries it, and the record can be read again
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -399,6 +399,22 @@
     assert verdicts(storm) == {"sent": context.count}
 
 
+@when("a request met two ends, and its record holds what nobody can read")
+def spoilt_record(context):
+    storm = meet_ends(context, 2)
+    key = RECORD_PREFIX + CONTENT
+    storm.records.revision += 1
+    storm.records.items[key] = StoreItem(key, b"[[[", storm.records.revision)
+
+
+@then("one router tries it, and the record can be read again")
+def replaced_record(context):
+    found = verdicts(context.storm)
+    assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
+    item = context.storm.records.items[RECORD_PREFIX + CONTENT]
+    assert decode_record(item.value, item.key).tries == 1
+
+
 @given("any bytes and any changed record in the store")
 def any_records(context):
     good = encode_record(CrashRecord(("i-1", "i-2"), 1, "front-1.aa", 17))
