--- a/src/aspengate/gateway/_crash_records.py
+++ b/src/aspengate/gateway/_crash_records.py
@@ -36,9 +36,9 @@
 
 @dataclass(frozen=True)
 class _Known:
-    """A record as of the store's ``revision``."""
+    """A record as of the store's ``revision``; None where it can't be read, and may be replaced."""
 
-    record: CrashRecord
+    record: CrashRecord | None
     revision: int
 
 
@@ -92,11 +92,9 @@
 
     def take(self, state: MirrorState) -> None:
         """Take over the records that the store holds; those that can't be read are left out."""
-        found = {}
-        for item in state.items.values():
-            known = self._read(item)
-            if known is not None:
-                found[item.key.removeprefix(RECORD_PREFIX)] = known
+        found = {
+            item.key.removeprefix(RECORD_PREFIX): self._read(item) for item in state.items.values()
+        }
         with self._lock:
             before = self._known
             newer = {
@@ -115,7 +113,7 @@
         """
         now = self._clock.now_ms()
         known = self._known.get(content)
-        record = known.record if known else CrashRecord()
+        record = (known.record if known else None) or CrashRecord()
         begun = record.begin_try(self.session, self._ends_of(content), now, self._policy)
         try:
             self._write(content, begun, known.revision if known else 0)
@@ -130,12 +128,12 @@
             self._changes[content] = max(change, self._changes.get(content, change))
         self._some.set()
 
-    def _read(self, item: StoreItem) -> _Known | None:
+    def _read(self, item: StoreItem) -> _Known:
         try:
             return _Known(decode_record(item.value, item.key), item.revision)
         except AspengateError as error:
             self._unreadable.tell("crash", item, error)
-            return None
+            return _Known(None, item.revision)
 
     def _run(self) -> None:
         while not self._closing.is_set():
@@ -174,7 +172,7 @@
             with self._lock:
                 self._known.pop(content, None)
             return True
-        record = known.record if known else CrashRecord()
+        record = (known.record if known else None) or CrashRecord()
         changed = self._changed(content, record, change)
         if changed == record:
             return True
@@ -210,10 +208,14 @@
             rest = {each: found for each, found in self._known.items() if each != content}
             self._known = {**rest, content: known} if known else rest
 
+    def _due_ms(self, content: str) -> int:
+        record = self.get(content)
+        return record.next_try_ms if record else 0
+
     def _drop_oldest(self) -> None:
         if len(self._known) <= MOST_RECORDS:
             return
-        oldest = min(self._known, key=lambda each: self._known[each].record.next_try_ms)
+        oldest = min(self._known, key=self._due_ms)
         self._counters.count("crashes.dropped")
         log_change("crash.dropped", content=oldest)
         self._store.remove(RECORD_PREFIX + oldest)
--- a/src/aspengate/gateway/_unreadable.py
+++ b/src/aspengate/gateway/_unreadable.py
@@ -1,5 +1,6 @@
 """Tells of items of the store that can't be read, once each."""
 
+import threading
 from collections import OrderedDict
 
 from aspengate.errors import AspengateError
@@ -17,14 +18,16 @@
     def __init__(self, counters: Counters) -> None:
         self._counters = counters
         self._told: OrderedDict[str, int] = OrderedDict()
+        self._lock = threading.Lock()
 
     def tell(self, what: str, item: StoreItem, error: AspengateError) -> None:
         """Tell that an item can't be read; ``what`` names what it should be."""
-        if self._told.get(item.key) == item.revision:
-            return
-        self._told[item.key] = item.revision
-        self._told.move_to_end(item.key)
-        while len(self._told) > _MOST_KEYS:
-            self._told.popitem(last=False)
+        with self._lock:
+            if self._told.get(item.key) == item.revision:
+                return
+            self._told[item.key] = item.revision
+            self._told.move_to_end(item.key)
+            while len(self._told) > _MOST_KEYS:
+                self._told.popitem(last=False)
         self._counters.count("store.items_unreadable")
         log_change(f"{what}.unreadable", key=item.key, revision=item.revision, error=str(error))
