Tell in the routers' lines which limit a replica names in its answers

What callers saw: nothing yet. What was missing: no line told which answers named a limit and when a router had passed the first one on, so that nobody could tell a router that does not know the limit from one that exceeds it knowingly.

Change: the platform's folder decodes the header into requests a second (plain decimal numbers alone), an attempt's line has it as `limit`, `replica.limited` tells each change with the value before, and `explain` shows these lines for the service of a request. The value is kept with what a start of a replica has said of itself. No decision goes by it.

--- a/features/steps/structure_steps.py
+++ b/features/steps/structure_steps.py
@@ -14,7 +14,7 @@
     "kv-", "pathprefix", "apikeys", "configversion", "sincerev", "servers/", "op/config",
     "timeoutms", "targetlatency", "maxattempts", "gapaim", "healthpath", "maxconns",
     "expectedrev", "waitms", "coldremaining", "tenant", "aspengate_boot.toml",
-    "server-leaving",
+    "server-leaving", "server-limit",
 )  # fmt: skip
 FIGURES = r"(?<![\d_.])(418_?121|515_?867|0\.817|0\.86|13_?300|3_?720|217|190_?000)(?![\d_.])"
 
--- a/src/aspengate/connections/__init__.py
+++ b/src/aspengate/connections/__init__.py
@@ -7,6 +7,7 @@
     RequestHead,
     refuses_connections,
 )
+from aspengate.connections._decimal import decimal_number
 from aspengate.connections._pool import ConnectionPool
 from aspengate.connections._silence import UNACKNOWLEDGED_MS, detect_silence
 from aspengate.connections._waiter import CallerGoneError, Waiter
@@ -20,6 +21,7 @@
     "ReplicaConnection",
     "RequestHead",
     "Waiter",
+    "decimal_number",
     "detect_silence",
     "refuses_connections",
 ]
--- a/src/aspengate/explanation/_story.py
+++ b/src/aspengate/explanation/_story.py
@@ -19,7 +19,7 @@
     "gateway.reloaded": "settings",
 }
 # What replicas said of themselves touches each request of their service: they were passed over.
-_SAID = frozenset({"replica.leaving", "replica.rests"})
+_SAID = frozenset({"replica.leaving", "replica.rests", "replica.limited"})
 
 
 @dataclass(frozen=True)
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -196,6 +196,7 @@
             "held_ms": round(ended_ms - self.begun_ms),
             "leaving": self.notice.leaving,
             "rest_ms": round(self.notice.rest_ms),
+            "limit": self.notice.limit,
             "outcome": self.outcome,
         }
 
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -175,13 +175,21 @@
         attempt.notice = ReplicaNotice(
             leaving=spelling.says_leaving(answer.headers),
             rest_ms=answer.retry_after_ms if asks_for_rest else 0.0,
+            limit=self._named_limit(answer),
         )
-        if attempt.notice.says_anything:
+        if attempt.notice.says_anything or attempt.view.said.limit is not None:
             self.registry.note_said(attempt.view, attempt.notice)
         if attempt.notice.leaving:
             # It closes them: a request that meets the close is lost.
             self.parts.pool.forget(attempt.life)
 
+    def _named_limit(self, answer: ReplicaAnswer) -> float | None:
+        try:
+            return self.parts.spelling.named_limit(answer.headers)
+        except AspengateError:
+            self.counters.count("replica_limits.unreadable")
+            return None
+
     def _note_replaced(self, attempt: Attempt, progress: Progress) -> None:
         """Send no more to a replica that is gone; it was none of those that the route allows.
 
--- a/src/aspengate/gateway/_ports.py
+++ b/src/aspengate/gateway/_ports.py
@@ -47,6 +47,12 @@
     def says_leaving(self, headers: Headers) -> bool:
         """Return whether an answer says that its replica is going to end."""
 
+    def named_limit(self, headers: Headers) -> float | None:
+        """Return how many requests a second an answer's replica takes from all routers together.
+
+        None where it names no limit; raises BAD_REQUEST where what it names can't be read.
+        """
+
     def error_headers(self, request_id: str) -> Headers:
         """Return headers for an answer of the gateway's own."""
 
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -203,7 +203,8 @@
                 self.timeout.missed()
             raise AspengateError(unknown, repr(error), where=target.partition("?")[0]) from error
         finally:
-            self._forget_watch(connection)
+            with self._lock:
+                self._watches.discard(connection)
         self._silence.answered()
         if not is_watch:
             self.timeout.answered(self.clock.monotonic_ms() - begun_ms)
@@ -219,16 +220,14 @@
         return answer.status, content
 
     def _take(self, *, is_watch: bool) -> http.client.HTTPConnection:
-        connection = self._take_idle() or self._open()
+        with self._lock:
+            idle = self._idle.pop() if self._idle else None
+        connection = idle or self._open()
         if is_watch:
             with self._lock:
                 self._watches.add(connection)
         return connection
 
-    def _take_idle(self) -> http.client.HTTPConnection | None:
-        with self._lock:
-            return self._idle.pop() if self._idle else None
-
     def _open(self) -> http.client.HTTPConnection:
         connection = http.client.HTTPConnection(self.address, timeout=_CONNECT_TIMEOUT_S)
         try:
@@ -242,10 +241,6 @@
             ) from error
         return connection
 
-    def _forget_watch(self, connection: http.client.HTTPConnection) -> None:
-        with self._lock:
-            self._watches.discard(connection)
-
     def _note_unanswered(self) -> None:
         """Note a call without an answer, and end the watches that wait where these are in doubt."""
         with self._lock:
--- a/src/aspengate/platform/_headers.py
+++ b/src/aspengate/platform/_headers.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Iterable
 
+from aspengate.connections import decimal_number
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway import CallerRequest, PromptPart, TokenBounds
 from aspengate.serving import ReceivedRequest
@@ -18,6 +19,7 @@
 _LAST_EVENT = "last-event-id"
 _MODEL = "x-model"
 _LENGTH_HINT = "x-length-hint"
+_LIMIT = "server-limit"
 
 _CONNECTION_HEADERS = frozenset(
     {
@@ -136,6 +138,12 @@
         """Return whether an answer says that its replica is going to end."""
         return "1" in _all(headers, "server-leaving")
 
+    def named_limit(self, headers: Headers) -> float | None:
+        """Return how many requests a second an answer's replica takes; raises BAD_REQUEST."""
+        if not _all(headers, _LIMIT):
+            return None
+        return decimal_number(_single(headers, _LIMIT), _LIMIT)
+
     def error_headers(self, request_id: str) -> Headers:
         """Return headers for an answer of the router's own."""
         return (("X-Request-Id", request_id),) if request_id else ()
--- a/src/aspengate/replicas/_registry.py
+++ b/src/aspengate/replicas/_registry.py
@@ -166,6 +166,15 @@
                 asked_ms=round(notice.rest_ms),
                 rest_ms=round(view.said.rest_until_ms - now),
             )
+        if view.said.limit != before.limit:
+            log_change(
+                "replica.limited",
+                replica=view.identity,
+                start=view.life,
+                service=view.replica.service,
+                per_second=view.said.limit,
+                before=before.limit,
+            )
 
     def replaced(self) -> list[str]:
         """Return the starts of listed replicas that are left out: another one answers there."""
--- a/src/aspengate/replicas/_statement.py
+++ b/src/aspengate/replicas/_statement.py
@@ -12,16 +12,18 @@
     """What a replica says of itself in one answer.
 
     ``leaving`` tells that it is going to end; ``rest_ms`` is for how long it wants no request from
-    this router, 0 where it does not say.
+    this router, 0 where it does not say. ``limit`` is how many requests a second it takes from all
+    routers together, None where it names no limit.
     """
 
     leaving: bool = False
     rest_ms: float = 0.0
+    limit: float | None = None
 
     @property
     def says_anything(self) -> bool:
         """Whether the answer says more than that it is one."""
-        return self.leaving or self.rest_ms > 0
+        return self.leaving or self.rest_ms > 0 or self.limit is not None
 
 
 @dataclass(frozen=True)
@@ -29,11 +31,12 @@
     """All that one start of a replica has said of itself, in the clock's monotonic time.
 
     ``leaving_ms`` is when it said first that it leaves, None where it has not. It wants nothing
-    before ``rest_until_ms``.
+    before ``rest_until_ms``. ``limit`` is the one that its last answer named.
     """
 
     leaving_ms: float | None = None
     rest_until_ms: float = float("-inf")
+    limit: float | None = None
 
     @property
     def is_leaving(self) -> bool:
@@ -49,4 +52,4 @@
         if notice.rest_ms > 0:
             asked_ms = min(notice.rest_ms, LONGEST_REST_MS)
             rest_until_ms = max(rest_until_ms, now_ms + asked_ms)
-        return SelfStatement(leaving_ms, rest_until_ms)
+        return SelfStatement(leaving_ms, rest_until_ms, notice.limit)
