Tests of replicas that name a limit for all gateways together, which fail

What callers saw: their requests reached a replica in need that had asked for far fewer.

Four gateways as processes before four replicas of each service, one of which names 1 request a second in all its answers; 8 callers ask one after the other. From 3 s after its first word the replica of the portal gets 209 requests in 4 s from gateways that had passed its word on, where 11 are allowed; 415 where the three others turn away 3 in 10.

The callers that press several gateways, which the scenarios of replicas that leave have used, are in a module of their own now; those scenarios pass as before.

--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -42,7 +42,9 @@
     It reads a request ``stall_s`` after its bytes may have come; ``gone`` marks one that crashed.
     It crashes ``crash_after_s`` after it began a request whose target contains ``crash_on``, where
     that is not empty, and calls ``on_crash``. While ``leaving`` all its answers say so. Where it
-    turns requests away for rest, it asks for ``rest`` (seconds, or any text).
+    turns requests away for rest, it asks for ``rest`` (seconds, or any text). ``limit`` is what all
+    its answers name as the requests a second that it takes, None for nothing; ``refused_part`` of
+    the requests it turns away at once.
 
     ``requests`` are all that were read; ``sent_events`` counts events by request id, ``runs``
     those that were run, ``cancelled`` those whose connection ended during the run.
@@ -77,6 +79,8 @@
         self.gone = False
         self.leaving = False
         self.rest = "3"
+        self.limit = None
+        self.refused_part = 0.0
         self.asked_for_rest = []
         self.crash_on = ""
         self.crash_after_s = 0.1
@@ -180,6 +184,8 @@
                     self.requests.append(request)
                     number = len(self.requests)
                 name = self.behaviours.get(number, self.behaviour)
+                if number * self.refused_part % 1 + self.refused_part > 1:
+                    name = "refuse"
                 if self.crash_on and self.crash_on in request.target:
                     name = "crash"
                 if not BEHAVIOURS[name](self, connection, request):
@@ -210,6 +216,8 @@
             lines.append(f"Content-Length: {length}")
         if self.leaving:
             lines.append("Server-Leaving: 1")
+        if self.limit is not None:
+            lines.append(f"Server-Limit: {self.limit}")
         lines += extra
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
--- a/features/steps/leaving_and_resting_steps.py
+++ b/features/steps/leaving_and_resting_steps.py
@@ -1,100 +1,21 @@
 """Steps on replicas that leave or ask for rest."""
 
-import itertools
-import threading
 import time
 
 from behave import given, then, when
 
-from gateway_world import TOKENS, start
+from gateway_world import start
+from pressing_callers import Callers, arrivals
 
 ROUTERS = 4
 REPLICAS = 4
-CALLERS = 8
 WINDOW_S = 2
 START_MS = 1_000
-PAUSE_S = 0.01
 WARM_UP_S = 1.0
 DRAIN_S = 2.0
 REST_S = 1.5
 REST_NOTED_S = 0.5
 MOST_IN_REST = 2
-MOST_PARTS = 40
-
-_numbers = itertools.count(1)
-
-
-class Asked:
-    """One request: the gateway that got it, when it was sent, and what came back when."""
-
-    def __init__(self, router, path):
-        self.router = router
-        self.path = path
-        self.sent_s = time.monotonic()
-        self.status = 0
-        self.says_leaving = False
-        self.ended_s = 0.0
-
-    @property
-    def way(self):
-        """The gateway and the kind of request, by which the service is chosen."""
-        return self.router.name, self.path.split("/")[1]
-
-
-class Callers:
-    """Callers that ask each gateway in turn, for receipts and for streams, until they stop."""
-
-    def __init__(self, routers, paths=("/receipt/", "/score/")):
-        self.routers = routers
-        self.paths = paths
-        self.asked = {}
-        self._stop = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._ask, args=(offset,), daemon=True)
-            for offset in range(CALLERS)
-        ]
-
-    def run_for(self, seconds):
-        for thread in self._threads:
-            thread.start()
-        time.sleep(seconds)
-        self._stop.set()
-        for thread in self._threads:
-            thread.join()
-        return self
-
-    def _ask(self, offset):
-        for number in itertools.count(offset):
-            if self._stop.wait(PAUSE_S):
-                return
-            router = self.routers[number % len(self.routers)]
-            path = self.paths[(number // len(self.routers)) % len(self.paths)]
-            self._ask_once(router, f"{path}{next(_numbers)}")
-
-    def _ask_once(self, router, path):
-        asked = Asked(router, path)
-        identity = path.strip("/").replace("/", "-")
-        fields = {}
-        if path.startswith("/score"):
-            # Prompts of many kinds, so that each replica is somebody's first choice.
-            part = f"{sum(identity.encode()) % MOST_PARTS:x}:{TOKENS[0] - 1}"
-            fields = {"tokens": TOKENS, "body": b"essay", "parts": f"{part},{len(self.asked):x}:1"}
-        self.asked[identity] = asked
-        try:
-            caller = router.call()
-            answer = caller.request("POST" if fields else "GET", path, identity=identity, **fields)
-            caller.close()
-        except OSError:
-            return
-        asked.ended_s = time.monotonic()
-        asked.status = answer.status if answer.whole else 0
-        asked.says_leaving = bool(answer.header("Server-Leaving"))
-
-
-def arrivals(context, replica):
-    """Return what a replica got of the callers' requests, as pairs of id and time."""
-    asked = context.callers.asked
-    return [(each.identity, each.at_s) for each in list(replica.requests) if each.identity in asked]
 
 
 @given("four gateways that share repeats, before four replicas of each service")
@@ -143,7 +64,7 @@
     """Return when each gateway had first passed on an answer of a service's leaving replica."""
     first = {}
     for asked in context.callers.asked.values():
-        if asked.says_leaving:
+        if asked.header("Server-Leaving"):
             before = first.get(asked.way, asked.ended_s)
             first[asked.way] = min(before, asked.ended_s)
     return first
@@ -156,7 +77,7 @@
     late = [
         (identity, round(asked.sent_s - first[asked.way], 3))
         for replica in context.told
-        for identity, _ in arrivals(context, replica)
+        for identity, _ in arrivals(context.callers, replica)
         if (asked := context.callers.asked[identity]).sent_s > first[asked.way] + DRAIN_S
     ]
     assert not late, (len(late), late[:5])
@@ -165,7 +86,9 @@
 def in_rests(context, replica, rest_s):
     """Return how many requests each gateway sent within each rest that it had been asked for."""
     asked = context.callers.asked
-    got = [(asked[identity].router.name, at_s) for identity, at_s in arrivals(context, replica)]
+    got = [
+        (asked[identity].router.name, at_s) for identity, at_s in arrivals(context.callers, replica)
+    ]
     found = []
     for begun_s, identity in replica.asked_for_rest:
         name = asked[identity].router.name
