One type for so many requests in any window, from all routers together

What callers saw: nothing; no behaviour changes. For the fourth time a bound of all routers, of which each knows a part, is to be added (repeats, cold replicas, requests that end replicas, limits that replicas name). Each had a room of its own with its own arithmetic.

What a cold replica bears stands on it, and keeps only what is its own: which replicas are cold, and what a router may do that does not hear of changes.

Repeats keep their own bound: it is a share of the requests that come, not a number.

--- a/features/steps/cold_starts_steps.py
+++ b/features/steps/cold_starts_steps.py
@@ -10,20 +10,16 @@
 from platform_standins.fleet import eventually
 
 from aspengate.clock import ManualClock
-from aspengate.cold_starts import (
-    ColdStartLimiter,
-    ColdStartPolicy,
-    Contact,
-    RouterShares,
-)
+from aspengate.cold_starts import ColdStartLimiter, ColdStartPolicy, Contact
 from aspengate.configuration import Service
+from aspengate.fleet_permits import RouterShares
 from aspengate.replicas import Evacuation, Replica, ReplicaRegistry, ReplicaView
 from gateway_world import in_background
 
 RATE = 6.6
 POLICY = ColdStartPolicy(overage=1.5, slack=5.0)
 ALLOWED = 14
-PERMITS = POLICY.permits(RATE)
+PERMITS = POLICY.bound(RATE).permits
 SERVICE = Service("engine", cold_start_ms=3_000, cold_per_second=RATE)
 UNBOUND = Service("portal")
 REPLICAS = [f"i-{number}" for number in range(5)]
@@ -43,13 +39,13 @@
 
 
 def limiter(clock, own="front-0", contact=Contact.CURRENT):
-    return ColdStartLimiter(POLICY, own, clock, lambda: contact)
+    return ColdStartLimiter(POLICY, RouterShares(own, clock), clock, lambda: contact)
 
 
 def known_limiter(count=4, contact=Contact.CURRENT):
     clock = ManualClock()
     made = limiter(clock, contact=contact)
-    made.note_routers(names(count), count)
+    made.permits.shares.know(names(count), count)
     clock.advance(POLICY.start_ms + POLICY.window_ms)
     return made, clock
 
@@ -70,9 +66,9 @@
     """Return the permits of all routers together; ``known`` returns what each is told."""
     total = 0
     for own in running:
-        shares = RouterShares(own)
+        shares = RouterShares(own, ManualClock())
         shares.know(*known())
-        total += shares.permits(replica, PERMITS)
+        total += shares.part(replica, PERMITS)
     return total
 
 
@@ -129,13 +125,14 @@
 
     def begin(self, own):
         self.contacts[own] = Contact.CURRENT
-        return ColdStartLimiter(POLICY, own, self.clock, lambda: self.contacts[own])
+        shares = RouterShares(own, self.clock)
+        return ColdStartLimiter(POLICY, shares, self.clock, lambda: self.contacts[own])
 
     def tell(self):
         """Have all that are not cut off hear of all routers."""
         for own, each in self.limiters.items():
             if self.contacts[own] is Contact.CURRENT:
-                each.note_routers(self.known, len(self.known))
+                each.permits.shares.know(self.known, len(self.known))
 
     def press(self):
         own = self.source.choice(self.known)
@@ -235,7 +232,7 @@
         """Have all that run and are not cut off hear of all routers."""
         for own, each in self.limiters.items():
             if self.contacts[own] is Contact.CURRENT and not self.is_suspended(own):
-                each.note_routers(self.known, len(self.known))
+                each.permits.shares.know(self.known, len(self.known))
 
 
 @when("requests are sent late, routers start again, are cut off and suspended, and new ones come")
@@ -269,7 +266,7 @@
 def told_lately(context):
     clock = ManualClock()
     context.limiter = limiter(clock)
-    context.limiter.note_routers(names(4), 4)
+    context.limiter.permits.shares.know(names(4), 4)
     clock.advance(1_000)
 
 
@@ -315,7 +312,7 @@
 @then("it sends each replica, warm or not, no more than its permits in a second")
 def permits_alone(context):
     for replica in (view("i-1"), view("i-2", cold=False)):
-        permits = context.limiter.shares.permits(replica.identity, PERMITS)
+        permits = context.limiter.permits.shares.part(replica.identity, PERMITS)
         assert sent_of(context.limiter, replica) == permits
 
 
@@ -392,7 +389,7 @@
 def has_permits(context):
     context.limiter, context.clock = known_limiter()
     context.replica = view("i-1")
-    context.permits = context.limiter.shares.permits("i-1", PERMITS)
+    context.permits = context.limiter.permits.shares.part("i-1", PERMITS)
     assert context.permits > 1
 
 
--- a/src/aspengate/cold_starts/_policy.py
+++ b/src/aspengate/cold_starts/_policy.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from aspengate.fleet_permits import WindowBound
+
 
 @dataclass(frozen=True)
 class ColdStartPolicy:
@@ -17,11 +19,12 @@
     window_ms: float = 1_050.0
     start_ms: float = 3_000.0
 
-    def permits(self, per_second: float) -> int:
-        """Return how many requests in a window the routers share out for one cold replica.
+    def bound(self, per_second: float) -> WindowBound:
+        """Return what the routers share out for one cold replica.
 
         The slack is not shared out: it covers what arrives before its routers know that a
         replica is cold, and routers of which others have not heard.
         """
         most = int(per_second * self.overage + self.slack)
-        return min(most, max(1, int(per_second * self.overage)))
+        permits = min(most, max(1, int(per_second * self.overage)))
+        return WindowBound(permits, self.window_ms)
--- /dev/null
+++ b/src/aspengate/fleet_permits/__init__.py
@@ -0,0 +1,23 @@
+"""Bounds of so many requests in any window, from all routers together, of which each knows a part.
+
+Each router holds a part of a bound's permits, works out which by itself, and may grant them to
+others. ``docs/design/fleet-permits.md`` shows why all of them together never exceed the bound.
+"""
+
+from aspengate.fleet_permits._bound import WindowBound
+from aspengate.fleet_permits._permit import JointPermit, Permit
+from aspengate.fleet_permits._permits import FleetPermits, Grant, GrantKey
+from aspengate.fleet_permits._shares import PartOfRank, RouterShares, evenly, mostly_first
+
+__all__ = [
+    "FleetPermits",
+    "Grant",
+    "GrantKey",
+    "JointPermit",
+    "PartOfRank",
+    "Permit",
+    "RouterShares",
+    "WindowBound",
+    "evenly",
+    "mostly_first",
+]
--- /dev/null
+++ b/src/aspengate/fleet_permits/_usage.py
@@ -0,0 +1,48 @@
+"""What one router has used of a bound's permits."""
+
+import bisect
+from dataclasses import dataclass, field
+
+
+@dataclass
+class Usage:
+    """Permits that are taken, and the times in monotonic ms at which others were used, in order.
+
+    ``window_ms`` is the longest window that was asked for: what was used within it is kept, also
+    while a shorter one holds.
+    """
+
+    taken: int = 0
+    used_ms: list[float] = field(default_factory=list)
+    window_ms: float = 0.0
+
+    def note_used(self, at_ms: float) -> None:
+        """Count one that was taken as used at a time."""
+        self.taken -= 1
+        bisect.insort(self.used_ms, at_ms)
+
+    def forget(self, now_ms: float) -> None:
+        """Drop what counts in no window any more."""
+        del self.used_ms[: bisect.bisect_left(self.used_ms, now_ms - self.window_ms)]
+
+    def counted(self, oldest_ms: float) -> int:
+        """Return how many count that are taken, or were used since a time."""
+        return self.taken + len(self.used_ms) - bisect.bisect_left(self.used_ms, oldest_ms)
+
+    def ready_ms(self, part: float, window_ms: float, now_ms: float) -> float | None:
+        """Return when one more may be used where ``part`` count in any window at most.
+
+        None where that is not known: it takes one of those that are taken.
+        """
+        first = bisect.bisect_left(self.used_ms, now_ms - window_ms)
+        beyond = self.counted(now_ms - window_ms) - part
+        if beyond < 0:
+            return now_ms
+        if part <= 0 or first + beyond >= len(self.used_ms):
+            return None
+        return self.used_ms[first + int(beyond)] + window_ms
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing counts any more."""
+        return not (self.taken or self.used_ms)
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 
 from aspengate.clock import Clock
-from aspengate.cold_starts import ColdStartPermit
 from aspengate.connections import (
     UNACKNOWLEDGED_MS,
     ConnectionPool,
@@ -12,6 +11,7 @@
     RequestHead,
 )
 from aspengate.errors import AspengateError, ErrorKind
+from aspengate.fleet_permits import Permit
 from aspengate.gateway._exchange import Exchange
 from aspengate.gateway._patience import Patience
 from aspengate.gateway._ports import RequestSpelling
@@ -71,7 +71,7 @@
         exchange: Exchange,
         candidate: Candidate,
         patience: Patience,
-        permit: ColdStartPermit,
+        permit: Permit,
         replica_run: str,
     ) -> None:
         self.parts = parts
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -9,6 +9,7 @@
 from aspengate.configuration import ConfigurationHolder, FleetConfiguration
 from aspengate.connections import ConnectionPool
 from aspengate.crashes import RECORD_PREFIX, replica_of
+from aspengate.fleet_permits import RouterShares
 from aspengate.gateway._application import ADMISSION, GatewayApplication
 from aspengate.gateway._attempt import AttemptParts
 from aspengate.gateway._crash_guard import CrashGuard
@@ -96,9 +97,10 @@
         self.retries = SharedRetryBudget(_retry_policy(settings), clock)
         self.operator = self._mirror(deployment.operator_prefix, self._reader.take_operator)
         self.replicas = self._mirror(deployment.replica_prefix, self._reader.take_replicas)
+        self.shares = RouterShares(settings.name, clock)
         self.cold_starts = ColdStartLimiter(
             ColdStartPolicy(settings.cold_overage, settings.cold_slack),
-            settings.name,
+            self.shares,
             clock,
             self._contact,
         )
@@ -397,7 +399,7 @@
     def _on_members(self, count: int) -> None:
         if self.peering.members.count_known:
             self.retries.note_routers(count)
-            self.cold_starts.note_routers(self.peering.members.names(), count)
+            self.shares.know(self.peering.members.names(), count)
         self.tokens.routers = count
 
     def _apply_configuration(self, configuration: FleetConfiguration) -> None:
--- a/src/aspengate/gateway/_selection.py
+++ b/src/aspengate/gateway/_selection.py
@@ -4,9 +4,10 @@
 from collections.abc import Collection
 
 from aspengate.clock import Clock
-from aspengate.cold_starts import ColdStartLimiter, ColdStartPermit
+from aspengate.cold_starts import ColdStartLimiter
 from aspengate.configuration import Service
 from aspengate.errors import AspengateError, ErrorKind
+from aspengate.fleet_permits import Permit
 from aspengate.gateway._exchange import Exchange
 from aspengate.peers import PlacedRequest, PlacementSink
 from aspengate.replicas import (
@@ -53,7 +54,7 @@
 
     def choose(
         self, exchange: Exchange, excluded: Collection[str]
-    ) -> tuple[Candidate, ColdStartPermit]:
+    ) -> tuple[Candidate, Permit]:
         """Return the best replica for a request, and the permission to send it there.
 
         Raises NO_UPSTREAM, RESTING or WARMING_UP where none may get it.
@@ -88,7 +89,7 @@
 
     def _choose_open(
         self, ready: list[ReplicaView], prompt: PromptShape, service: Service, now_ms: float
-    ) -> tuple[Candidate, ColdStartPermit]:
+    ) -> tuple[Candidate, Permit]:
         """Return the best replica of those that may get one more request, and its permission."""
         views = self.cold_starts.open(ready, service)
         while views:
