--- a/src/aspengate/fleet_permits/_usage.py
+++ b/src/aspengate/fleet_permits/_usage.py
@@ -3,18 +3,21 @@
 import bisect
 from dataclasses import dataclass, field
 
+# What was used is kept for so long at least, in ms: a bound that becomes narrower has a longer
+# window than the one that held before.
+_KEPT_MS = 4_000.0
+
 
 @dataclass
 class Usage:
     """Permits that are taken, and the times in monotonic ms at which others were used, in order.
 
-    ``window_ms`` is the longest window that was asked for: what was used within it is kept, also
-    while a shorter one holds.
+    ``window_ms`` is the longest window that was asked for; what was used within it is kept.
     """
 
     taken: int = 0
     used_ms: list[float] = field(default_factory=list)
-    window_ms: float = 0.0
+    window_ms: float = _KEPT_MS
 
     def note_used(self, at_ms: float) -> None:
         """Count one that was taken as used at a time."""
