Hold what all routers send to a replica within the limit that it names

What callers saw: nothing; replicas in need got several times what they had asked for, which can take them down for everybody.

Cause: no router read the limit, and no router could have kept it by itself. It is a bound of all routers together, of which each knows a part: the class of repeats, cold replicas and requests that end replicas.

Change, all on the type for such bounds: - A replica with a limit gets requests only by permits, counted from the send on. Three quarters of a replica's permits are at the router that ranks first for it, the rest by rank. A router without one asks the holder by datagram, only where no other replica is open, and counts for nothing itself: the holder counts what it grants as its own. So nobody has to agree on who holds. - What a replica says is told to all routers, under numbers that rise from answer to answer, whatever clocks say. An answer without the header ends the limit if its request was sent after the limit was known; then the replica gets more by steps for 2 s. - Decided again just before the first byte: a replica may name a limit while a connection comes up. - A request may wait for the next permit where it can still be in time. Without one it is refused at once (at_limit), each caller with a time of its own to come back. No repeat is planned without a permit. Notices on ended replicas and on limits go out through one class now; what is done with each kind of message is a table instead of a chain of cases.

--- a/features/steps/replica_limits_steps.py
+++ b/features/steps/replica_limits_steps.py
@@ -30,6 +30,8 @@
         retry_window_s=WINDOW_S,
         retry_start_ms=START_MS,
     )
+    # What the callers' account may use is not what is to be seen here.
+    context.fleet.operator.set_prepaid("board", 1_000_000_000)
     time.sleep(START_MS / 1_000 + 0.5)
     # Those that are asked most are to speak: a replica that nobody would choose tells nothing.
     Callers(context.fleet.routers).run_for(WARM_UP_S)
@@ -56,6 +58,27 @@
     one_limited(context, seconds, limit)
 
 
+@when(
+    "for {seconds:d} s all replicas name a limit of {limit} requests a second, "
+    "and callers ask for {asked:d} of each service"
+)
+def all_limited(context, seconds, limit, asked):
+    context.in_need = list(context.fleet.replicas)
+    for replica in context.in_need:
+        replica.limit = limit
+    callers = Callers(context.fleet.routers, callers=2 * asked, pause_s=1.0)
+    context.callers = callers.run_for(seconds)
+    context.ended_s = time.monotonic()
+
+
+@then("every repeatable request of the last {seconds:d} s was answered")
+def last_answered(context, seconds):
+    begun_s = context.ended_s - seconds
+    asked = [each for each in context.callers.asked.values() if each.sent_s >= begun_s]
+    failed = [(each.path, each.status, each.headers) for each in asked if each.status != 200]
+    assert len(asked) > 4 * seconds and not failed, (len(asked), len(failed), failed[:3])
+
+
 def told(callers, replica):
     """Return when each gateway had first passed on an answer of a replica that names a limit."""
     first = {}
@@ -74,7 +97,8 @@
 def counted_times(callers, replica):
     """Return when a replica got what the rule counts."""
     first = told(callers, replica)
-    assert first, replica.service
+    if not first:
+        return []
     settled_s = min(first.values()) + SETTLED_S
     names = {identity: asked.router.name for identity, asked in callers.asked.items()}
     return [
@@ -87,6 +111,7 @@
 @then("from 3 s after its first word no replica in need gets more than its limit allows in any 4 s")
 def limits_kept(context):
     for replica in context.in_need:
+        assert told(context.callers, context.in_need[0]), "nobody was told"
         most = most_in_span(counted_times(context.callers, replica))
         allowed = OVERAGE * SPAN_S * float(replica.limit) + SLACK
         assert most <= allowed, (replica.service, most, allowed)
--- a/src/aspengate/cli/_pages.py
+++ b/src/aspengate/cli/_pages.py
@@ -71,6 +71,7 @@
     ErrorKind.OVERLOADED: "every upstream of the service is at its limit",
     ErrorKind.WARMING_UP: "every upstream of the service may be cold and has got its share",
     ErrorKind.RESTING: "every replica of the service that may be used asked for rest",
+    ErrorKind.AT_LIMIT: "every usable replica of the service has got what its limit allows",
     ErrorKind.SUSPECTED: "replicas ended under this request; another router tries it now",
     ErrorKind.QUARANTINED: "too many replicas ended under this request; it is not sent on",
     ErrorKind.DEADLINE_EXCEEDED: "the deadline passed before the request started",
--- a/src/aspengate/errors/_kinds.py
+++ b/src/aspengate/errors/_kinds.py
@@ -29,6 +29,7 @@
     OVERLOADED = "overloaded"
     WARMING_UP = "warming_up"
     RESTING = "resting"
+    AT_LIMIT = "at_limit"
     SUSPECTED = "suspected"
     QUARANTINED = "quarantined"
     DEADLINE_EXCEEDED = "deadline_exceeded"
@@ -70,6 +71,7 @@
     ErrorKind.OVERLOADED: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=2),
     ErrorKind.WARMING_UP: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=1),
     ErrorKind.RESTING: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=1),
+    ErrorKind.AT_LIMIT: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=1),
     ErrorKind.SUSPECTED: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=2),
     ErrorKind.QUARANTINED: ErrorAnswer(503, RunState.NOT_RUN, retry_after_s=60),
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, RunState.NOT_RUN),
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -83,6 +83,7 @@
         self.permit = permit
         self.replica_run = replica_run
         self.sent = False
+        self.sent_ms = float("inf")
         self.reused = False
         self.outcome = ""
         self.begun_ms = parts.clock.monotonic_ms()
@@ -105,6 +106,7 @@
         head = self._head(last_event_id)
         self._check_standing()
         self.sent = True
+        self.sent_ms = self.parts.clock.monotonic_ms()
         try:
             connection.send(head, self.exchange.request.body, self.exchange.waiter)
         except AspengateError as error:
@@ -222,12 +224,15 @@
         """Decide again just before the first byte goes; raises TryAnotherError.
 
         Since the choice the connection came up, which may take a second, and answers to other
-        requests may have said that the replica leaves or wants rest.
+        requests may have said that the replica leaves, wants rest or names a limit.
         """
         standing = self.parts.registry.standing(self.view)
         if standing is not Standing.OPEN:
             cause = AspengateError(ErrorKind.NO_UPSTREAM, standing.value, where=self.view.identity)
             raise TryAnotherError(cause, sent=False)
+        if not self.permit.holds(self.parts.clock.monotonic_ms()):
+            cause = AspengateError(ErrorKind.AT_LIMIT, "no permit", where=self.view.identity)
+            raise TryAnotherError(cause, sent=False)
 
     def _connect(self) -> ReplicaConnection:
         self.exchange.waiter.check_caller()
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -5,19 +5,20 @@
 from dataclasses import replace
 
 from aspengate.clock import Clock
-from aspengate.cold_starts import ColdStartLimiter, ColdStartPolicy, Contact
+from aspengate.cold_starts import ColdStartPolicy, Contact
 from aspengate.configuration import ConfigurationHolder, FleetConfiguration
 from aspengate.connections import ConnectionPool
 from aspengate.crashes import RECORD_PREFIX, replica_of
-from aspengate.fleet_permits import RouterShares
 from aspengate.gateway._application import ADMISSION, GatewayApplication
 from aspengate.gateway._attempt import AttemptParts
 from aspengate.gateway._crash_guard import CrashGuard
 from aspengate.gateway._dispatcher import Dispatcher
 from aspengate.gateway._peer_services import GatewayPeerServices
 from aspengate.gateway._peering import Peering, Reply
+from aspengate.gateway._permit_asker import PermitAsker
 from aspengate.gateway._ports import Deployment
 from aspengate.gateway._ready import ReadyApplication
+from aspengate.gateway._replica_bounds import ReplicaBounds
 from aspengate.gateway._reporting import GatewayReport
 from aspengate.gateway._selection import ReplicaSelection
 from aspengate.gateway._settings import GatewaySettings
@@ -29,10 +30,19 @@
 from aspengate.gateway.prepaid import PeerLoans, RemoteWitness, TokenAccounts
 from aspengate.peers import (
     CeilingReply,
+    LimitNotice,
+    LimitWord,
     LoanReply,
     RepaymentReply,
 )
-from aspengate.replicas import PartMemory, ReplicaChooser, ReplicaRegistry, ReplicaView
+from aspengate.replica_limits import PermitHolders
+from aspengate.replicas import (
+    LimitStatement,
+    PartMemory,
+    ReplicaChooser,
+    ReplicaRegistry,
+    ReplicaView,
+)
 from aspengate.retries import RetryPolicy, SharedRetryBudget
 from aspengate.serving import RelayServer, WsgiServer
 from aspengate.store import MirrorState, StoreMirror
@@ -92,17 +102,17 @@
         self.holder = ConfigurationHolder(clock)
         self.pool = ConnectionPool(clock, _LONGEST_REST_MS)
         self.parts = PartMemory()
-        self.registry = ReplicaRegistry(clock, self._on_replica_gone)
+        self.registry = ReplicaRegistry(clock, self._on_replica_gone, self._tell_limit)
         self._reader = StoreReader(deployment, self.holder, self.registry, counters)
         self.retries = SharedRetryBudget(_retry_policy(settings), clock)
         self.operator = self._mirror(deployment.operator_prefix, self._reader.take_operator)
         self.replicas = self._mirror(deployment.replica_prefix, self._reader.take_replicas)
-        self.shares = RouterShares(settings.name, clock)
-        self.cold_starts = ColdStartLimiter(
-            ColdStartPolicy(settings.cold_overage, settings.cold_slack),
-            self.shares,
+        self.bounds = ReplicaBounds(
+            settings.name,
             clock,
+            ColdStartPolicy(settings.cold_overage, settings.cold_slack),
             self._contact,
+            any_limited=lambda: self.registry.limited,
         )
         self.crashes = CrashGuard(
             deployment.store,
@@ -288,7 +298,7 @@
             counters=self.counters,
             services=GatewayPeerServices(
                 self.registry,
-                self.cold_starts,
+                self.bounds,
                 self.crashes,
                 self.parts,
                 self.clock,
@@ -371,7 +381,8 @@
                 AttemptParts(spelling, self.pool, self.clock, chooser, self.registry),
                 ReplicaSelection(
                     self.registry,
-                    self.cold_starts,
+                    self.bounds,
+                    self._make_asker(),
                     chooser,
                     self.clock,
                     self.counters,
@@ -386,6 +397,18 @@
             refusing=lambda: self.refusing,
         )
 
+    def _make_asker(self) -> PermitAsker:
+        asker = PermitAsker(
+            lambda: self.peering.session,
+            PermitHolders(self.bounds.shares, self.clock),
+            self.clock,
+            self.counters,
+            address_of=self.peering.members.address_of,
+            send=self.peering.send,
+        )
+        self.peering.on_permit = asker.take_reply
+        return asker
+
     def _contact(self) -> Contact:
         if self.peering.reaches_store:
             return Contact.CURRENT
@@ -394,12 +417,16 @@
     def _on_replica_gone(self, view: ReplicaView) -> None:
         self.pool.forget(view.life)
         self.parts.forget(view.identity)
-        self.cold_starts.forget(view.identity)
+        self.bounds.forget(view.identity)
+
+    def _tell_limit(self, life: str, limit: LimitStatement) -> None:
+        word = LimitWord(life, limit.number, limit.per_second)
+        self.peering.limits.tell(LimitNotice([word]))
 
     def _on_members(self, count: int) -> None:
         if self.peering.members.count_known:
             self.retries.note_routers(count)
-            self.shares.know(self.peering.members.names(), count)
+            self.bounds.note_routers(self.peering.members.names(), count)
         self.tokens.routers = count
 
     def _apply_configuration(self, configuration: FleetConfiguration) -> None:
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -4,6 +4,7 @@
 
 from aspengate.connections import BrokenAnswerError, ReplicaAnswer
 from aspengate.errors import AspengateError, ErrorKind
+from aspengate.fleet_permits import Permit
 from aspengate.gateway._attempt import Attempt, AttemptParts, TryAnotherError
 from aspengate.gateway._crash_guard import CrashGuard
 from aspengate.gateway._exchange import Exchange
@@ -115,6 +116,7 @@
 
     def _attempt(self, exchange: Exchange, progress: Progress) -> Attempt:
         candidate, permit = self.selection.choose(exchange, progress.excluded)
+        self._await_permit(permit, exchange)
 
         def may_repeat() -> bool:
             return self._may_repeat(exchange, progress, attempts=progress.attempts + 1)
@@ -125,6 +127,17 @@
         progress.made.append(attempt)
         return attempt
 
+    def _await_permit(self, permit: Permit, exchange: Exchange) -> None:
+        """Wait until a permit is ready; raises CallerGoneError where its caller leaves."""
+        if permit.ready_ms <= self.parts.clock.monotonic_ms():
+            return
+        self.counters.count("gateway.waited_for_permit")
+        try:
+            exchange.waiter.pause(permit.ready_ms)
+        except AspengateError:
+            permit.settle(sent=False)
+            raise
+
     def _serve(
         self,
         attempt: Attempt,
@@ -172,23 +185,26 @@
         if answer.status in _SUCCESS and not spelling.is_signed(answer.headers):
             return
         asks_for_rest = answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+        limit, unreadable = self._named_limit(answer)
         attempt.notice = ReplicaNotice(
             leaving=spelling.says_leaving(answer.headers),
             rest_ms=answer.retry_after_ms if asks_for_rest else 0.0,
-            limit=self._named_limit(answer),
+            limit=limit,
+            unreadable=unreadable,
         )
-        if attempt.notice.says_anything or attempt.view.said.limit is not None:
-            self.registry.note_said(attempt.view, attempt.notice)
+        if attempt.notice.says_anything or attempt.view.said.limit.is_in_force:
+            self.registry.note_said(attempt.view, attempt.notice, attempt.sent_ms)
         if attempt.notice.leaving:
             # It closes them: a request that meets the close is lost.
             self.parts.pool.forget(attempt.life)
 
-    def _named_limit(self, answer: ReplicaAnswer) -> float | None:
+    def _named_limit(self, answer: ReplicaAnswer) -> tuple[float | None, str]:
+        """Return the limit that an answer names, or what it names instead of one."""
         try:
-            return self.parts.spelling.named_limit(answer.headers)
-        except AspengateError:
+            return self.parts.spelling.named_limit(answer.headers), ""
+        except AspengateError as error:
             self.counters.count("replica_limits.unreadable")
-            return None
+            return None, error.message
 
     def _note_replaced(self, attempt: Attempt, progress: Progress) -> None:
         """Send no more to a replica that is gone; it was none of those that the route allows.
--- a/src/aspengate/gateway/_peer_services.py
+++ b/src/aspengate/gateway/_peer_services.py
@@ -1,20 +1,36 @@
 """What a router does for the other ones: loans, witnessing, and what they tell of replicas."""
 
+import math
 from collections.abc import Callable
 
 from aspengate.clock import Clock
-from aspengate.cold_starts import ColdStartLimiter
 from aspengate.gateway._crash_guard import CrashGuard
+from aspengate.gateway._permit_asker import word_of
+from aspengate.gateway._replica_bounds import ReplicaBounds
 from aspengate.gateway.prepaid import TokenAccounts
 from aspengate.peers import (
     CeilingNotice,
     CrashNotice,
+    LimitNotice,
+    LimitWord,
     LoanReply,
     LoanRequest,
+    PermitReply,
+    PermitRequest,
+    PermitUse,
     PlacedRequest,
+    ReadyPermit,
     Repayment,
 )
-from aspengate.replicas import PartMemory, ReplicaRegistry
+from aspengate.replicas import PartMemory, ReplicaRegistry, ReplicaView
+
+# How long another router may use a permit that it is granted, in ms: its connection to the replica
+# may take a second to come up. With the longest wait before that it is over within the time after
+# which a router that starts again hands out permits.
+_VALID_MS = 1_500.0
+_MOST_WAIT_MS = 1_000.0
+# So many words on limits are told to a router that has just started.
+_MOST_RETOLD = 400
 
 
 class GatewayPeerServices:
@@ -26,14 +42,14 @@
     def __init__(
         self,
         registry: ReplicaRegistry,
-        cold_starts: ColdStartLimiter,
+        bounds: ReplicaBounds,
         crashes: CrashGuard,
         parts: PartMemory,
         clock: Clock,
         tokens: Callable[[], TokenAccounts],
     ) -> None:
         self._registry = registry
-        self._cold_starts = cold_starts
+        self._bounds = bounds
         self._crashes = crashes
         self._parts = parts
         self._clock = clock
@@ -62,7 +78,7 @@
         view = self._registry.view_of_life(placed.replica)
         if view is None:
             return
-        self._cold_starts.note_heard(view.identity)
+        self._bounds.cold_starts.note_heard(view.identity)
         view.note_placed(placed.tokens, placed.expected_ms, now)
         for part in placed.parts:
             self._parts.note(part, view.identity, now)
@@ -74,3 +90,48 @@
     def known_crashes(self) -> CrashNotice | None:
         """Return what a router that has just started is to know of such requests, if anything."""
         return self._crashes.retold()
+
+    def take_limits(self, notice: LimitNotice, told_by: str) -> None:
+        """Note what another router knows of the limits that replicas name."""
+        for word in notice.words:
+            self._registry.note_limit_told(word.replica, word.number, word.per_second, told_by)
+
+    def known_limits(self) -> LimitNotice | None:
+        """Return what a router that has just started is to know of limits, if anything."""
+        limits = self._registry.limits(_MOST_RETOLD)
+        words = [LimitWord(life, each.number, each.per_second) for life, each in limits.items()]
+        return LimitNotice(words) if words else None
+
+    def take_permit_request(self, request: PermitRequest) -> tuple[PermitReply, LimitNotice | None]:
+        """Grant another router a permit, if there is one; return what it has to know besides."""
+        views = []
+        newer = []
+        for word in request.words:
+            self._registry.note_limit_told(word.replica, word.number, word.per_second)
+            view = self._registry.view_of_life(word.replica)
+            if view is not None:
+                views.append(view)
+                if view.said.limit.number > word.number:
+                    newer.append(word_of(view))
+        return self._permit_for(request, views), LimitNotice(newer) if newer else None
+
+    def _permit_for(self, request: PermitRequest, views: list[ReplicaView]) -> PermitReply:
+        """Return a permit for the first of some replicas that there is one for."""
+        key = (request.session, request.number)
+        wait_ms = min(_MOST_WAIT_MS, request.most_wait_ms)
+        ready = []
+        limiter = self._bounds.limiter
+        for view in views:
+            granted = limiter.grant(key, view, most_wait_ms=wait_ms, valid_ms=_VALID_MS)
+            if granted is not None:
+                left_ms = math.ceil(max(0.0, granted.ready_ms - self._clock.monotonic_ms()))
+                return PermitReply(
+                    request.number, request.session, view.life, left_ms, int(_VALID_MS)
+                )
+            in_ms = limiter.ready_in_ms(view)
+            ready.append(ReadyPermit(view.life, -1 if in_ms is None else math.ceil(in_ms)))
+        return PermitReply(request.number, request.session, ready=ready)
+
+    def take_permit_use(self, use: PermitUse) -> None:
+        """Note what became of a permit that another router was granted."""
+        self._bounds.limiter.permits.settle_grant((use.session, use.number), sent=use.sent)
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -4,6 +4,7 @@
 import threading
 import uuid
 from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 from aspengate.allowances import session_name
 from aspengate.clock import Clock
@@ -14,24 +15,30 @@
     MEMBER_PREFIX,
     CeilingNotice,
     CeilingReply,
-    CrashExchange,
     CrashNotice,
     Datagram,
     DatagramPort,
     DomainLeadership,
+    LimitNotice,
     LoanReply,
     LoanRequest,
     Member,
     MemberList,
     MirrorChanges,
+    NoticeExchange,
     PeerApplication,
     PeerClient,
     PeerNews,
     PeerServices,
+    PermitReply,
+    PermitRequest,
+    PermitUse,
     PlacementExchange,
     Placements,
     Repayment,
     RepaymentReply,
+    merge_crashes,
+    merge_limits,
     peer_addresses,
 )
 from aspengate.replicas import ReplicaRegistry
@@ -59,6 +66,10 @@
 # Leaders that were heard within this time, in ms, are told: ten of their beats.
 _LEADER_MS = 3_000.0
 
+# Notices on the limits of replicas are sent so far apart at least, in ms: a replica may name
+# another one in each of its answers.
+_LIMIT_GAP_MS = 200.0
+
 Reply = CeilingReply | LoanReply | RepaymentReply
 
 
@@ -68,8 +79,9 @@
     ``mirrors`` are the parts of the store that peers help each other with, by prefix. A router
     whose store does not answer asks a peer for them; one that hears of a newer change than it
     knows asks the peer that spoke of it. ``services`` is what it does for its peers;
-    ``on_reply`` is called with what other routers answer, ``on_count`` with the number of
-    routers that may be alive, often and as soon as one is heard that was not known.
+    ``on_reply`` is called with what other routers answer, ``on_permit`` with their answers on
+    permits and where these came from, ``on_count`` with the number of routers that may be alive,
+    often and as soon as one is heard that was not known.
 
     One router leads each failure domain (``DomainLeadership``): it follows the store and tells
     the others there of each change; these make no call for it.
@@ -99,6 +111,7 @@
         self.services = services
         self.registry = registry
         self.on_reply: Callable[[Reply], None] = lambda _: None
+        self.on_permit: Callable[[PermitReply, str], None] = lambda _reply, _address: None
         self.server = WsgiServer(
             PeerApplication(mirrors, services), address, _SERVER_THREADS, _SMALL_BODY
         )
@@ -119,7 +132,9 @@
         self.placements = PlacementExchange(
             self.members, self.leadership, counters, self._datagrams.send, services.take_placed
         )
-        self.crashes = CrashExchange(clock, counters, self._datagrams.send, self._addresses)
+        tell = (clock, counters, self._datagrams.send, self._addresses)
+        self.crashes = NoticeExchange("crash-notices", merge_crashes, *tell)
+        self.limits = NoticeExchange("limit-notices", merge_limits, *tell, _LIMIT_GAP_MS)
         self.sharing = MirrorSharing(
             mirrors,
             self.members,
@@ -130,6 +145,7 @@
             tell=self._tell_news,
             addresses=self._addresses,
         )
+        self._handler_of = self._handlers()
         self._probe = StoreProbe(
             store, clock, counters, lambda: self.members.leads and self.reaches_store
         )
@@ -150,6 +166,7 @@
         self._datagrams.start()
         self.placements.start()
         self.crashes.start()
+        self.limits.start()
         for mirror in self.mirrors.values():
             mirror.on_news = self._beat.set
         self.sharing.start()
@@ -167,6 +184,7 @@
         self._tell()
         self.placements.close()
         self.crashes.close()
+        self.limits.close()
         self.members.withdraw(self._store)
         self._datagrams.close()
         self.server.close()
@@ -283,26 +301,32 @@
             return False
         return True
 
+    def _handlers(self) -> dict[type, Callable[[Any, str], None]]:
+        """Return what is done with each kind of message and the address that it came from."""
+        services = self.services
+        return {
+            PeerNews: lambda news, _: self._on_news(news),
+            Placements: lambda placements, _: self.placements.take(placements),
+            MirrorChanges: self.sharing.take,
+            CrashNotice: lambda notice, _: services.take_crashes(notice),
+            LimitNotice: services.take_limits,
+            PermitRequest: self._take_permit_request,
+            PermitReply: lambda reply, address: self.on_permit(reply, address),
+            PermitUse: lambda use, _: services.take_permit_use(use),
+            CeilingNotice: self._witness,
+            LoanRequest: self._take_loan_request,
+            Repayment: self._take_repayment,
+        }
+
     def _on_datagram(self, datagram: Datagram, address: str) -> None:
-        match datagram:
-            case PeerNews():
-                self._on_news(datagram)
-            case Placements():
-                self.placements.take(datagram)
-            case MirrorChanges():
-                self.sharing.take(datagram, address)
-            case CrashNotice():
-                self.services.take_crashes(datagram)
-            case CeilingNotice():
-                self._witness(datagram, address)
-            case LoanRequest():
-                self.services.take_loan_request(
-                    datagram, lambda reply: self._datagrams.send(reply, address)
-                )
-            case Repayment():
-                self._take_repayment(datagram, address)
-            case _:
-                self.on_reply(datagram)
+        handle = self._handler_of.get(type(datagram))
+        if handle is not None:
+            handle(datagram, address)
+        elif isinstance(datagram, Reply):
+            self.on_reply(datagram)
+
+    def _take_loan_request(self, request: LoanRequest, address: str) -> None:
+        self.services.take_loan_request(request, lambda reply: self._datagrams.send(reply, address))
 
     def _witness(self, notice: CeilingNotice, address: str) -> None:
         accepted = notice.witness == self.session and self.services.accept_ceilings(notice)
@@ -313,6 +337,12 @@
         if payment.lender == self.session and self.services.take_repayment(payment):
             self._datagrams.send(RepaymentReply(payment.number, payment.session), address)
 
+    def _take_permit_request(self, request: PermitRequest, address: str) -> None:
+        reply, newer = self.services.take_permit_request(request)
+        if newer is not None:
+            self._datagrams.send(newer, address)
+        self._datagrams.send(reply, address)
+
     def _on_news(self, news: PeerNews) -> None:
         was_away = not self.members.is_heard(news.member.name)
         is_new = self.members.heard(
@@ -326,9 +356,12 @@
             self._on_count(self.members.count)
             if self.members.leads:
                 self._datagrams.send(self._news(), news.member.address)
-        if was_away and (notice := self.services.known_crashes()):
-            # What a router was told while it was cut off, or before it started, it does not know.
-            self._datagrams.send(notice, news.member.address)
+        if was_away:
+            # What others were told while a router was cut off, or before it started, it does not
+            # know.
+            for notice in (self.services.known_crashes(), self.services.known_limits()):
+                if notice is not None:
+                    self._datagrams.send(notice, news.member.address)
         is_near = news.member.failure_domain == self.members.own.failure_domain
         is_other = self.leadership.leader != news.member
         if is_near and news.leads and (is_other or not news.reaches_store):
--- a/src/aspengate/losses/_reasons.py
+++ b/src/aspengate/losses/_reasons.py
@@ -15,6 +15,7 @@
     LOAD = "refused: replicas are full or away"
     WARMING_UP = "refused: replicas may be cold"
     RESTING = "refused: all replicas asked for rest"
+    AT_LIMIT = "refused: all replicas have got what their limits allow"
     CRASHES = "refused: replicas ended under this request"
     LEAVING = "refused: the router is being stopped"
     NOT_ALLOWED = "refused: no route, key or configuration"
@@ -35,6 +36,7 @@
     ErrorKind.RATE_LIMITED.value: Loss.LOAD,
     ErrorKind.WARMING_UP.value: Loss.WARMING_UP,
     ErrorKind.RESTING.value: Loss.RESTING,
+    ErrorKind.AT_LIMIT.value: Loss.AT_LIMIT,
     ErrorKind.SUSPECTED.value: Loss.CRASHES,
     ErrorKind.QUARANTINED.value: Loss.CRASHES,
     ErrorKind.LEAVING.value: Loss.LEAVING,
--- a/src/aspengate/peers/__init__.py
+++ b/src/aspengate/peers/__init__.py
@@ -1,6 +1,5 @@
 """The other routers: who they are, that they live, and what they know of the store."""
 
-from aspengate.peers._crashes import CrashExchange
 from aspengate.peers._datagrams import DatagramPort
 from aspengate.peers._exchange import PeerApplication, PeerClient, PeerServices
 from aspengate.peers._leadership import DomainLeadership
@@ -12,17 +11,24 @@
     ChangedItem,
     CrashNotice,
     Datagram,
+    LimitNotice,
+    LimitWord,
     LoanReply,
     LoanRequest,
     LostRun,
     MirrorChanges,
     PeerNews,
+    PermitReply,
+    PermitRequest,
+    PermitUse,
     PlacedRequest,
     Placements,
     PlacementScope,
+    ReadyPermit,
     Repayment,
     RepaymentReply,
 )
+from aspengate.peers._notices import NoticeExchange, merge_crashes, merge_limits
 from aspengate.peers._placements import PlacementExchange, PlacementSink
 
 __all__ = [
@@ -31,27 +37,35 @@
     "CeilingNotice",
     "CeilingReply",
     "ChangedItem",
-    "CrashExchange",
     "CrashNotice",
     "Datagram",
     "DatagramPort",
     "DomainLeadership",
+    "LimitNotice",
+    "LimitWord",
     "LoanReply",
     "LoanRequest",
     "LostRun",
     "Member",
     "MemberList",
     "MirrorChanges",
+    "NoticeExchange",
     "PeerApplication",
     "PeerClient",
     "PeerNews",
     "PeerServices",
+    "PermitReply",
+    "PermitRequest",
+    "PermitUse",
     "PlacedRequest",
     "PlacementExchange",
     "PlacementScope",
     "PlacementSink",
     "Placements",
+    "ReadyPermit",
     "Repayment",
     "RepaymentReply",
+    "merge_crashes",
+    "merge_limits",
     "peer_addresses",
 ]
--- a/src/aspengate/peers/_exchange.py
+++ b/src/aspengate/peers/_exchange.py
@@ -13,8 +13,12 @@
 from aspengate.peers._messages import (
     CeilingNotice,
     CrashNotice,
+    LimitNotice,
     LoanReply,
     LoanRequest,
+    PermitReply,
+    PermitRequest,
+    PermitUse,
     PlacedRequest,
     Repayment,
 )
@@ -78,6 +82,18 @@
     def known_crashes(self) -> CrashNotice | None:
         """Return what a router that has just started is to know of such requests, if anything."""
 
+    def take_limits(self, notice: LimitNotice, told_by: str) -> None:
+        """Note what another router knows of the limits that replicas name."""
+
+    def known_limits(self) -> LimitNotice | None:
+        """Return what a router that has just started is to know of limits, if anything."""
+
+    def take_permit_request(self, request: PermitRequest) -> tuple[PermitReply, LimitNotice | None]:
+        """Grant another router a permit, if there is one; return what it has to know besides."""
+
+    def take_permit_use(self, use: PermitUse) -> None:
+        """Note what became of a permit that another router was granted."""
+
 
 class PeerApplication:
     """A WSGI application that answers other routers.
--- a/src/aspengate/peers/_members.py
+++ b/src/aspengate/peers/_members.py
@@ -175,6 +175,12 @@
         with self._lock:
             return list(self._members)
 
+    def address_of(self, name: str) -> str:
+        """Return where a router is reached; empty where it is not known."""
+        with self._lock:
+            member = self._members.get(name)
+        return member.address if member else ""
+
     def in_domain(self) -> list[Member]:
         """Return the other routers of this router's failure domain, heard of or only listed."""
         with self._lock:
--- a/src/aspengate/peers/_messages.py
+++ b/src/aspengate/peers/_messages.py
@@ -92,6 +92,66 @@
     cleared: list[str] = []
 
 
+class LimitWord(msgspec.Struct, frozen=True, array_like=True):
+    """What a start of a replica, ``replica``, says of its limit, under the number of that word.
+
+    It takes ``per_second`` requests from all routers together, None for as many as come.
+    """
+
+    replica: str
+    number: int
+    per_second: float | None = None
+
+
+class LimitNotice(msgspec.Struct, frozen=True, tag="limits"):
+    """What a router knows of the limits that replicas name in their answers."""
+
+    words: list[LimitWord] = []
+
+
+class PermitRequest(msgspec.Struct, frozen=True, tag="permit"):
+    """A session asks for a permit to send one request to any one of some limited replicas.
+
+    ``words`` is what it knows of their limits, those that it prefers first. The permit may be ready
+    ``most_wait_ms`` later.
+    """
+
+    number: int
+    session: str
+    words: list[LimitWord]
+    most_wait_ms: int = 0
+
+
+class ReadyPermit(msgspec.Struct, frozen=True, array_like=True):
+    """In how many ms the next permit for a start of a replica is ready; -1 for not known."""
+
+    replica: str
+    ready_ms: int
+
+
+class PermitReply(msgspec.Struct, frozen=True, tag="permit-reply"):
+    """The answer to the permit request ``number``: a permit for ``replica``, empty for none.
+
+    It is ready after ``wait_ms``, and lapses ``valid_ms`` later. ``ready`` tells of the replicas
+    for which there is none.
+    """
+
+    number: int
+    session: str
+    replica: str = ""
+    wait_ms: int = 0
+    valid_ms: int = 0
+    ready: list[ReadyPermit] = []
+
+
+class PermitUse(msgspec.Struct, frozen=True, tag="permit-use"):
+    """What became of the permit of the request ``number``: whether its request was sent."""
+
+    number: int
+    session: str
+    sent: bool
+
+
 class CeilingNotice(msgspec.Struct, frozen=True, tag="ceilings"):
     """A session tells its witness the most that it will use, in tokens by account.
 
@@ -172,6 +232,10 @@
     | MirrorChanges
     | Placements
     | CrashNotice
+    | LimitNotice
+    | PermitRequest
+    | PermitReply
+    | PermitUse
     | CeilingNotice
     | CeilingReply
     | LoanRequest
--- a/src/aspengate/replicas/__init__.py
+++ b/src/aspengate/replicas/__init__.py
@@ -8,6 +8,7 @@
     ReplicaChooser,
 )
 from aspengate.replicas._evacuation import Evacuation
+from aspengate.replicas._limit import LimitStatement
 from aspengate.replicas._parts import PartMemory
 from aspengate.replicas._pauses import PauseModel
 from aspengate.replicas._reading import ReadingModel
@@ -22,6 +23,7 @@
     "Candidate",
     "ChoicePolicy",
     "Evacuation",
+    "LimitStatement",
     "PartMemory",
     "PauseModel",
     "PromptShape",
--- a/src/aspengate/replicas/_registry.py
+++ b/src/aspengate/replicas/_registry.py
@@ -3,9 +3,11 @@
 import threading
 from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Callable, Collection, Iterable
+from dataclasses import replace
 
 from aspengate.clock import Clock
 from aspengate.replicas._evacuation import Evacuation
+from aspengate.replicas._limit import LimitStatement
 from aspengate.replicas._replica import Replica
 from aspengate.replicas._standing import Standing, standing_of
 from aspengate.replicas._statement import ReplicaNotice, SelfStatement
@@ -20,16 +22,29 @@
 _MOST_UNLISTED = 1_024
 
 
+OnLimit = Callable[[str, LimitStatement], None]
+
+
 class ReplicaRegistry:
     """All replicas that are listed; ``on_gone`` is called with the view of each start that ended.
 
+    ``on_limit`` is called with the name of a start, and what it says of its limit, where an answer
+    that this router got tells something new. While ``limited`` is False no listed replica is held
+    to a limit.
+
     One that starts again under its id is another one: it knows nothing of before, and nothing that
     was learnt of the earlier start holds for it. A record may lapse while its replica lives: what
     that one said of itself in its answers holds on when the record is back.
     """
 
-    def __init__(self, clock: Clock, on_gone: Callable[[ReplicaView], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        on_gone: Callable[[ReplicaView], None],
+        on_limit: OnLimit = lambda _life, _limit: None,
+    ) -> None:
         self.clock = clock
+        self.limited = False
         self.revision = 0
         self._views: dict[str, ReplicaView] = {}
         self._lives: dict[str, ReplicaView] = {}
@@ -38,11 +53,13 @@
         self._unlisted: OrderedDict[str, ReplicaView] = OrderedDict()
         self._evacuated: dict[str, float] = {}
         self._on_gone = on_gone
+        self._on_limit = on_limit
         self._lock = threading.Lock()
 
     def update(self, replicas: Iterable[Replica], revision: int = 0) -> None:
         """Take over the list of replicas as of the store's ``revision``."""
         listed = {replica.identity: replica for replica in replicas}
+        now = self.clock.monotonic_ms()
         with self._lock:
             self.revision = revision
             gone = [self._views.pop(each) for each in set(self._views) - set(listed)]
@@ -51,6 +68,8 @@
             ended = [view for each in listed.values() if (view := self._take(each)) is not None]
             self._lives = {view.life: view for view in self._views.values()}
             self._services = _by_service(self._views.values())
+            views = self._views.values()
+            self.limited = any(view.said.limit.rate_at(now) is not None for view in views)
         for view in gone:
             log_change("replica.gone", replica=view.identity, revision=revision)
         for view in (*gone, *ended):
@@ -101,6 +120,7 @@
         return {
             "replicas_leaving": found[Standing.LEAVING],
             "replicas_resting": found[Standing.RESTING],
+            "replicas_limited": sum(view.said.limit.is_in_force for view in views),
         }
 
     def rest_left_ms(self, service: str) -> float:
@@ -142,13 +162,19 @@
             view.replaced_until_ms = now + _REPLACED_MS
         log_change("replica.replaced", replica=life, told_by=told_by)
 
-    def note_said(self, view: ReplicaView, notice: ReplicaNotice) -> None:
-        """Take what a start of a replica says of itself in an answer."""
+    def note_said(
+        self, view: ReplicaView, notice: ReplicaNotice, asked_ms: float = float("inf")
+    ) -> None:
+        """Take what a start of a replica says of itself in an answer.
+
+        The request that it answers was sent at ``asked_ms``, in monotonic time.
+        """
         now = self.clock.monotonic_ms()
         with self._lock:
-            before, view.said = view.said, view.said.with_notice(notice, now)
+            before, view.said = view.said, view.said.with_notice(notice, asked_ms, now)
             if view.identity not in self._views:
                 self._keep_unlisted(view)
+            self.limited = self.limited or bool(view.said.limit.number)
         if view.said.is_leaving and not before.is_leaving:
             log_change(
                 "replica.leaving",
@@ -166,15 +192,35 @@
                 asked_ms=round(notice.rest_ms),
                 rest_ms=round(view.said.rest_until_ms - now),
             )
-        if view.said.limit != before.limit:
-            log_change(
-                "replica.limited",
-                replica=view.identity,
-                start=view.life,
-                service=view.replica.service,
-                per_second=view.said.limit,
-                before=before.limit,
-            )
+        if notice.unreadable and not view.told_unreadable:
+            view.told_unreadable = True
+            log_change("replica.limit_unreadable", replica=view.identity, named=notice.unreadable)
+        if view.said.limit.number != before.limit.number:
+            _tell_limit(view)
+            self._on_limit(view.life, view.said.limit)
+
+    def note_limit_told(
+        self, life: str, number: int, per_second: float | None, told_by: str = ""
+    ) -> None:
+        """Take what another router tells of the limit of a start of a listed replica."""
+        now = self.clock.monotonic_ms()
+        with self._lock:
+            view = self._lives.get(life)
+            if view is None:
+                return
+            before = view.said
+            limit = before.limit.with_told(number, per_second, now)
+            view.said = replace(before, limit=limit)
+            self.limited = self.limited or bool(limit.number)
+        if limit.per_second != before.limit.per_second:
+            _tell_limit(view, told_by)
+
+    def limits(self, most: int) -> dict[str, LimitStatement]:
+        """Return what starts of listed replicas have ever said of limits, the newest ``most``."""
+        with self._lock:
+            found = [view for view in self._views.values() if view.said.limit.number]
+        found.sort(key=lambda view: view.said.limit.known_ms, reverse=True)
+        return {view.life: view.said.limit for view in found[:most]}
 
     def replaced(self) -> list[str]:
         """Return the starts of listed replicas that are left out: another one answers there."""
@@ -245,6 +291,20 @@
             log_change("replica.cold", replica=view.identity, cold_ms=round(view.replica.cold_ms))
 
 
+def _tell_limit(view: ReplicaView, told_by: str = "") -> None:
+    limit = view.said.limit
+    log_change(
+        "replica.limited" if limit.is_in_force else "replica.limit_ended",
+        replica=view.identity,
+        start=view.life,
+        service=view.replica.service,
+        per_second=limit.per_second,
+        before=limit.before,
+        number=limit.number,
+        told_by=told_by,
+    )
+
+
 def _by_service(views: Iterable[ReplicaView]) -> dict[str, tuple[ReplicaView, ...]]:
     found: defaultdict[str, list[ReplicaView]] = defaultdict(list)
     for view in views:
--- a/src/aspengate/replicas/_statement.py
+++ b/src/aspengate/replicas/_statement.py
@@ -1,6 +1,8 @@
 """What one start of a replica has said of itself in its answers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from aspengate.replicas._limit import LimitStatement
 
 # The longest rest that is granted at once, in ms: a replica that asks for 1e9 s by a fault of its
 # own is asked again after ten minutes, and not out of use until it starts anew. A choice.
@@ -13,17 +15,19 @@
 
     ``leaving`` tells that it is going to end; ``rest_ms`` is for how long it wants no request from
     this router, 0 where it does not say. ``limit`` is how many requests a second it takes from all
-    routers together, None where it names no limit.
+    routers together, None where it names no limit; ``unreadable`` is what it named instead of one,
+    which says nothing.
     """
 
     leaving: bool = False
     rest_ms: float = 0.0
     limit: float | None = None
+    unreadable: str = ""
 
     @property
     def says_anything(self) -> bool:
         """Whether the answer says more than that it is one."""
-        return self.leaving or self.rest_ms > 0 or self.limit is not None
+        return bool(self.leaving or self.rest_ms > 0 or self.limit is not None or self.unreadable)
 
 
 @dataclass(frozen=True)
@@ -31,25 +35,32 @@
     """All that one start of a replica has said of itself, in the clock's monotonic time.
 
     ``leaving_ms`` is when it said first that it leaves, None where it has not. It wants nothing
-    before ``rest_until_ms``. ``limit`` is the one that its last answer named.
+    before ``rest_until_ms``. ``limit`` is what it takes from all routers together: unlike the other
+    two it holds for no longer than the replica says so.
     """
 
     leaving_ms: float | None = None
     rest_until_ms: float = float("-inf")
-    limit: float | None = None
+    limit: LimitStatement = field(default_factory=LimitStatement)
 
     @property
     def is_leaving(self) -> bool:
         """Whether it leaves: only another start takes that back."""
         return self.leaving_ms is not None
 
-    def with_notice(self, notice: ReplicaNotice, now_ms: float) -> "SelfStatement":
-        """Return the statement with one more answer, which never takes back an earlier one."""
+    def with_notice(self, notice: ReplicaNotice, asked_ms: float, now_ms: float) -> "SelfStatement":
+        """Return the statement with an answer to a request that was sent at ``asked_ms``.
+
+        It never takes back that the replica leaves, nor a rest.
+        """
         leaving_ms = self.leaving_ms
         if notice.leaving and leaving_ms is None:
             leaving_ms = now_ms
         rest_until_ms = self.rest_until_ms
         if notice.rest_ms > 0:
-            asked_ms = min(notice.rest_ms, LONGEST_REST_MS)
-            rest_until_ms = max(rest_until_ms, now_ms + asked_ms)
-        return SelfStatement(leaving_ms, rest_until_ms, notice.limit)
+            rest_ms = min(notice.rest_ms, LONGEST_REST_MS)
+            rest_until_ms = max(rest_until_ms, now_ms + rest_ms)
+        limit = self.limit
+        if not notice.unreadable:
+            limit = limit.with_answer(notice.limit, asked_ms, now_ms)
+        return SelfStatement(leaving_ms, rest_until_ms, limit)
--- a/src/aspengate/replicas/_view.py
+++ b/src/aspengate/replicas/_view.py
@@ -78,7 +78,8 @@
     it is not known. ``answer_ms`` is how long whole answers usually take. Until
     ``replaced_until_ms``, in monotonic time, it gets no request: another replica answers there.
     By its own word it is cold until ``cold_until_ms``; it may be cold from ``returned_ms`` on, when
-    its failure domain's evacuation ended. ``said`` is what it has said of itself in answers.
+    its failure domain's evacuation ended. ``said`` is what it has said of itself in answers, and
+    ``told_unreadable`` whether a line tells of something there that can't be read.
     """
 
     def __init__(self, replica: Replica, starts: int = 0) -> None:
@@ -93,6 +94,7 @@
         self.cold_until_ms = float("-inf")
         self.returned_ms = float("-inf")
         self.said = SelfStatement()
+        self.told_unreadable = False
         self._failure_rate = 0.0
         self._failed_ms = 0.0
         self._late_part = 0.0
