Where all replicas name limits, try the cheapest first, spaced, and spare permits for first sends

Cause, by reading and on the project's own engine model: a request took any permit that it found first, its own or at the router that holds most. So prompts were read where none of their shared parts was held, and all permits of a replica were used at one moment. And a second send for a slow answer took a permit from a first one.

Change: candidates in order of cost; for each the router's own permit, then a question to its holder, four questions at most. Permits of one router are half of the mean time between them apart. A second send to spare goes only to replicas without a limit.

Why it holds: the bound is untouched, only who uses it. Where another replica is open nothing changes.

--- a/src/aspengate/fleet_permits/_bound.py
+++ b/src/aspengate/fleet_permits/_bound.py
@@ -10,16 +10,23 @@
 _LEAST_PERMITS = 2
 _SHORTEST_MS = 1_000.0
 _LONGEST_MS = 4_000.0
+# Two requests of one router are this part of the mean time between permits apart: prompts that
+# begin together hold each other up, and the streams that run beside them.
+_SPACING = 0.5
 # Rounding of a rate times a time must not add a permit.
 _ROUNDING = 1e-9
 
 
 @dataclass(frozen=True)
 class WindowBound:
-    """At most ``permits`` requests in any ``window_ms``."""
+    """At most ``permits`` requests in any ``window_ms``.
+
+    Those of one router are ``spacing_ms`` apart at least.
+    """
 
     permits: int
     window_ms: float
+    spacing_ms: float = 0.0
 
     @classmethod
     def of_rate(cls, per_second: float) -> "WindowBound":
@@ -31,4 +38,4 @@
         usual_ms = _USUAL_PERMITS * 1_000 / per_second
         window_ms = min(_LONGEST_MS, max(_SHORTEST_MS, usual_ms))
         permits = max(_LEAST_PERMITS, math.ceil(per_second * window_ms / 1_000 - _ROUNDING))
-        return cls(permits, permits * 1_000 / per_second)
+        return cls(permits, permits * 1_000 / per_second, _SPACING * 1_000 / per_second)
--- a/src/aspengate/fleet_permits/_permits.py
+++ b/src/aspengate/fleet_permits/_permits.py
@@ -91,7 +91,7 @@
             ready_ms = self._ready_ms(subject, bound, now, allowed)
             if ready_ms is None or ready_ms - now > most_wait_ms:
                 return None
-            self._usage[subject].taken += 1
+            self._usage[subject].take(ready_ms)
         return Permit(lambda sent: self._settle(subject, sent=sent), ready_ms=ready_ms)
 
     def grant(
@@ -113,7 +113,7 @@
             ready_ms = self._ready_ms(subject, bound, now, self.part(subject, bound))
             if ready_ms is None or ready_ms - now > most_wait_ms or key in self._grants:
                 return None
-            self._usage[subject].taken += 1
+            self._usage[subject].take(ready_ms)
             made = self._grants[key] = Grant(subject, ready_ms, ready_ms + valid_ms)
         return made
 
@@ -156,7 +156,7 @@
         self, subject: str, bound: WindowBound, now_ms: float, part: float
     ) -> float | None:
         """Return when one more may be used; call it with the lock held."""
-        return self._current(subject, bound, now_ms).ready_ms(part, bound.window_ms, now_ms)
+        return self._current(subject, bound, now_ms).ready_ms(part, bound, now_ms)
 
     def _current(self, subject: str, bound: WindowBound, now_ms: float) -> Usage:
         """Return what counts of a subject; call it with the lock held."""
--- a/src/aspengate/fleet_permits/_usage.py
+++ b/src/aspengate/fleet_permits/_usage.py
@@ -3,6 +3,8 @@
 import bisect
 from dataclasses import dataclass, field
 
+from aspengate.fleet_permits._bound import WindowBound
+
 # What was used is kept for so long at least, in ms: a bound that becomes narrower has a longer
 # window than the one that held before.
 _KEPT_MS = 4_000.0
@@ -13,11 +15,13 @@
     """Permits that are taken, and the times in monotonic ms at which others were used, in order.
 
     ``window_ms`` is the longest window that was asked for; what was used within it is kept.
+    ``last_ready_ms`` is from when the one that was taken last may be used.
     """
 
     taken: int = 0
     used_ms: list[float] = field(default_factory=list)
     window_ms: float = _KEPT_MS
+    last_ready_ms: float = float("-inf")
 
     def note_used(self, at_ms: float) -> None:
         """Count one that was taken as used at a time."""
@@ -32,18 +36,24 @@
         """Return how many count that are taken, or were used since a time."""
         return self.taken + len(self.used_ms) - bisect.bisect_left(self.used_ms, oldest_ms)
 
-    def ready_ms(self, part: float, window_ms: float, now_ms: float) -> float | None:
+    def ready_ms(self, part: float, bound: WindowBound, now_ms: float) -> float | None:
         """Return when one more may be used where ``part`` count in any window at most.
 
         None where that is not known: it takes one of those that are taken.
         """
-        first = bisect.bisect_left(self.used_ms, now_ms - window_ms)
-        beyond = self.counted(now_ms - window_ms) - part
+        first = bisect.bisect_left(self.used_ms, now_ms - bound.window_ms)
+        beyond = self.counted(now_ms - bound.window_ms) - part
+        spaced_ms = max(now_ms, self.last_ready_ms + bound.spacing_ms)
         if beyond < 0:
-            return now_ms
+            return spaced_ms
         if part <= 0 or first + beyond >= len(self.used_ms):
             return None
-        return self.used_ms[first + int(beyond)] + window_ms
+        return max(spaced_ms, self.used_ms[first + int(beyond)] + bound.window_ms)
+
+    def take(self, ready_ms: float) -> None:
+        """Take one that may be used from a time on."""
+        self.taken += 1
+        self.last_ready_ms = ready_ms
 
     @property
     def is_empty(self) -> bool:
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -13,6 +13,7 @@
 from aspengate.gateway._attempt import AttemptParts
 from aspengate.gateway._crash_guard import CrashGuard
 from aspengate.gateway._dispatcher import Dispatcher
+from aspengate.gateway._limited_choice import LimitedChoice
 from aspengate.gateway._peer_services import GatewayPeerServices
 from aspengate.gateway._peering import Peering, Reply
 from aspengate.gateway._permit_asker import PermitAsker
@@ -382,7 +383,9 @@
                 ReplicaSelection(
                     self.registry,
                     self.bounds,
-                    self._make_asker(),
+                    LimitedChoice(
+                        self.bounds, self._make_asker(), chooser, self.clock, self.counters
+                    ),
                     chooser,
                     self.clock,
                     self.counters,
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -119,7 +119,8 @@
         self._await_permit(permit, exchange)
 
         def may_repeat() -> bool:
-            return self._may_repeat(exchange, progress, attempts=progress.attempts + 1)
+            attempts = progress.attempts + 1
+            return self._may_repeat(exchange, progress, attempts=attempts, to_spare=True)
 
         patience = Patience(exchange.known_route, candidate, self.parts.clock, may_repeat)
         replica_run = self.crashes.run_of(candidate.view.life)
@@ -261,10 +262,13 @@
             return False
         return self._may_repeat(exchange, progress, attempts=progress.attempts)
 
-    def _may_repeat(self, exchange: Exchange, progress: Progress, *, attempts: int) -> bool:
+    def _may_repeat(
+        self, exchange: Exchange, progress: Progress, *, attempts: int, to_spare: bool = False
+    ) -> bool:
         """Take one more attempt from the route's bound and the retry budget, if there is one.
 
-        ``attempts`` counts those that were sent, with the one in hand.
+        ``attempts`` counts those that were sent, with the one in hand. ``to_spare`` tells that this
+        one has not failed.
         """
         if attempts >= exchange.known_route.max_attempts:
             return False
@@ -272,7 +276,7 @@
         # The replica of the attempt in hand is not another one: a slow answer or a failure of the
         # only replica is passed on, and not replaced by an error of this router.
         tried = progress.excluded | {attempt.view.identity for attempt in progress.made}
-        if not self.selection.open(service, tried):
+        if not self.selection.open(service, tried, to_spare=to_spare):
             return False
         decision = self.retries.take(exchange.known_service.name)
         progress.repeats.append(decision)
--- a/src/aspengate/gateway/_permit_asker.py
+++ b/src/aspengate/gateway/_permit_asker.py
@@ -8,15 +8,12 @@
 from aspengate.clock import Clock
 from aspengate.fleet_permits import Permit
 from aspengate.peers import Datagram, LimitWord, PermitReply, PermitRequest, PermitUse
-from aspengate.replica_limits import Asked, PermitHolders
+from aspengate.replica_limits import PermitHolders
 from aspengate.replicas import ReplicaView
 from aspengate.telemetry import Counters
 
 # The longest wait for an answer, in ms: some round trips between regions.
 _ANSWER_MS = 100.0
-# So many routers are asked for one request. Each takes a round trip; those that had no permit are
-# not asked again before one is ready, so that later requests ask others.
-_MOST_ASKED = 4
 # So many replicas fit into a question beside the rest.
 _MOST_WORDS = 100
 
@@ -65,18 +62,6 @@
         self._questions: dict[int, _Question] = {}
         self._lock = threading.Lock()
 
-    def ask(self, views: Sequence[ReplicaView], most_wait_ms: float) -> GrantedPermit | None:
-        """Return a permit for one of the limited replicas ``views``; None where nobody has one.
-
-        It is ready within ``most_wait_ms``. The caller waits for it some ms, and as long as some
-        timeouts where routers do not answer.
-        """
-        for asked in self.holders.to_ask(views)[:_MOST_ASKED]:
-            granted = self._ask_one(asked, most_wait_ms)
-            if granted is not None:
-                return granted
-        return None
-
     def take_reply(self, reply: PermitReply, address: str) -> None:
         """Take another router's answer; a permit that nobody waits for goes back."""
         with self._lock:
@@ -88,16 +73,23 @@
             self._counters.count("permits.too_late")
             self._send(PermitUse(reply.number, self._session(), sent=False), address)
 
-    def _ask_one(self, asked: Asked, most_wait_ms: float) -> GrantedPermit | None:
-        address = self._address_of(asked.router)
+    def ask(
+        self, router: str, wanted: Sequence[ReplicaView], most_wait_ms: float
+    ) -> GrantedPermit | None:
+        """Ask a router for a permit for one of the limited replicas ``wanted``; None for none.
+
+        It is ready within ``most_wait_ms``. The answer takes some ms, or a timeout where the router
+        does not answer.
+        """
+        address = self._address_of(router)
         if not address:
-            self.holders.note_silent(asked.router)
+            self.holders.note_silent(router)
             return None
         number = next(self._numbers)
         question = _Question(self._clock.monotonic_ms())
         with self._lock:
             self._questions[number] = question
-        views = {view.life: view for view in asked.views[:_MOST_WORDS]}
+        views = {view.life: view for view in wanted[:_MOST_WORDS]}
         words = [word_of(view) for view in views.values()]
         self._counters.count("permits.asked")
         self._send(PermitRequest(number, self._session(), words, int(most_wait_ms)), address)
@@ -107,14 +99,14 @@
         reply = question.reply
         if reply is None:
             self._counters.count("permits.unanswered")
-            self.holders.note_silent(asked.router)
+            self.holders.note_silent(router)
             return None
         ready = {
             views[each.replica].identity: float(each.ready_ms)
             for each in reply.ready
             if each.replica in views
         }
-        self.holders.note_answer(asked.router, ready)
+        self.holders.note_answer(router, ready)
         return self._granted(reply, views, question, address)
 
     def _granted(
--- a/src/aspengate/gateway/_selection.py
+++ b/src/aspengate/gateway/_selection.py
@@ -8,10 +8,9 @@
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.fleet_permits import Permit
 from aspengate.gateway._exchange import Exchange
-from aspengate.gateway._permit_asker import PermitAsker
+from aspengate.gateway._limited_choice import LimitedChoice
 from aspengate.gateway._replica_bounds import ReplicaBounds
 from aspengate.peers import PlacedRequest, PlacementSink
-from aspengate.replica_limits import CallerReturns
 from aspengate.replicas import (
     Candidate,
     PromptShape,
@@ -25,18 +24,13 @@
 # Callers that are refused while all replicas rest come back over a quarter of that time after its
 # end, and not all at once.
 _REST_SPREAD = 1.25
-# A request waits for a permit for this part of what is left of its objective at most: the rest is
-# for the replica, so that it is in time yet.
-_WAIT_PART = 0.5
-# What replicas whose limits have just ended are taken to bear, in requests a second.
-_LEAST_PER_SECOND = 0.05
 
 
 class ReplicaSelection:
     """Chooses the cheapest replica of those that may get one more request.
 
     ``registry`` knows which may get any, ``bounds`` how many a cold one and one that names a limit
-    may get, ``asker`` gets permits of other routers, ``chooser`` knows what each replica would
+    may get, ``limited`` chooses where all name limits, ``chooser`` knows what each replica would
     cost; other routers are told of what was chosen by ``placements``.
     """
 
@@ -44,7 +38,7 @@
         self,
         registry: ReplicaRegistry,
         bounds: ReplicaBounds,
-        asker: PermitAsker,
+        limited: LimitedChoice,
         chooser: ReplicaChooser,
         clock: Clock,
         counters: Counters,
@@ -52,19 +46,22 @@
     ) -> None:
         self.registry = registry
         self.bounds = bounds
-        self.asker = asker
+        self.limited = limited
         self.chooser = chooser
         self.clock = clock
         self.counters = counters
         self.placements = placements
-        self.returns = CallerReturns(clock)
 
-    def open(self, service: Service, excluded: Collection[str]) -> list[ReplicaView]:
+    def open(
+        self, service: Service, excluded: Collection[str], *, to_spare: bool = False
+    ) -> list[ReplicaView]:
         """Return the replicas of a service that may get one more request now.
 
-        Permits of other routers are not asked for: a repeat is not planned on them.
+        Permits of other routers are not asked for: a repeat is not planned on them. ``to_spare``
+        leaves out replicas that name limits: what a second send takes there, others do not get.
         """
-        return self.bounds.open(self.registry.ready(service.name, excluded), service)
+        views = self.bounds.open(self.registry.ready(service.name, excluded), service)
+        return self.bounds.limiter.unlimited(views) if to_spare else views
 
     def choose(self, exchange: Exchange, excluded: Collection[str]) -> tuple[Candidate, Permit]:
         """Return the best replica for a request, and the permission to send it there.
@@ -78,7 +75,8 @@
         prompt = _prompt_shape(exchange)
         chosen = self._choose_open(ready, prompt, service)
         if chosen is None:
-            chosen = self._choose_limited(ready, prompt, exchange)
+            limited = self.bounds.limited(ready, service)
+            chosen = self.limited.choose(limited, prompt, exchange)
         if chosen is None:
             raise self._none_open(ready, exchange)
         candidate, permit = chosen
@@ -110,76 +108,24 @@
         """Return the best replica of those that may get one more request now, and its permit."""
         views = self.bounds.open(ready, service)
         while views:
-            candidate = self._cheapest(views, prompt)
+            now = self.clock.monotonic_ms()
+            candidate = self.chooser.choose(views, prompt, random.random(), now)
             permit = self.bounds.take(candidate.view, service)
             if permit is not None:
                 return candidate, permit
             views.remove(candidate.view)
         return None
 
-    def _choose_limited(
-        self, ready: list[ReplicaView], prompt: PromptShape, exchange: Exchange
-    ) -> tuple[Candidate, Permit] | None:
-        """Return a limited replica for which another router has a permit, or this one soon has."""
-        service = exchange.known_service
-        views = self.bounds.limited(ready, service)
-        if not views:
-            return None
-        wait_ms = self._most_wait_ms(exchange)
-        granted = self.asker.ask(views, wait_ms)
-        if granted is not None:
-            permit = self.bounds.join(granted.view, service, granted.permit)
-            if permit is not None:
-                return self._cheapest([granted.view], prompt), permit
-        # The answers may have told that a replica names no limit any more.
-        for view in views:
-            permit = self.bounds.take(view, service, wait_ms)
-            if permit is not None:
-                return self._cheapest([view], prompt), permit
-        return None
-
-    def _most_wait_ms(self, exchange: Exchange) -> float:
-        """Return how long a request may wait for a permit and be answered in time yet."""
-        now = self.clock.monotonic_ms()
-        objective_ms = exchange.request.received_ms + exchange.known_route.objective_ms
-        left_ms = min(objective_ms - now, exchange.waiter.remaining_ms)
-        return max(0.0, _WAIT_PART * left_ms)
-
-    def _cheapest(self, views: list[ReplicaView], prompt: PromptShape) -> Candidate:
-        now = self.clock.monotonic_ms()
-        return self.chooser.choose(views, prompt, random.random(), now)
-
     def _none_open(self, ready: list[ReplicaView], exchange: Exchange) -> AspengateError:
         """Return the refusal of a request for which there are replicas but no permit."""
         limited = self.bounds.limiter.limited(ready)
         if limited:
-            return self._at_limit(limited, len(ready), exchange)
+            return self.limited.refusal(limited, len(ready), exchange)
         self.counters.count("gateway.warming_up")
         reason = "every replica may be cold and has its share"
         where = exchange.known_service.name
         return AspengateError(ErrorKind.WARMING_UP, reason, where=where)
 
-    def _at_limit(
-        self, limited: list[ReplicaView], ready: int, exchange: Exchange
-    ) -> AspengateError:
-        """Return the refusal where replicas have got what their limits allow."""
-        self.counters.count("gateway.at_limit")
-        now = self.clock.monotonic_ms()
-        service = exchange.known_service.name
-        per_second = sum(view.said.limit.rate_at(now) or 0.0 for view in limited)
-        per_second = max(per_second, _LEAST_PER_SECOND)
-        waits = [self.bounds.limiter.ready_in_ms(view) for view in limited]
-        waits += [self.asker.holders.ready_in_ms(view) for view in limited]
-        ready_ms = min((each for each in waits if each is not None), default=1_000 / per_second)
-        own_per_second = per_second / self.bounds.shares.count
-        back_ms = self.returns.back_in_ms(exchange.content, service, ready_ms, own_per_second)
-        reason = (
-            f"no permit: {len(limited)} of {ready} replicas name limits, {per_second:g} requests "
-            f"a second together; the next permit in {ready_ms:.0f} ms"
-        )
-        back_s = back_ms / 1_000
-        return AspengateError(ErrorKind.AT_LIMIT, reason, where=service, retry_after_s=back_s)
-
 
 def _prompt_shape(exchange: Exchange) -> PromptShape:
     """Return the request's prompt; its last part belongs to the request or its session."""
--- a/src/aspengate/replica_limits/_holders.py
+++ b/src/aspengate/replica_limits/_holders.py
@@ -1,10 +1,8 @@
 """Which router is asked for a permit, and which is not asked again yet."""
 
-import random
 import threading
-from collections import OrderedDict, defaultdict
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections import OrderedDict
+from collections.abc import Mapping
 
 from aspengate.clock import Clock
 from aspengate.fleet_permits import RouterShares
@@ -18,14 +16,6 @@
 _MOST_REMEMBERED = 10_000
 
 
-@dataclass(frozen=True)
-class Asked:
-    """A router that holds permits, and the replicas to ask it for."""
-
-    router: str
-    views: tuple[ReplicaView, ...]
-
-
 class PermitHolders:
     """Finds who holds permits for limited replicas, by what other routers have answered."""
 
@@ -36,23 +26,21 @@
         self._ready_ms: OrderedDict[tuple[str, str], float] = OrderedDict()
         self._lock = threading.Lock()
 
-    def to_ask(self, views: Iterable[ReplicaView]) -> list[Asked]:
-        """Return the routers that may have a permit for one of ``views``, the best ones first.
+    def holder_of(self, view: ReplicaView) -> str:
+        """Return the router to ask for a permit for a replica; empty where there is none.
 
-        Of each replica it is the one that ranks first, which holds most permits, or the next one
-        while that does not answer or has none. Of equally good ones each comes first as often: of
-        routers that ask seldom all would else ask the same few.
+        It is the one that ranks first, which holds most permits, or the next one while that does
+        not answer or has none.
         """
+        replica = view.identity
         with self._lock:
             now = self._clock.monotonic_ms()
-            found: defaultdict[str, list[ReplicaView]] = defaultdict(list)
-            for view in views:
-                holder = self._holder(view.identity, now)
-                if holder:
-                    found[holder].append(view)
-        asked = [Asked(router, tuple(each)) for router, each in found.items()]
-        random.shuffle(asked)
-        return sorted(asked, key=lambda each: len(each.views), reverse=True)
+            for router in self.shares.first(replica):
+                is_silent = self._silent_until_ms.get(router, now) > now
+                is_early = self._ready_ms.get((router, replica), now) > now
+                if router != self.shares.own and not is_silent and not is_early:
+                    return router
+        return ""
 
     def ready_in_ms(self, view: ReplicaView) -> float | None:
         """Return when a replica's holders have a permit, as they said; None where none did."""
@@ -78,15 +66,3 @@
                 self._ready_ms.move_to_end((router, replica))
             while len(self._ready_ms) > _MOST_REMEMBERED:
                 self._ready_ms.popitem(last=False)
-
-    def _holder(self, replica: str, now_ms: float) -> str:
-        """Return the first of a replica's holders that may have a permit, another than this one.
-
-        Empty where there is none.
-        """
-        for router in self.shares.first(replica):
-            is_silent = self._silent_until_ms.get(router, now_ms) > now_ms
-            is_early = self._ready_ms.get((router, replica), now_ms) > now_ms
-            if router != self.shares.own and not is_silent and not is_early:
-                return router
-        return ""
--- a/src/aspengate/replica_limits/_limiter.py
+++ b/src/aspengate/replica_limits/_limiter.py
@@ -41,6 +41,12 @@
             return []
         return [view for view in views if self.bound_of(view) is not None]
 
+    def unlimited(self, views: list[ReplicaView]) -> list[ReplicaView]:
+        """Return those replicas that name no limit."""
+        if not self.any_limited():
+            return views
+        return [view for view in views if self.bound_of(view) is None]
+
     def ready_in_ms(self, view: ReplicaView) -> float | None:
         """Return in how many ms this router has a permit of its own; None where that is open."""
         bound = self.bound_of(view)
--- a/src/aspengate/replicas/_choice.py
+++ b/src/aspengate/replicas/_choice.py
@@ -124,20 +124,29 @@
         self, views: Sequence[ReplicaView], prompt: PromptShape, tie: float, now_ms: float
     ) -> Candidate:
         """Return the cheapest of ``views``, which are never empty; ``tie`` in [0, 1) rotates."""
+        return min(self._candidates(views, prompt, tie, now_ms), key=_cost)
+
+    def ranked(
+        self, views: Sequence[ReplicaView], prompt: PromptShape, tie: float, now_ms: float
+    ) -> list[Candidate]:
+        """Return all of ``views``, the cheapest first."""
+        return sorted(self._candidates(views, prompt, tie, now_ms), key=_cost)
+
+    def _candidates(
+        self, views: Sequence[ReplicaView], prompt: PromptShape, tie: float, now_ms: float
+    ) -> list[Candidate]:
         start = int(tie * len(views))
         rotated = (*views[start:], *views[:start])
         if not prompt.tokens:
-            candidates = [self._plain(view, now_ms) for view in rotated]
-        else:
-            ranks = _ranks(views, prompt.anchor)
-            held = {part: self._fresh_holders(part, now_ms) for part, _ in prompt.shared}
-            waiting = sum(view.waiting(now_ms) for view in views) / len(views)
-            behind = self.policy.behind_part * waiting
-            candidates = [
-                self._engine(view, prompt, held, ranks.get(view.identity, 0), behind, now_ms)
-                for view in rotated
-            ]
-        return min(candidates, key=lambda each: each.cost_ms)
+            return [self._plain(view, now_ms) for view in rotated]
+        ranks = _ranks(views, prompt.anchor)
+        held = {part: self._fresh_holders(part, now_ms) for part, _ in prompt.shared}
+        waiting = sum(view.waiting(now_ms) for view in views) / len(views)
+        behind = self.policy.behind_part * waiting
+        return [
+            self._engine(view, prompt, held, ranks.get(view.identity, 0), behind, now_ms)
+            for view in rotated
+        ]
 
     def note_first(self, candidate: Candidate, work: Work, now_ms: float) -> None:
         """Learn from the first token of a request that was sent to a candidate."""
@@ -214,6 +223,10 @@
         return frozenset(name for name, at in holders.items() if now_ms - at <= _MEMORY_MS)
 
 
+def _cost(candidate: Candidate) -> float:
+    return candidate.cost_ms
+
+
 def _unread(view: ReplicaView, prompt: PromptShape, held: dict[str, frozenset[str]]) -> int:
     """Return how many tokens of the shared parts a replica probably has to read."""
     unread = 0
