Tests of limits that replicas name, one of which fails: a gateway that starts is not told

What callers saw: nothing; a gateway that has just started sends to replicas in need as if they named no limit, until they answer it.

One fails, each run: a gateway that was killed and started again was told of none of two limits.

--- a/features/steps/replica_limits_steps.py
+++ b/features/steps/replica_limits_steps.py
@@ -3,6 +3,7 @@
 import time
 
 from behave import given, then, when
+from platform_standins.fleet import eventually
 
 from gateway_world import start
 from pressing_callers import Callers, arrivals
@@ -19,6 +20,12 @@
 TOLD_S = 0.5
 
 
+def uncap(configuration):
+    """Let accounts use what they ask for: their tokens are not what is to be seen here."""
+    for tenant in configuration["tenants"]:
+        del tenant["prepaid"]
+
+
 @given("{routers:d} gateways that share repeats, before four replicas of each service")
 def fleet(context, routers):
     start(
@@ -30,8 +37,7 @@
         retry_window_s=WINDOW_S,
         retry_start_ms=START_MS,
     )
-    # What the callers' account may use is not what is to be seen here.
-    context.fleet.operator.set_prepaid("board", 1_000_000_000)
+    context.fleet.operator.change(uncap)
     time.sleep(START_MS / 1_000 + 0.5)
     # Those that are asked most are to speak: a replica that nobody would choose tells nothing.
     Callers(context.fleet.routers).run_for(WARM_UP_S)
@@ -94,12 +100,12 @@
     return max((sum(1 for each in times if 0 <= each - at <= SPAN_S) for at in times), default=0)
 
 
-def counted_times(callers, replica):
-    """Return when a replica got what the rule counts."""
+def counted_times(callers, replica, narrowed_s=0.0):
+    """Return when a replica got what the rule counts; it narrowed its limit at ``narrowed_s``."""
     first = told(callers, replica)
     if not first:
         return []
-    settled_s = min(first.values()) + SETTLED_S
+    settled_s = max(min(first.values()) + SETTLED_S, narrowed_s + TOLD_S)
     names = {identity: asked.router.name for identity, asked in callers.asked.items()}
     return [
         at_s
@@ -112,6 +118,120 @@
 def limits_kept(context):
     for replica in context.in_need:
         assert told(context.callers, context.in_need[0]), "nobody was told"
-        most = most_in_span(counted_times(context.callers, replica))
+        narrowed_s = getattr(context, "narrowed_s", 0.0)
+        most = most_in_span(counted_times(context.callers, replica, narrowed_s))
         allowed = OVERAGE * SPAN_S * float(replica.limit) + SLACK
         assert most <= allowed, (replica.service, most, allowed)
+
+
+@when("one replica of each service names a limit of {limit} request a second, and {trouble}")
+def limited_in_trouble(context, limit, trouble):
+    for replica in context.in_need:
+        replica.limit = "5" if trouble == "it named 5 before" else limit
+    context.cut_s = []
+    context.callers = Callers(context.fleet.routers).begin()
+    time.sleep(3.5)
+    TROUBLES[trouble](context)
+    context.callers.end()
+
+
+def lapse(context):
+    for replica in context.in_need:
+        replica.unlist()
+    time.sleep(0.5)
+    for replica in context.in_need:
+        replica.list()
+    time.sleep(4.5)
+
+
+def store_away(context):
+    for router in context.fleet.routers:
+        router.door.fault = "silent"
+    time.sleep(3.0)
+    for router in context.fleet.routers:
+        router.door.fault = ""
+    time.sleep(2.0)
+
+
+def start_again(context, routers):
+    """Kill gateways, one after the other, and start each again at once where callers know it."""
+    for router in list(context.fleet.routers)[:routers]:
+        killed_s = time.monotonic()
+        router.kill()
+        context.started = context.fleet.start_again(router, same_port=True)
+        context.cut_s.append(((router, context.started), killed_s, time.monotonic()))
+
+
+def name_less(context):
+    """Name 1 instead of 5: from now on that is the first word."""
+    for replica in context.in_need:
+        replica.limit = "1"
+    context.narrowed_s = time.monotonic()
+    time.sleep(7.0)
+
+
+TROUBLES = {
+    "its record lapses for 0.5 s": lapse,
+    "the store is away for 3 s": store_away,
+    "three gateways start again": lambda context: (start_again(context, 3), time.sleep(4.0)),
+    "it named 5 before": name_less,
+    "a gateway starts again": lambda context: (start_again(context, 1), time.sleep(2.0)),
+}
+
+
+@then("every repeatable request was answered, but for those that {trouble} cut")
+def answered_but_cut(context, trouble):
+    """Leave out requests that were at a gateway when it was killed, or while it was away."""
+
+    def is_cut(asked):
+        return any(
+            asked.router in runs
+            and asked.sent_s <= back_s
+            and (not asked.ended_s or asked.ended_s >= killed_s)
+            for runs, killed_s, back_s in context.cut_s
+        )
+
+    asked = [each for each in context.callers.asked.values() if not is_cut(each)]
+    failed = [(each.path, each.status) for each in asked if each.status != 200]
+    assert len(asked) > 100 and not failed, (len(asked), len(failed), failed[:5])
+
+
+@when("for {named:d} s one replica of each service names a limit of 1, and for {after:d} s none")
+def names_and_ends(context, named, after):
+    for replica in context.fleet.of("portal"):
+        # Without work to do all would go to the one that is a ms quicker than the others.
+        replica.work_s = 0.05
+    for replica in context.in_need:
+        replica.limit = "1"
+    context.callers = Callers(context.fleet.routers).begin()
+    time.sleep(named)
+    for replica in context.in_need:
+        replica.limit = None
+    time.sleep(after)
+    context.ended_s = time.monotonic()
+    context.callers.end()
+
+
+@then("in the last {seconds:d} s it gets at least a tenth of its service's requests")
+def used_again(context, seconds):
+    for replica in context.in_need:
+        got = {
+            each: sum(
+                context.ended_s - seconds <= at_s for _, at_s in arrivals(context.callers, each)
+            )
+            for each in context.fleet.of(replica.service)
+        }
+        assert got[replica] * 10 >= sum(got.values()) > 0, (replica.service, list(got.values()))
+
+
+@then("the one that started was told of both limits by others")
+def told_at_start(context):
+    def told():
+        return {
+            line["replica"]
+            for line in context.started.find_all("replica.limited")
+            if line["told_by"]
+        }
+
+    wanted = {replica.identity for replica in context.in_need}
+    assert eventually(lambda: wanted <= told(), 10.0), (wanted, told())
--- a/features/upgrades.feature
+++ b/features/upgrades.feature
@@ -11,6 +11,7 @@
       | 2cd8a79 |
       | c2c3948 |
       | 49152d8 |
+      | 64f8938 |
 
   Scenario: What is written today is read by the build that landed last
     Given the build that landed last, from the history
@@ -32,6 +33,8 @@
       | today   | c2c3948 |
       | 49152d8 | today   |
       | today   | 49152d8 |
+      | 64f8938 | today   |
+      | today   | 64f8938 |
 
   # Routers of 2cd8a79 do not know of evacuations. One of today that learnt the configuration from
   # them alone would send to failure domains that the operator has emptied, so it waits for the store.
