Tell which history of itself the store names, and what each list holds against what is known

What callers saw: nothing. The routers' lines could not tell whether the store had come back from an older copy of itself, nor what a list named.

Added: the highest `Store-Era` of all answers, a line and a counter when it rises, a line for each list with its revision and the one known, and two figures on the metrics page. The stand-in of the store can come back from a copy. No decision changes.

--- a/features/platform_standins/store.py
+++ b/features/platform_standins/store.py
@@ -1,6 +1,7 @@
 """The platform's metadata store: keys with revisions, prefix watches, conditional writes."""
 
 import base64
+import copy
 import json
 import socket
 import struct
@@ -12,6 +13,8 @@
 
 WATCH_STEP_S = 0.05
 QUIET = ("silent", "mute")
+# What the system itself writes; the rest is written by the operator and the replicas.
+SYSTEM_PREFIX = "aspengate/"
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -66,6 +69,8 @@
             return
         data = json.dumps(answer).encode()
         head = f"HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\n"
+        if self.store.era is not None:
+            head += f"Store-Era: {self.store.era}\r\n"
         head += f"Content-Length: {len(data)}\r\n\r\n"
         handler.wfile.write(head.encode() + data)
 
@@ -80,6 +85,8 @@
     def _refuses(self, handler):
         if self.fault == "busy":
             handler.send_response(503)
+            if self.store.era is not None:
+                handler.send_header("Store-Era", str(self.store.era))
             handler.send_header("Content-Length", "0")
             handler.end_headers()
         elif self.fault == "reset":
@@ -106,9 +113,10 @@
 
 
 class StoreStandIn:
-    """The values behind all doors."""
+    """The values behind all doors; ``era`` is what its answers name, None for nothing."""
 
     def __init__(self):
+        self.era = 1
         self.items = {}
         self.revision = 0
         self.history = []
@@ -151,6 +159,41 @@
             self.forgotten = self.revision
             self.changed.notify_all()
 
+    def copy(self):
+        """Return all that the store holds, to come back from later."""
+        with self.changed:
+            return copy.deepcopy((self.items, self.revision, self.history, self.forgotten))
+
+    def come_back_from(self, earlier):
+        """Hold what a copy holds; return what the operator and the replicas had written since.
+
+        That is by key, encoded, or None for a key that was removed.
+        """
+        with self.changed:
+            before = self.items
+            self.items, self.revision, self.history, self.forgotten = copy.deepcopy(earlier)
+            if self.era is not None:
+                self.era += 1
+            keys = {*before, *self.items}
+            lost = {key: before[key]["value"] if key in before else None for key in keys}
+            held = {key: item["value"] for key, item in self.items.items()}
+            self.changed.notify_all()
+        return {
+            key: value
+            for key, value in lost.items()
+            if held.get(key) != value and not key.startswith(SYSTEM_PREFIX)
+        }
+
+    def write_again(self, lost):
+        """Write what was lost, as its writers do."""
+        with self.changed:
+            for key, encoded in lost.items():
+                if encoded is None:
+                    self._remove(key)
+                else:
+                    self._write(key, encoded)
+            self.changed.notify_all()
+
     def answer(self, method, path, query, body, door):
         if path == "/kv-key":
             item = self.items.get(query["key"])
@@ -189,7 +232,7 @@
                 if door.fault == "mute" and not self.closing.is_set():
                     self.changed.wait(WATCH_STEP_S)
                     continue
-                if since < self.forgotten:
+                if since < self.forgotten or since > self.revision:
                     return 410, {}
                 events = [
                     event
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -100,6 +100,7 @@
         self.counters = counters
         self.leaving = False
         self.refusing = False
+        deployment.store.on_era = self._on_store_era
         self.holder = ConfigurationHolder(clock)
         self.pool = ConnectionPool(clock, _LONGEST_REST_MS)
         self.parts = PartMemory()
@@ -199,6 +200,8 @@
             "configuration_connected": self.operator.connected,
             "failure_domains_evacuated": len(self.registry.evacuated),
             **self.registry.gauges(),
+            "store_era": self.deployment.store.era,
+            "operator_revision": self.operator.state.revision,
             "replicas_revision": self.replicas.state.revision,
             "replicas_connected": self.replicas.connected,
             "routers_known": self.peering.members.count,
@@ -250,6 +253,10 @@
         self.peering.close()
         self.pool.close()
 
+    def _on_store_era(self, before: int) -> None:
+        self.counters.count("store.eras")
+        log_change("store.era", era=self.deployment.store.era, before=before)
+
     def _is_ready(self) -> bool:
         return self.holder.known and bool(self.replicas.state.revision) and not self.leaving
 
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -3,10 +3,11 @@
 import base64
 import contextlib
 import http.client
+import re
 import socket
 import threading
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -93,6 +94,10 @@
     ``timeout_ms`` bounds the wait for one answer; the wait follows the time that answers take.
     It may be called from any thread. ``calls`` counts the calls made, by what they do; each has
     a price, also one that fails.
+
+    ``era`` is the highest history that an answer has named: it rises by one each time the store
+    comes back from an older copy of itself. ``on_era`` is called with the one before where it
+    rises, on the thread whose call was answered.
     """
 
     def __init__(self, address: str, timeout_ms: float, clock: Clock) -> None:
@@ -101,6 +106,8 @@
         self.clock = clock
         self.answered_ms = float("-inf")
         self.calls: Counter[str] = Counter()
+        self.era = 0
+        self.on_era: Callable[[int], None] = lambda _: None
         self._idle: list[http.client.HTTPConnection] = []
         self._silence = SilenceCount()
         self._watches: set[http.client.HTTPConnection] = set()
@@ -209,6 +216,7 @@
         if not is_watch:
             self.timeout.answered(self.clock.monotonic_ms() - begun_ms)
         self._give_back(connection)
+        self._note_era(_era_of(answer))
         if answer.status in _NOTHING_DONE:
             raise AspengateError(
                 ErrorKind.STORE_UNAVAILABLE, f"status {answer.status}", where=self.address
@@ -219,6 +227,13 @@
         self.answered_ms = self.clock.monotonic_ms()
         return answer.status, content
 
+    def _note_era(self, era: int) -> None:
+        with self._lock:
+            before = self.era
+            self.era = max(era, before)
+        if era > before:
+            self.on_era(before)
+
     def _take(self, *, is_watch: bool) -> http.client.HTTPConnection:
         with self._lock:
             idle = self._idle.pop() if self._idle else None
@@ -280,6 +295,8 @@
 
 # A key that is never there: nothing but a short 404 comes. A read that may be old costs a tenth.
 _PROBE = "/kv-key?key=aspengate%2Fprobe&stale=1"
+_ERA_HEADER = "Store-Era"
+_ERA_PATTERN = re.compile(r"[0-9]{1,6}", re.ASCII)
 _KINDS = {"/kv-key": "get", "/kv-range": "list", "/kv-watch": "watch", "/kv-txn": "write"}
 _NOTHING_DONE = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
 _EXPECTED = frozenset(
@@ -287,6 +304,12 @@
 )
 
 
+def _era_of(answer: http.client.HTTPResponse) -> int:
+    """Return the history that an answer names; a store that names none has only one, 0."""
+    named = answer.getheader(_ERA_HEADER, "")
+    return int(named) if _ERA_PATTERN.fullmatch(named) else 0
+
+
 def _decode(body: bytes, kind: type[_Body]) -> _Body:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/src/aspengate/store/_mirror.py
+++ b/src/aspengate/store/_mirror.py
@@ -210,7 +210,16 @@
     def _list(self) -> None:
         """Read all items; what was removed before is covered by the revision they are as of."""
         found = self._store.list_items(self.prefix)
-        self.offer(replace(found, changed=found.revision))
+        known = self.state.revision
+        is_newer = self.offer(replace(found, changed=found.revision))
+        log_change(
+            "store.listed",
+            prefix=self.prefix,
+            revision=found.revision,
+            known=known,
+            items=len(found.items),
+            is_newer=is_newer,
+        )
         self.on_news()
 
     def _follow(self) -> bool:
--- a/src/aspengate/store/_port.py
+++ b/src/aspengate/store/_port.py
@@ -1,7 +1,7 @@
 """What the product asks of a key-value store, and the values that cross this border."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -75,10 +75,15 @@
     Every call may raise AspengateError of kind STORE_UNAVAILABLE, which promises that nothing
     was done. ``answered_ms`` is when the store last did what it was asked, in monotonic
     milliseconds. ``calls`` counts the calls made, by what they do.
+
+    A store may come back from an older copy of itself: ``era`` is the highest history that it has
+    named, 0 where it names none. ``on_era`` is called with the one before where it rises.
     """
 
     answered_ms: float
     calls: Counter[str]
+    era: int
+    on_era: Callable[[int], None]
 
     def get(self, key: str) -> StoreItem | None:
         """Return the item under ``key``, if any; the read is linearizable."""
