Tests of a store that comes back from an older copy of itself, which fail

What callers saw: a key that had been taken away was accepted, and an added route answered 404, at all routers, until the store's revisions had passed those of before.

Three gateways and a stand-in of the store that is away for 0.5 s, then holds a copy from before three changes, names the next era, and has those changes written again. A key is then taken away and a route is added: refused by none and served by none of them within 15 s (3 of 3 gateways). The second case: more is written than was lost before the store answers, so that it knows the revision that the routers ask from, and says nothing of a lost history; the same outcome.

--- /dev/null
+++ b/features/steps/restored_store_steps.py
@@ -0,0 +1,196 @@
+"""Steps on gateways whose store comes back from an older copy of itself."""
+
+import time
+
+from behave import given, then, when
+from platform_standins.fleet import eventually
+from platform_standins.operator import route
+
+from gateway_world import REPEATS, start
+
+# How long the store is away, and how long its writers then take to write again, in s.
+AWAY_S = 0.5
+WRITTEN_AGAIN_S = 0.3
+PATIENCE_S = 15.0
+MOST_LISTS = 12
+
+
+def status_of(router, path="/receipt/1", **fields):
+    return router.call().request("GET", path, **fields).status
+
+
+def all_answer(context, status, path="/receipt/1", **fields):
+    return all(status_of(each, path, **fields) == status for each in context.fleet.routers)
+
+
+def set_fault(context, fault):
+    for door in context.fleet.store.doors:
+        door.fault = fault
+
+
+def come_back(context, earlier, *, fault="reset"):
+    """Have the store go away, and come back from a copy; then its writers write again."""
+    store = context.fleet.store
+    set_fault(context, fault)
+    time.sleep(AWAY_S if fault else 0.0)
+    lost = store.come_back_from(earlier)
+    set_fault(context, "")
+    time.sleep(WRITTEN_AGAIN_S)
+    store.write_again(lost)
+
+
+def come_back_unseen(context, earlier):
+    """Have the store come back and be written to before it answers a router."""
+    store = context.fleet.store
+    set_fault(context, "reset")
+    time.sleep(AWAY_S)
+    known = store.revision
+    store.write_again(store.come_back_from(earlier))
+    change_configuration(context)
+    while store.revision <= known:
+        context.fleet.replicas[0].list()
+    set_fault(context, "")
+
+
+def change_configuration(context):
+    context.fleet.operator.revoke("key-two")
+    context.fleet.operator.add_route(route("/later/", "portal"))
+
+
+def lose_changes(context, number):
+    """Have the operator make changes that the store will have lost."""
+    operator = context.fleet.operator
+    for each in range(3):
+        operator.add_route(route(f"/lost-{number}-{each}/", "portal"))
+    path = f"/lost-{number}-2/1"
+    assert eventually(lambda: all_answer(context, 200, path), PATIENCE_S)
+
+
+@given("three gateways before two replicas of each service")
+def three_gateways(context):
+    start(context, routers=3, replicas=2, **REPEATS)
+
+
+@given("the failure domain of all replicas is evacuated")
+def evacuated(context):
+    context.fleet.operator.evacuate("hall-1")
+    assert eventually(lambda: all_answer(context, 503), PATIENCE_S)
+
+
+@when('the store comes back from a copy "{how}"')
+def comes_back(context, how):
+    context.lists = sum(door.calls["GET /kv-range"] for door in context.fleet.store.doors)
+    for number in range(2 if how == "twice" else 1):
+        earlier = context.fleet.store.copy()
+        lose_changes(context, number)
+        come_back(context, earlier, fault="" if how == "while watches wait" else "reset")
+
+
+@when("the store comes back from a copy, and more is written than was lost before it answers")
+def comes_back_unseen(context):
+    context.lists = sum(door.calls["GET /kv-range"] for door in context.fleet.store.doors)
+    earlier = context.fleet.store.copy()
+    lose_changes(context, 0)
+    come_back_unseen(context, earlier)
+
+
+@when("then a key is taken away and a route is added")
+def key_and_route(context):
+    change_configuration(context)
+
+
+@then("all gateways refuse the key and serve the route")
+def refuse_and_serve(context):
+    assert eventually(lambda: all_answer(context, 401, key="key-two"), PATIENCE_S)
+    assert eventually(lambda: all_answer(context, 200, "/later/1"), PATIENCE_S)
+
+
+@then("the store was asked for few lists")
+def few_lists(context):
+    lists = sum(door.calls["GET /kv-range"] for door in context.fleet.store.doors)
+    each = (lists - context.lists) / len(context.fleet.routers)
+    assert each <= MOST_LISTS, each
+
+
+@when("then another portal replica comes")
+def another_comes(context):
+    context.new = context.fleet.add_replica("portal")
+
+
+@then("all gateways send to it")
+def all_send(context):
+    def reached(router):
+        before = len(context.new.requests)
+        status_of(router, f"/receipt/{before}")
+        return len(context.new.requests) > before
+
+    for router in context.fleet.routers:
+        assert eventually(lambda: reached(router), PATIENCE_S)  # noqa: B023
+
+
+@when("then the evacuation ends")
+def evacuation_ends(context):
+    context.fleet.operator.take_back("hall-1")
+
+
+@then("all gateways send to it again")
+def send_again(context):
+    assert eventually(lambda: all_answer(context, 200), PATIENCE_S)
+
+
+@when("one gateway is killed and starts again")
+def starts_again(context):
+    router = context.fleet.routers[0]
+    router.kill()
+    context.fleet.start_again(router)
+
+
+@when("the store loses a key's end, a replica's draining and an evacuation, and is back")
+def loses_three(context):
+    fleet = context.fleet
+    context.draining = fleet.of("portal")[0]
+    context.evacuated = fleet.add_replica("portal", domain="hall-2")
+    assert eventually(lambda: all(_knows(each, context.evacuated) for each in fleet.routers))
+    earlier = fleet.store.copy()
+    fleet.operator.revoke("key-two")
+    context.draining.list("draining")
+    fleet.operator.evacuate("hall-2")
+    for router in fleet.routers:
+        assert eventually(lambda: router.find("evacuation.began"))  # noqa: B023
+        assert eventually(lambda: router.find("replica.state"))  # noqa: B023
+        assert eventually(lambda: status_of(router, key="key-two") == 401)  # noqa: B023
+    context.before = [len(each.requests) for each in (context.draining, context.evacuated)]
+    context.lost = fleet.store.come_back_from(earlier)
+
+
+def _knows(router, replica):
+    return router.find("replica.listed", replica=replica.identity)
+
+
+@then("none of the three is undone before they are written again, nor after")
+def none_undone(context):
+    written = False
+    for number in range(100):
+        for router in context.fleet.routers:
+            assert status_of(router, key="key-two") == 401
+            assert status_of(router, f"/receipt/{number}") == 200
+        if number > 50 and not written:
+            context.fleet.store.write_again(context.lost)
+            written = True
+    now = [len(each.requests) for each in (context.draining, context.evacuated)]
+    assert now == context.before, (now, context.before)
+
+
+@when("the store loses a replica's record for good")
+def loses_record(context):
+    earlier = context.fleet.store.copy()
+    context.ended = context.fleet.add_replica("portal")
+    for router in context.fleet.routers:
+        assert eventually(lambda: _knows(router, context.ended))  # noqa: B023
+    context.fleet.store.come_back_from(earlier)
+
+
+@then("all gateways leave that replica out in the end")
+def left_out(context):
+    for router in context.fleet.routers:
+        assert eventually(lambda: router.find("replica.gone", replica=context.ended.identity))  # noqa: B023
