Compare revisions within one history of the store, and keep what is known until it is written again

What callers saw: after the store had come back from an older copy of itself, a key that had been taken away was accepted and an added route answered 404, at all routers, until the store's revisions had passed those of before (6 s in the incident). Own gateways: new replicas got nothing, an ended evacuation went on, a router that started was told the same; each router asked for a list and a watch every 70 ms.

Cause: revisions order the changes of one history. The store's go back and are given out again when it comes back from a copy; a list of then was older news, the watch went on from a revision of before and got 410, or, where that number existed again, silently missed what lay below it.

A later history is later; watches, conditions and answers of another one fail before they are believed. All mirrors list anew as soon as any call or peer names a later history. What the copy says is older than what is known, so that is kept beside it for 3 s, or until it is written again, or its writer's own order (version, start and number) says otherwise. Routers list themselves again. On the wire and in records revisions stay one integer, which older builds compare rightly.

Why it holds: features/restored_store.feature.

--- a/features/steps/leadership_steps.py
+++ b/features/steps/leadership_steps.py
@@ -6,7 +6,7 @@
 
 from aspengate.clock import ManualClock, SystemClock
 from aspengate.peers import DatagramPort, DomainLeadership, Member, MemberList
-from aspengate.store import Changes, Removal, Snapshot, Stance, StoreItem, StoreMirror
+from aspengate.store import Changes, Removal, Snapshot, Stance, StoreEra, StoreItem, StoreMirror
 from aspengate.telemetry import NullCounters
 from gateway_world import start
 
@@ -252,6 +252,8 @@
 class ListedStore:
     """Its list is as of revision 20 though its newest item is older; watches wait."""
 
+    era = StoreEra()
+
     def list_items(self, prefix):
         return Snapshot((item("a/1", 4),), 20)
 
--- a/features/steps/mirror_steps.py
+++ b/features/steps/mirror_steps.py
@@ -11,7 +11,7 @@
 from aspengate.connections import ReplicaConnection
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.platform import PlatformStore
-from aspengate.store import Changes, Snapshot, StoreMirror
+from aspengate.store import Changes, Snapshot, StoreEra, StoreMirror
 from aspengate.telemetry import NullCounters
 
 WATCH_MS = 20_000
@@ -20,6 +20,8 @@
 class FailingStore:
     """Lists, fails the first watch, and answers the later ones when they are let through."""
 
+    era = StoreEra()
+
     def __init__(self):
         self.waits = []
         self.let_through = threading.Event()
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -3,9 +3,13 @@
 import time
 
 from behave import given, then, when
+from platform_standins import Fleet
 from platform_standins.fleet import eventually
 from platform_standins.operator import route
 
+from aspengate.crashes import RECORD_PREFIX
+from crashes_steps import ask as ask_once
+from gateway_prepaid_steps import EVENTS, ask, given_tokens, spend
 from gateway_world import REPEATS, start
 
 # How long the store is away, and how long its writers then take to write again, in s.
@@ -61,14 +65,15 @@
     """Have the operator make changes that the store will have lost."""
     operator = context.fleet.operator
     for each in range(3):
-        operator.add_route(route(f"/lost-{number}-{each}/", "portal"))
-    path = f"/lost-{number}-2/1"
-    assert eventually(lambda: all_answer(context, 200, path), PATIENCE_S)
+        version = operator.add_route(route(f"/lost-{number}-{each}/", "portal"))
+    for router in context.fleet.routers:
+        assert eventually(lambda: router.find("configuration.applied", version=version))  # noqa: B023
 
 
 @given("three gateways before two replicas of each service")
 def three_gateways(context):
-    start(context, routers=3, replicas=2, **REPEATS)
+    fields = {"events": EVENTS, "pause_s": 0.0}
+    start(context, routers=3, replicas=2, fields=fields, **REPEATS)
 
 
 @given("the failure domain of all replicas is evacuated")
@@ -112,20 +117,23 @@
     assert each <= MOST_LISTS, each
 
 
-@when("then another portal replica comes")
+@when("then another portal replica comes, and the others go")
 def another_comes(context):
+    others = context.fleet.of("portal")
     context.new = context.fleet.add_replica("portal")
+    for replica in others:
+        replica.unlist()
 
 
-@then("all gateways send to it")
+@then("all gateways send to the new one alone")
 def all_send(context):
-    def reached(router):
-        before = len(context.new.requests)
-        status_of(router, f"/receipt/{before}")
-        return len(context.new.requests) > before
-
     for router in context.fleet.routers:
-        assert eventually(lambda: reached(router), PATIENCE_S)  # noqa: B023
+        for replica in context.fleet.of("portal")[:-1]:
+            name = replica.identity
+            assert eventually(lambda: router.find("replica.gone", replica=name), PATIENCE_S)  # noqa: B023
+        before = len(context.new.requests)
+        assert status_of(router) == 200
+        assert len(context.new.requests) == before + 1
 
 
 @when("then the evacuation ends")
@@ -181,6 +189,78 @@
     assert now == context.before, (now, context.before)
 
 
+@given("three gateways whose store names no history")
+def names_no_history(context):
+    context.fleet = Fleet(context.cleanup)
+    context.fleet.store.era = None
+    context.fleet.operator.write()
+    context.fleet.add_replica("portal")
+    for _ in range(3):
+        context.fleet.add_router()
+
+
+@given("three gateways before four portal replicas")
+def four_portals(context):
+    start(context, routers=3, replicas=4)
+
+
+@when("a receipt has ended three of them, and the store loses its record")
+def record_lost(context):
+    store = context.fleet.store
+    earlier = store.copy()
+    for replica in context.fleet.of("portal"):
+        replica.crash_on = "/receipt/ending"
+    statuses = [ask_once(context.router, "/receipt/ending") for _ in range(4)]
+    assert statuses == [502, 502, 502, 503], statuses
+    assert eventually(lambda: crash_records(context))
+    context.ended = sum(replica.gone for replica in context.fleet.of("portal"))
+    store.come_back_from(earlier)
+    assert not crash_records(context)
+
+
+def crash_records(context):
+    return [key for key in context.fleet.store.items if key.startswith(RECORD_PREFIX)]
+
+
+@then("the record is written again, and no gateway sends the receipt on")
+def record_written_again(context):
+    assert eventually(lambda: crash_records(context), PATIENCE_S)
+    for router in context.fleet.routers:
+        assert ask_once(router, "/receipt/ending") == 503
+    ended = sum(replica.gone for replica in context.fleet.of("portal"))
+    assert ended == context.ended, (ended, context.ended)
+
+
+@given("an account with {prepaid:d} prepaid tokens")
+def prepaid_account(context, prepaid):
+    version = context.fleet.operator.set_prepaid("board", prepaid)
+    for router in context.fleet.routers:
+        assert eventually(lambda: router.find("configuration.applied", version=version))  # noqa: B023
+    context.prepaid = prepaid
+
+
+@when("one gateway is killed after it drew tokens, and the store loses what it wrote")
+def killed_in_lost_time(context):
+    killed = context.fleet.routers[0]
+    earlier = context.fleet.store.copy()
+    for _ in range(4):
+        assert ask(killed).status == 200
+    killed.kill()
+    context.fleet.store.come_back_from(earlier)
+    context.living = context.fleet.routers[1:]
+
+
+@when("the other gateways spend until they are refused")
+def spend_until_refused(context):
+    context.served, context.statuses = spend(context.living)
+
+
+@then("no more was given than was prepaid")
+def no_more_given(context):
+    given = given_tokens(context)
+    assert given <= context.prepaid, given
+
+
 @when("the store loses a replica's record for good")
 def loses_record(context):
     earlier = context.fleet.store.copy()
--- a/src/aspengate/configuration/_holder.py
+++ b/src/aspengate/configuration/_holder.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 
 from aspengate.clock import Clock
 from aspengate.configuration._model import FleetConfiguration
@@ -40,9 +41,16 @@
         self._listeners.append(listener)
 
     def offer(self, configuration: FleetConfiguration) -> bool:
-        """Put a configuration into force if its version is higher; return whether it was."""
+        """Put a configuration into force if its version is higher; return whether it was.
+
+        The one in force, written once more, is as of its new revision from then on.
+        """
         with self._lock:
-            if self._current is not None and configuration.version <= self._current.version:
+            current = self._current
+            if current is not None and configuration.version <= current.version:
+                if configuration.version == current.version:
+                    revision = max(configuration.revision, current.revision)
+                    self._current = replace(current, revision=revision)
                 return False
             before = self.version
             self._current = configuration
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -46,7 +46,14 @@
 )
 from aspengate.retries import RetryPolicy, SharedRetryBudget
 from aspengate.serving import RelayServer, WsgiServer
-from aspengate.store import MirrorState, StoreMirror
+from aspengate.store import (
+    KEEP_MS,
+    MirrorState,
+    StoreMirror,
+    WriterOrder,
+    no_order,
+    number_of,
+)
 from aspengate.telemetry import Counters, lasting_thread, log_change
 
 _READY_THREADS = 2
@@ -100,15 +107,19 @@
         self.counters = counters
         self.leaving = False
         self.refusing = False
-        deployment.store.on_era = self._on_store_era
+        deployment.store.era.on_rise = self._on_store_era
         self.holder = ConfigurationHolder(clock)
         self.pool = ConnectionPool(clock, _LONGEST_REST_MS)
         self.parts = PartMemory()
         self.registry = ReplicaRegistry(clock, self._on_replica_gone, self._tell_limit)
         self._reader = StoreReader(deployment, self.holder, self.registry, counters)
         self.retries = SharedRetryBudget(_retry_policy(settings), clock)
-        self.operator = self._mirror(deployment.operator_prefix, self._reader.take_operator)
-        self.replicas = self._mirror(deployment.replica_prefix, self._reader.take_replicas)
+        self.operator = self._mirror(
+            deployment.operator_prefix, self._reader.take_operator, order=deployment.read_order
+        )
+        self.replicas = self._mirror(
+            deployment.replica_prefix, self._reader.take_replicas, order=deployment.read_order
+        )
         self.bounds = ReplicaBounds(
             settings.name,
             clock,
@@ -200,9 +211,9 @@
             "configuration_connected": self.operator.connected,
             "failure_domains_evacuated": len(self.registry.evacuated),
             **self.registry.gauges(),
-            "store_era": self.deployment.store.era,
-            "operator_revision": self.operator.state.revision,
-            "replicas_revision": self.replicas.state.revision,
+            "store_era": self.deployment.store.era.current,
+            "operator_revision": number_of(self.operator.state.revision),
+            "replicas_revision": number_of(self.replicas.state.revision),
             "replicas_connected": self.replicas.connected,
             "routers_known": self.peering.members.count,
             **{f"routers_build_{name}": n for name, n in self.peering.members.builds().items()},
@@ -255,7 +266,12 @@
 
     def _on_store_era(self, before: int) -> None:
         self.counters.count("store.eras")
-        log_change("store.era", era=self.deployment.store.era, before=before)
+        log_change("store.era", era=self.deployment.store.era.current, before=before)
+        if self._closing.is_set():
+            return
+        # Their answers would be of the history before.
+        self.deployment.store.end_watches()
+        self.peering.note_store_restored()
 
     def _is_ready(self) -> bool:
         return self.holder.known and bool(self.replicas.state.revision) and not self.leaving
@@ -269,7 +285,14 @@
             self.tokens.tick()
             self.report.tell()
 
-    def _mirror(self, prefix: str, on_change: Callable[[MirrorState], None]) -> StoreMirror:
+    def _mirror(
+        self,
+        prefix: str,
+        on_change: Callable[[MirrorState], None],
+        *,
+        keep_ms: float = KEEP_MS,
+        order: WriterOrder = no_order,
+    ) -> StoreMirror:
         return StoreMirror(
             self.deployment.store,
             prefix,
@@ -280,6 +303,8 @@
             self._gather_ms,
             stance=lambda: self.peering.stance(),
             longest_pause_ms=self._longest_pause_ms,
+            keep_ms=keep_ms,
+            order=order,
         )
 
     def _gather_ms(self) -> float:
--- a/src/aspengate/gateway/_mirror_sharing.py
+++ b/src/aspengate/gateway/_mirror_sharing.py
@@ -8,7 +8,16 @@
 
 from aspengate.errors import AspengateError
 from aspengate.peers import ChangedItem, DomainLeadership, MemberList, MirrorChanges, PeerClient
-from aspengate.store import Changes, Removal, Snapshot, Stance, StoreItem, StoreMirror
+from aspengate.store import (
+    Changes,
+    Removal,
+    Snapshot,
+    Stance,
+    StoreItem,
+    StoreMirror,
+    era_of,
+    number_of,
+)
 from aspengate.telemetry import Counters, lasting_thread, log_change
 
 # How long a router waits for its own watch, or for its leader, before it asks a peer for what
@@ -161,7 +170,13 @@
                 continue
             if _take_over(mirror, since, found):
                 self._counters.count("peers.fetched")
-                log_change("mirror.from_peer", prefix=prefix, peer=address, revision=found.revision)
+                log_change(
+                    "mirror.from_peer",
+                    prefix=prefix,
+                    peer=address,
+                    era=era_of(found.revision),
+                    revision=number_of(found.revision),
+                )
             if mirror.state.revision >= revision:
                 return
 
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -48,9 +48,12 @@
     OutageHistory,
     Stance,
     StoreMirror,
+    era_of,
 )
 from aspengate.telemetry import Counters, lasting_thread, log_change
 
+# How far apart the routers' calls are on average, in ms, with which they list themselves again.
+_RELIST_MS = 10.0
 # How often a router tells of itself, in ms: a leader is missed after three of its beats.
 _NEWS_MS = 300.0
 _FETCH_TIMEOUT_MS = 500.0
@@ -124,6 +127,7 @@
         self._store = store
         self._on_count = on_count
         self._listed_ms = float("-inf")
+        self._relist_ms = float("inf")
         self._clock = clock
         self._counters = counters
         self.seeds = seeds
@@ -206,6 +210,11 @@
             log_change("witness.not_asked", witness=witness, session=session, error=str(error))
             return None
 
+    def note_store_restored(self) -> None:
+        """Be listed and read the list anew, since the store may have lost the entries."""
+        delay_ms = random.uniform(0.0, self.members.count * _RELIST_MS)
+        self._relist_ms = self._clock.monotonic_ms() + delay_ms
+
     def stance(self) -> Stance:
         """Return where this router learns of changes in the store from."""
         return self.leadership.stance
@@ -235,6 +244,10 @@
             self._closing.wait(_NEWS_MS / 1_000)
 
     def _may_list(self) -> bool:
+        if self._clock.monotonic_ms() >= self._relist_ms:
+            self._relist_ms = float("inf")
+            self._listed_ms = float("-inf")
+            self.members.registered = False
         if not self.members.listed or not self.members.registered:
             return True
         return self.members.leads and self.reaches_store
@@ -366,6 +379,7 @@
         is_other = self.leadership.leader != news.member
         if is_near and news.leads and (is_other or not news.reaches_store):
             self._look()
+        self._store.era.note(max(map(era_of, news.revisions.values()), default=0))
         for prefix, revision in news.revisions.items():
             self.sharing.note_behind(prefix, revision, news.member.address)
         for life in news.replaced:
--- a/src/aspengate/gateway/_ports.py
+++ b/src/aspengate/gateway/_ports.py
@@ -84,3 +84,6 @@
 
     def read_replica(self, item: StoreItem) -> Replica:
         """Return the replica that a store item holds; raises BAD_REQUEST."""
+
+    def read_order(self, item: StoreItem) -> tuple[int, ...] | None:
+        """Return how an item's writer orders what it writes there; None where it does not."""
--- a/src/aspengate/gateway/_store_reader.py
+++ b/src/aspengate/gateway/_store_reader.py
@@ -27,6 +27,8 @@
         self._holder = holder
         self._registry = registry
         self._unreadable = UnreadableItems(counters)
+        # The revision of the last configuration that was read, whether it came into force or not.
+        self._configuration_read = 0
 
     def take_operator(self, state: MirrorState) -> None:
         """Take over what the operator wrote; evacuations first, so that none is served without."""
@@ -57,8 +59,9 @@
         return LimitSource(found.prepaid_tokens, configuration.revision)
 
     def _take_configuration(self, item: StoreItem) -> None:
-        if self._holder.known and item.revision <= self._holder.current.revision:
+        if item.revision == self._configuration_read:
             return
+        self._configuration_read = item.revision
         try:
             self._holder.offer(self._deployment.read_configuration(item))
         except AspengateError as error:
--- a/src/aspengate/gateway/_unreadable.py
+++ b/src/aspengate/gateway/_unreadable.py
@@ -4,7 +4,7 @@
 from collections import OrderedDict
 
 from aspengate.errors import AspengateError
-from aspengate.store import StoreItem
+from aspengate.store import StoreItem, number_of
 from aspengate.telemetry import Counters, log_change
 
 # So many keys are remembered; a list of replicas is read again with each of its changes, and one
@@ -30,4 +30,5 @@
             while len(self._told) > _MOST_KEYS:
                 self._told.popitem(last=False)
         self._counters.count("store.items_unreadable")
-        log_change(f"{what}.unreadable", key=item.key, revision=item.revision, error=str(error))
+        revision = number_of(item.revision)
+        log_change(f"{what}.unreadable", key=item.key, revision=revision, error=str(error))
--- a/src/aspengate/gateway/prepaid/_statements.py
+++ b/src/aspengate/gateway/prepaid/_statements.py
@@ -2,6 +2,7 @@
 
 from aspengate.allowances import AllowanceDocument, Purse
 from aspengate.gateway.prepaid._account import Account
+from aspengate.store import number_of
 from aspengate.telemetry import log_change
 
 
@@ -15,7 +16,7 @@
         limit=document.limit,
         unheld=document.limit - document.committed,
         witness=document.witness(session),
-        revision=account.revision,
+        revision=number_of(account.revision),
         **_statement(session, account.purse, document),
     )
 
@@ -29,7 +30,7 @@
         limit=limit,
         unheld=limit - document.committed,
         needed=min((ticket.amount for ticket in account.waiting), default=0),
-        revision=account.revision,
+        revision=number_of(account.revision),
         **_statement(session, account.purse, document),
     )
 
--- a/src/aspengate/platform/_deployment.py
+++ b/src/aspengate/platform/_deployment.py
@@ -10,6 +10,7 @@
     REPLICA_PREFIX,
     read_configuration,
     read_evacuation,
+    read_order,
     read_replica,
 )
 from aspengate.replicas import Evacuation, Replica
@@ -38,3 +39,7 @@
     def read_replica(self, item: StoreItem) -> Replica:
         """Return the replica that a store item holds; raises BAD_REQUEST."""
         return read_replica(item)
+
+    def read_order(self, item: StoreItem) -> tuple[int, ...] | None:
+        """Return how an item's writer orders what it writes there; None where it does not."""
+        return read_order(item)
--- a/src/aspengate/platform/_records.py
+++ b/src/aspengate/platform/_records.py
@@ -155,6 +155,23 @@
     )
 
 
+def read_order(item: StoreItem) -> tuple[int, ...] | None:
+    """Return how an item's writer orders what it writes there; None where it does not.
+
+    The operator's configurations rise by version, a replica's records by its start and number.
+    """
+    try:
+        if item.key == CONFIGURATION_KEY:
+            return (_decode(item, _Configuration, _MOST_CONFIGURATION_BYTES).config_version,)
+        if item.key.startswith(REPLICA_PREFIX):
+            record = _decode(item, _Server)
+            return (record.born, record.seq)
+    except AspengateError:
+        # Whoever uses the item tells that it can't be read.
+        return None
+    return None
+
+
 def read_evacuation(item: StoreItem) -> Evacuation | None:
     """Return the evacuation that the operator asks for by an item, None where it is another one.
 
--- a/src/aspengate/replicas/_registry.py
+++ b/src/aspengate/replicas/_registry.py
@@ -12,6 +12,7 @@
 from aspengate.replicas._standing import Standing, standing_of
 from aspengate.replicas._statement import ReplicaNotice, SelfStatement
 from aspengate.replicas._view import ReplicaView
+from aspengate.store import number_of
 from aspengate.telemetry import log_change
 
 # How long a start of a replica is left out after another one has answered at its address, in ms.
@@ -71,7 +72,7 @@
             views = self._views.values()
             self.limited = any(view.said.limit.rate_at(now) is not None for view in views)
         for view in gone:
-            log_change("replica.gone", replica=view.identity, revision=revision)
+            log_change("replica.gone", replica=view.identity, revision=number_of(revision))
         for view in (*gone, *ended):
             self._on_gone(view)
 
@@ -91,7 +92,11 @@
                 if view.replica.failure_domain in set(before) - set(asked):
                     view.returned_ms = now
         for domain in sorted(set(asked) - set(before)):
-            log_change("evacuation.began", failure_domain=domain, revision=asked[domain].revision)
+            log_change(
+                "evacuation.began",
+                failure_domain=domain,
+                revision=number_of(asked[domain].revision),
+            )
         for domain in sorted(set(before) - set(asked)):
             in_force_ms = round(now - before[domain])
             log_change("evacuation.ended", failure_domain=domain, in_force_ms=in_force_ms)
@@ -267,7 +272,7 @@
             service=view.replica.service,
             address=view.replica.address,
             state=view.replica.state.value,
-            revision=self.revision,
+            revision=number_of(self.revision),
         )
 
     def _update(self, view: ReplicaView, replica: Replica) -> None:
@@ -276,7 +281,7 @@
                 "replica.state",
                 replica=replica.identity,
                 state=replica.state.value,
-                revision=self.revision,
+                revision=number_of(self.revision),
             )
         is_changed, view.replica = view.replica != replica, replica
         if is_changed:
--- /dev/null
+++ b/src/aspengate/store/_era.py
@@ -0,0 +1,55 @@
+"""Which history of itself a store names, and which revisions belong to it."""
+
+import threading
+from collections.abc import Callable, Iterable
+
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.store._revision import era_of
+
+
+class HistoryLostError(AspengateError):
+    """The store no longer knows the changes since a revision; list the items again."""
+
+    def __init__(self, prefix: str) -> None:
+        super().__init__(ErrorKind.STORE_UNAVAILABLE, "history is gone", where=prefix)
+
+
+class StoreEra:
+    """The highest history, ``current``, that was heard of; 0 where the store names none.
+
+    ``on_rise`` is called with the one before where it rises, on the thread that heard of it.
+    """
+
+    def __init__(self) -> None:
+        self.current = 0
+        self.on_rise: Callable[[int], None] = lambda _: None
+        self._lock = threading.Lock()
+
+    def note(self, era: int) -> None:
+        """Note a history that was heard of."""
+        with self._lock:
+            before = self.current
+            self.current = max(era, before)
+        if era > before:
+            self.on_rise(before)
+
+    def check_watch(self, prefix: str, since: int) -> None:
+        """Raise HistoryLostError where a watch would go on from an earlier history."""
+        if era_of(since) < self.current:
+            raise HistoryLostError(prefix)
+
+    def check_conditions(self, revisions: Iterable[int]) -> None:
+        """Raise STORE_UNAVAILABLE where a condition is of an earlier history."""
+        if any(revision and era_of(revision) < self.current for revision in revisions):
+            message = "a condition is of before the store came back from a copy"
+            raise AspengateError(ErrorKind.STORE_UNAVAILABLE, message)
+
+
+def check_answer(revisions: Iterable[int], era: int) -> None:
+    """Raise OUTCOME_UNKNOWN where a write was done in another history than its conditions are of.
+
+    The same number may stand for another value there.
+    """
+    if any(revision and era_of(revision) != era for revision in revisions):
+        message = "done after the store came back from a copy"
+        raise AspengateError(ErrorKind.OUTCOME_UNKNOWN, message)
--- a/src/aspengate/store/_mirror.py
+++ b/src/aspengate/store/_mirror.py
@@ -3,20 +3,22 @@
 import enum
 import random
 import threading
-from collections import deque
-from collections.abc import Callable, Mapping
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
+from aspengate.store._era import HistoryLostError
+from aspengate.store._kept import KeptItems, WriterOrder, no_order
 from aspengate.store._port import (
     Changes,
-    HistoryLostError,
     KeyValueStore,
     Removal,
     Snapshot,
     StoreItem,
 )
+from aspengate.store._revision import era_of, number_of
 from aspengate.telemetry import Counters, lasting_thread, log_change
 
 _FIRST_PAUSE_MS = 50.0
@@ -29,6 +31,11 @@
 _MOST_REMOVALS = 4_096
 # How often a mirror that rests looks whether it still may where nothing wakes it up, in ms.
 _REST_LOOK_MS = 250.0
+# How long what was known is kept where a store that came back from an older copy holds something
+# else, in ms: the records of live replicas are back within about two seconds.
+KEEP_MS = 3_000.0
+# So many keys are told in a line.
+_MOST_KEPT_TOLD = 20
 # What a line tells of a fault, in characters.
 _MOST_TOLD = 300
 
@@ -50,12 +57,14 @@
 class MirrorState:
     """The items by key, as of the store's ``revision``; a revision of 0 means none are known.
 
-    ``changed`` is the revision of the newest change that is known below the prefix.
+    ``changed`` is the revision of the newest change that is known below the prefix. ``kept`` is
+    what holds beside the items that the store has, after it came back from an older copy.
     """
 
     items: Mapping[str, StoreItem] = field(default_factory=dict)
     revision: int = 0
     changed: int = 0
+    kept: KeptItems = field(default_factory=KeptItems)
 
 
 class StoreMirror:
@@ -63,7 +72,11 @@
 
     ``on_change`` is called with each new state, on the thread that learned of it. A state from
     another process may be handed in by ``offer``: revisions are the store's, so the higher one
-    is the newer one, wherever it comes from.
+    is the later one, wherever it comes from.
+
+    ``state`` holds what the store has. Where that came back from an older copy, the state that is
+    handed on holds what was known before as well, for ``keep_ms`` or until it is written again;
+    ``order`` tells which of two items its writer wrote later.
 
     Each watch waits up to ``wait_ms``. After one that told changes the next begins as many
     milliseconds later as ``gather_ms`` says then, so that changes which come together cost one
@@ -87,6 +100,8 @@
         gather_ms: Callable[[], float] = lambda: 0.0,
         stance: Callable[[], Stance] = lambda: Stance.FOLLOWING,
         longest_pause_ms: Callable[[], float] = lambda: _LONGEST_PAUSE_MS,
+        keep_ms: float = KEEP_MS,
+        order: WriterOrder = no_order,
     ) -> None:
         self.prefix = prefix
         self.state = MirrorState()
@@ -102,6 +117,11 @@
         self._lock = threading.Lock()
         self._stance = stance
         self._longest_pause_ms = longest_pause_ms
+        self._keep_ms = keep_ms
+        self._order = order
+        self._kept = KeptItems()
+        # Keys that are known as removed, the last one removed last.
+        self._gone: OrderedDict[str, None] = OrderedDict()
         self._proven = False
         self._removals: deque[Removal] = deque(maxlen=_MOST_REMOVALS)
         self._removals_since = 0
@@ -160,26 +180,75 @@
                 return False
             items = {item.key: item for item in snapshot.items}
             differs = items != self.state.items
+            is_restored = 0 < self.state.revision < snapshot.revision and era_of(
+                snapshot.revision
+            ) > era_of(self.state.revision)
+            if is_restored:
+                self._keep(items, snapshot.revision)
+            else:
+                self._kept = self._kept.beside(items)
+            removed = set(self.state.items) - set(items)
+            removed |= {key for key, item in self._kept.items.items() if item is None}
+            self._note_gone(removed, items)
             newest = max((item.revision for item in snapshot.items), default=0)
             changed = max(newest, snapshot.changed, self.state.changed)
             self.state = MirrorState(items, snapshot.revision, changed)
             self._removals.clear()
             self._removals_since = snapshot.revision
-            if differs:
+            if differs or is_restored:
                 self._hand_on()
             return True
 
+    def _keep(self, stored: Mapping[str, StoreItem], revision: int) -> None:
+        """Keep what is known against what a store that came back holds; the lock is held."""
+        known = self._kept.over(self.state.items)
+        until_ms = self._clock.monotonic_ms() + self._keep_ms
+        self._kept = KeptItems.of(known, self._gone, stored, revision, until_ms, self._order)
+        self._counters.count("mirror.restored")
+        log_change(
+            "store.restored",
+            prefix=self.prefix,
+            era=era_of(revision),
+            revision=number_of(revision),
+            known=number_of(self.state.revision),
+            kept=sorted(self._kept.items)[:_MOST_KEPT_TOLD],
+        )
+
+    def _end_kept(self) -> None:
+        """Take what was not written again in time for gone."""
+        if not self._kept.items or self._clock.monotonic_ms() < self._kept.until_ms:
+            return
+        with self._lock:
+            ended, self._kept = self._kept, KeptItems()
+            self._note_gone(set(ended.items) - set(self.state.items), self.state.items)
+            log_change(
+                "store.kept_ended",
+                prefix=self.prefix,
+                kept=sorted(ended.items)[:_MOST_KEPT_TOLD],
+            )
+            self._hand_on()
+
+    def _note_gone(self, removed: Iterable[str], stored: Iterable[str]) -> None:
+        """Note which keys are known as removed, and which are not any more; the lock is held."""
+        for key in stored:
+            self._gone.pop(key, None)
+        for key in removed:
+            self._gone[key] = None
+        while len(self._gone) > _MOST_REMOVALS:
+            self._gone.popitem(last=False)
+
     def _run(self) -> None:
         pause_ms = _FIRST_PAUSE_MS
         listed = False
         while not self._closing.is_set():
             try:
+                self._end_kept()
                 stance = self._stance()
                 if stance is not Stance.FOLLOWING:
                     listed = listed or bool(self.state.revision)
                     self._rest(stance)
                     continue
-                if not listed:
+                if not listed or self._is_of_earlier_era:
                     self._list()
                     listed = True
                 has_changed = self._follow()
@@ -189,10 +258,19 @@
                     self._closing.wait(self.gather_ms() / 1_000)
             except HistoryLostError:
                 self._counters.count("mirror.history_lost")
-                log_change("store.history_lost", prefix=self.prefix, revision=self.state.revision)
+                log_change(
+                    "store.history_lost",
+                    prefix=self.prefix,
+                    era=era_of(self.state.revision),
+                    revision=number_of(self.state.revision),
+                )
                 listed = False
                 self._closing.wait(_FIRST_PAUSE_MS / 1_000)
             except AspengateError as error:
+                if listed and self._is_of_earlier_era:
+                    # Watches are ended where another call has shown that the store came back.
+                    listed = False
+                    continue
                 self._note_lost(error)
                 self._closing.wait(pause_ms * random.uniform(0.5, 1.0) / 1_000)
                 pause_ms = min(pause_ms * _PAUSE_GROWTH, self._longest_pause_ms())
@@ -200,6 +278,10 @@
                 self._note_fault(error)
                 self._closing.wait(_LONGEST_PAUSE_MS / 1_000)
 
+    @property
+    def _is_of_earlier_era(self) -> bool:
+        return era_of(self.state.revision) < self._store.era.current
+
     def _rest(self, stance: Stance) -> None:
         """Make no call for a while; what another process tells counts as the store's word."""
         self._proven = False
@@ -215,16 +297,22 @@
         log_change(
             "store.listed",
             prefix=self.prefix,
-            revision=found.revision,
-            known=known,
+            era=era_of(found.revision),
+            revision=number_of(found.revision),
+            known=number_of(known),
             items=len(found.items),
             is_newer=is_newer,
         )
         self.on_news()
+        if self._is_of_earlier_era:
+            raise HistoryLostError(self.prefix)
 
     def _follow(self) -> bool:
         """Wait for changes and take them over; return whether there were any."""
         wait_ms = self.wait_ms if self._proven else _PROBE_MS
+        if self._kept.items:
+            left_ms = self._kept.until_ms - self._clock.monotonic_ms()
+            wait_ms = int(min(wait_ms, max(_PROBE_MS, left_ms)))
         changes = self._store.changes(self.prefix, self.state.revision, wait_ms)
         with self._lock:
             if changes.revision <= self.state.revision:
@@ -243,6 +331,10 @@
         if overflow > 0:
             self._removals_since = changes.revision
         self._removals.extend(changes.removed)
+        self._kept = self._kept.after(changes)
+        self._note_gone(
+            (each.key for each in changes.removed), (each.key for each in changes.written)
+        )
         changed = max(_apply(changes, items), self.state.changed)
         self.state = MirrorState(items, changes.revision, changed)
         if changes.written or changes.removed:
@@ -250,8 +342,11 @@
 
     def _hand_on(self) -> None:
         """Hand a new state to its owner; a fault there must not end the thread that follows."""
+        state = self.state
+        if self._kept.items:
+            state = replace(state, items=self._kept.over(state.items), kept=self._kept)
         try:
-            self._on_change(self.state)
+            self._on_change(state)
         except Exception as error:
             self._note_fault(error)
 
@@ -263,7 +358,12 @@
         was_proven, self._proven = self._proven, True
         if not self.connected:
             self.connected = True
-            log_change("store.connected", prefix=self.prefix, revision=self.state.revision)
+            log_change(
+                "store.connected",
+                prefix=self.prefix,
+                era=era_of(self.state.revision),
+                revision=number_of(self.state.revision),
+            )
         if not was_proven:
             self.on_news()
 
--- a/src/aspengate/store/_port.py
+++ b/src/aspengate/store/_port.py
@@ -1,16 +1,17 @@
 """What the product asks of a key-value store, and the values that cross this border."""
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
 from aspengate.errors import AspengateError, ErrorKind
+from aspengate.store._era import StoreEra
 
 
 @dataclass(frozen=True)
 class StoreItem:
-    """One key with its value, as of ``revision``, the store's counter at its last change."""
+    """One key with its value, as of ``revision``, that of its last change (``make_revision``)."""
 
     key: str
     value: bytes
@@ -54,13 +55,6 @@
     value: bytes
 
 
-class HistoryLostError(AspengateError):
-    """The store no longer knows the changes since a revision; list the items again."""
-
-    def __init__(self, prefix: str) -> None:
-        super().__init__(ErrorKind.STORE_UNAVAILABLE, "history is gone", where=prefix)
-
-
 class ConditionFailedError(AspengateError):
     """A transaction's condition did not hold; ``items`` are the present values by key."""
 
@@ -76,14 +70,13 @@
     was done. ``answered_ms`` is when the store last did what it was asked, in monotonic
     milliseconds. ``calls`` counts the calls made, by what they do.
 
-    A store may come back from an older copy of itself: ``era`` is the highest history that it has
-    named, 0 where it names none. ``on_era`` is called with the one before where it rises.
+    A store may come back from an older copy of itself: ``era`` tells which history it names.
+    Revisions hold theirs, and a call with one of an earlier history fails without being made.
     """
 
     answered_ms: float
     calls: Counter[str]
-    era: int
-    on_era: Callable[[int], None]
+    era: StoreEra
 
     def get(self, key: str) -> StoreItem | None:
         """Return the item under ``key``, if any; the read is linearizable."""
@@ -100,7 +93,7 @@
     def changes(self, prefix: str, since: int, wait_ms: int) -> Changes:
         """Wait up to ``wait_ms`` for changes after revision ``since``.
 
-        Raises HistoryLostError where they are no longer known.
+        Raises HistoryLostError where they are no longer known, or ``since`` is of another history.
         """
 
     def transact(self, conditions: Mapping[str, int], puts: tuple[Put, ...]) -> int:
@@ -108,7 +101,7 @@
 
         A revision of 0 means that the key is absent. Return the new revision. Raises
         ConditionFailedError, or OUTCOME_UNKNOWN where the write may have been done, or may
-        still be done while its conditions hold.
+        still be done while its conditions hold: in a later history they may hold by chance.
         """
 
     def remove(self, key: str) -> None:
