Write records of requests that end replicas again where the store has lost them

What callers saw: nothing yet. As long as routers took no list of a store that came back from a copy, they went on by the records that they had. Now that they take it, a lost record would be forgotten 3 s later, and a request under which three replicas had ended be sent on.

Cause: what routers wrote themselves was believed to last. Nobody else writes it again.

Change: what is known of these records is kept until it is written again, by the routers that lead and the one that ranks first for a request; the condition is what the store held when it was first read. What a router wrote last and never read back is kept as well.

Why it holds: the scenario (three gateways, four replicas, the record lost after three ends) has the record back, and none of the gateways sends the request on.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -60,6 +60,11 @@
     When then a key is taken away and a route is added
     Then all gateways refuse the key and serve the route
 
+  Scenario: A request that ends replicas stays refused though the store lost its record
+    Given three gateways before four portal replicas
+    When a receipt has ended three of them, and the store loses its record
+    Then the record is written again, and no gateway sends the receipt on
+
   Scenario: What is not written again after the store came back is over in the end
     Given three gateways before two replicas of each service
     When the store loses a replica's record for good
--- a/src/aspengate/gateway/_crash_guard.py
+++ b/src/aspengate/gateway/_crash_guard.py
@@ -40,7 +40,8 @@
     ``tell`` sends a notice to all other routers; ``on_ended`` is called with the name of each run
     of a replica that has ended; ``reaches_store`` tells whether the store answers this one, and
     ``has_ended`` whether the process at an address has ended. While the store does not answer,
-    ``is_first`` says which router may try a request. ``docs/design/crashes.md`` shows why
+    ``is_first`` says which router may try a request, and ``writes_again`` whether this one writes
+    a record again that the store has lost. ``docs/design/crashes.md`` shows why
     the bound holds over all routers.
     """
 
@@ -55,11 +56,18 @@
         reaches_store: Callable[[], bool],
         is_first: Callable[[str], bool],
         has_ended: Callable[[str], bool] = lambda each: refuses_connections(each, _PROBE_MS),
+        writes_again: Callable[[str], bool] = lambda _: True,
     ) -> None:
         self.policy = CrashPolicy()
         self.book = SuspectBook(clock)
         self.records = CrashRecords(
-            store, clock, counters, self.policy, self.book.ends, self._on_record_gone
+            store,
+            clock,
+            counters,
+            self.policy,
+            self.book.ends,
+            self._on_record_gone,
+            writes_again,
         )
         self._clock = clock
         self._counters = counters
--- a/src/aspengate/gateway/_crash_records.py
+++ b/src/aspengate/gateway/_crash_records.py
@@ -3,7 +3,7 @@
 import enum
 import threading
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from aspengate.clock import Clock
 from aspengate.crashes import (
@@ -15,7 +15,14 @@
 )
 from aspengate.errors import AspengateError
 from aspengate.gateway._unreadable import UnreadableItems
-from aspengate.store import ConditionFailedError, KeyValueStore, MirrorState, Put, StoreItem
+from aspengate.store import (
+    ConditionFailedError,
+    KeyValueStore,
+    MirrorState,
+    Put,
+    StoreItem,
+    era_of,
+)
 from aspengate.telemetry import Counters, lasting_thread, log_change
 
 # How long to wait, in ms, before a change of a record that failed is made again. No request waits
@@ -28,10 +35,11 @@
 class Change(enum.IntEnum):
     """What is to become of a record; of two that wait together the higher one is made."""
 
-    TAKE_BACK_TRY = 1
-    END_TRY = 2
-    END_TRY_WITH_REPLICA = 3
-    REMOVE = 4
+    WRITE_AGAIN = 1
+    TAKE_BACK_TRY = 2
+    END_TRY = 3
+    END_TRY_WITH_REPLICA = 4
+    REMOVE = 5
 
 
 @dataclass(frozen=True)
@@ -46,7 +54,8 @@
     """Keeps a copy of the records, and changes them on a thread of its own.
 
     Only ``begin_try`` writes at once, since a request waits for it. ``on_gone`` is called with the
-    content of each record that was removed, by a router or by an operator.
+    content of each record that was removed, by a router or by an operator. ``writes_again`` tells
+    whether this router is one of those that write a record again which the store has lost.
     """
 
     def __init__(
@@ -57,6 +66,7 @@
         policy: CrashPolicy,
         ends_of: Callable[[str], Collection[str]],
         on_gone: Callable[[str], None],
+        writes_again: Callable[[str], bool] = lambda _: True,
     ) -> None:
         self.session = ""
         self._store = store
@@ -65,6 +75,13 @@
         self._policy = policy
         self._ends_of = ends_of
         self._on_gone = on_gone
+        self._writes_again = writes_again
+        # The store's revision up to which its records have been read.
+        self._seen = 0
+        # What this router wrote, and the store lost before it was read again.
+        self._lost: dict[str, _Known] = {}
+        # Requests whose records the store does not hold as they are known here.
+        self._unwritten: set[str] = set()
         self._unreadable = UnreadableItems(counters)
         self._known: dict[str, _Known] = {}
         self._changes: dict[str, Change] = {}
@@ -91,20 +108,39 @@
         return len(self._known)
 
     def take(self, state: MirrorState) -> None:
-        """Take over the records that the store holds; one that can't be read holds nothing."""
+        """Take over the records that the store holds; one that can't be read holds nothing.
+
+        Where the store has lost some, they hold on, and are written again.
+        """
         found = {
             item.key.removeprefix(RECORD_PREFIX): self._read(item) for item in state.items.values()
         }
+        kept = {key.removeprefix(RECORD_PREFIX): item for key, item in state.kept.items.items()}
+        for content, item in kept.items():
+            if item is not None:
+                stored = state.kept.stored.get(item.key, 0)
+                found[content] = replace(found[content], revision=stored)
         with self._lock:
-            before = self._known
+            before, seen, self._seen = self._known, self._seen, state.revision
+            for content, known in before.items():
+                if known.revision > seen and era_of(known.revision) < era_of(state.revision):
+                    self._lost[content] = known
+            for content, known in self._lost.items():
+                stored = found[content].revision if content in found else 0
+                found[content] = replace(known, revision=stored)
             newer = {
                 content: known
                 for content, known in before.items()
                 if known.revision > state.revision
             }
             self._known = {**found, **newer}
+            self._unwritten = {*kept, *self._lost}
         for content in set(before) - set(self._known):
             self._on_gone(content)
+        for content in list(self._unwritten):
+            if self._writes_again(content):
+                is_removed = content in kept and kept[content] is None
+                self.ask(content, Change.REMOVE if is_removed else Change.WRITE_AGAIN)
 
     def begin_try(self, content: str) -> bool:
         """Record that this router tries a request; return whether no other one was first.
@@ -174,7 +210,7 @@
             return True
         record = (known.record if known else None) or CrashRecord()
         changed = self._changed(content, record, change)
-        if changed == record:
+        if changed == record and content not in self._unwritten:
             return True
         try:
             self._write(content, changed, known.revision if known else 0)
@@ -186,7 +222,7 @@
 
     def _changed(self, content: str, record: CrashRecord, change: Change) -> CrashRecord:
         """Return what a change makes of a record; a try of another router's stays as it is."""
-        if record.trying != self.session:
+        if record.trying != self.session or change is Change.WRITE_AGAIN:
             return record
         now = self._clock.now_ms()
         if change is Change.TAKE_BACK_TRY:
@@ -199,6 +235,8 @@
         written = self._store.transact({key: revision}, (Put(key, encode_record(record)),))
         with self._lock:
             self._known = {**self._known, content: _Known(record, written)}
+            self._lost.pop(content, None)
+            self._unwritten.discard(content)
 
     def _take_present(self, content: str, failure: ConditionFailedError) -> None:
         """Take over what another router wrote, or that there is no record any more."""
@@ -207,6 +245,8 @@
         with self._lock:
             rest = {each: found for each, found in self._known.items() if each != content}
             self._known = {**rest, content: known} if known else rest
+            self._lost.pop(content, None)
+            self._unwritten.discard(content)
 
     def _due_ms(self, content: str) -> int:
         record = self.get(content)
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -135,8 +135,12 @@
             on_ended=lambda run: self.pool.forget(replica_of(run)),
             reaches_store=lambda: self.peering.reaches_store,
             is_first=lambda content: self.peering.members.is_first(content),
+            writes_again=self._writes_again,
+        )
+        # Routers alone write these, and write again what the store has lost.
+        self.crash_records = self._mirror(
+            RECORD_PREFIX, self.crashes.take_records, keep_ms=float("inf")
         )
-        self.crash_records = self._mirror(RECORD_PREFIX, self.crashes.take_records)
         self.peering = self._make_peering()
         self.witness = self._make_witness()
         self.loans = self._make_loans()
@@ -264,6 +268,11 @@
         self.peering.close()
         self.pool.close()
 
+    def _writes_again(self, subject: str) -> bool:
+        """Return whether this router is one of the few that write again what the store lost."""
+        members = self.peering.members
+        return members.leads or members.is_first(subject)
+
     def _on_store_era(self, before: int) -> None:
         self.counters.count("store.eras")
         log_change("store.era", era=self.deployment.store.era.current, before=before)
