Write what the store has lost of accounts' documents again, and grant nothing anew before

What callers saw: more than was prepaid. Three gateways, an account of 24,000 tokens, one killed after it drew, the store back from a copy of before: 26,780 were given.

Cause: a document is changed by compare-and-swap and believed to last. In the copy the allowances of the last seconds are missing, and what they allowed is handed out once more.

Change: each router knows the newest document that it read or wrote, and its revision. In a new history it reads its accounts again, and writes what it knows over the copy, or joins both where somebody has written since, so that nothing is counted less. It adds the ceilings of the sessions that it witnesses. For one second, and what the reads of all routers are spread over, nothing is granted anew; a router that starts waits so before copied documents. Three fields are added to the document.

Weighed: each router restates its own session alone (what dead ones drew is lost); the newest document of all (nobody reads it but who draws); both, with the ceilings of witnesses: chosen.

Why it holds: property test of three routers over 300 histories with up to three returns, with and without the death of one router: none overspends; one does where nothing is written again. Refused meanwhile, too early for callers: next.

--- a/features/allowances.feature
+++ b/features/allowances.feature
@@ -7,6 +7,12 @@
     And nor does it in long histories of few kinds of faults
     And what is known to be unused can be had again
 
+  Scenario: Nothing is overspent while the store comes back from copies of itself
+    Given routers that spend from one account through a store that comes back from copies
+    Then no history without deaths in the lost time overspends
+    And none overspends where one router dies in the lost time and its witness lives
+    And one overspends where nothing is written again
+
   Scenario Outline: Settling again after a lost answer counts nothing twice
     Given a router that <got> tokens and did not use all of them
     When it settles for good and the answer to that is lost
--- a/features/steps/allowance_steps.py
+++ b/features/steps/allowance_steps.py
@@ -135,6 +135,74 @@
     return False
 
 
+DEATHS = ("restart", "stop", "close silent")
+ANY_EVENTS = st.lists(
+    st.sampled_from(sorted(EVENTS_BY_KIND)).flatmap(EVENTS_BY_KIND.__getitem__), max_size=20
+)
+LOST_EVENTS = st.lists(
+    st.sampled_from(sorted(set(EVENTS_BY_KIND) - set(DEATHS))).flatmap(EVENTS_BY_KIND.__getitem__),
+    max_size=20,
+)
+RESTORED_HISTORIES = st.lists(
+    st.tuples(ANY_EVENTS, LOST_EVENTS, st.permutations(range(3))), min_size=1, max_size=3
+)
+
+
+def overspends_restored(history, dies=None, **rules):
+    """Return whether some history in which the store comes back from copies overspends.
+
+    The router ``dies`` does so each time after what is lost.
+    """
+    world = World(LIMIT, **rules)
+    for before, lost, order in history:
+        if before and overspends(before, world):
+            return True
+        earlier = world.store.copy()
+        if lost and overspends(lost, world):
+            return True
+        if dies is not None:
+            world.restart(dies)
+        world.come_back(earlier, order)
+    return overspends(TAKING_ALL_THAT_IS_LEFT, world)
+
+
+@given("routers that spend from one account through a store that comes back from copies")
+def restored_routers(context):
+    context.rules = {}
+
+
+@then("no history without deaths in the lost time overspends")
+def no_restored_overspend(context):
+    @settings(max_examples=300)
+    @given_any(RESTORED_HISTORIES)
+    def check(history):
+        assert not overspends_restored(history)
+
+    check()
+
+
+@then("none overspends where one router dies in the lost time and its witness lives")
+def no_overspend_with_death(context):
+    @settings(max_examples=300)
+    @given_any(RESTORED_HISTORIES, ROUTER)
+    def check(history, dies):
+        assert not overspends_restored(history, dies)
+
+    check()
+
+
+def nothing_restored(self, before):
+    """Write nothing again."""
+
+
+@then("one overspends where nothing is written again")
+def overspends_without(context):
+    lost = [("reserve", 0, 4_000), ("primary", 1), ("reserve", 1, 4_000), ("primary", 2)]
+    history = [([], lost, (0, 1, 2)), ([("reserve", 2, 9_000)], [], (0, 1, 2))]
+    assert not overspends_restored(history)
+    assert overspends_restored(history, restore=nothing_restored)
+
+
 @given("routers that spend from one account through a store that loses answers")
 def routers(context):
     context.world = World(LIMIT)
@@ -309,6 +377,9 @@
         witnesses=st.dictionaries(names, names, max_size=5),
         ended=st.dictionaries(names, names, max_size=5),
         spent=st.integers(0, 2**40),
+        era=st.integers(0, 2**20),
+        restored_from=st.integers(0, 2**60),
+        restored_closed=st.integers(-(2**40), 2**40),
     )
 
     @given_any(documents)
@@ -337,6 +408,9 @@
         "witnesses": many.witnesses,
         "ended": {},
         "spent": 0,
+        "era": 0,
+        "restored_from": 0,
+        "restored_closed": 0,
     }
 
 
--- a/features/steps/allowance_world.py
+++ b/features/steps/allowance_world.py
@@ -8,12 +8,13 @@
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway.prepaid import ALLOWANCE_PREFIX, LimitSource, TokenAccounts
 from aspengate.peers import LoanRequest, Repayment
-from aspengate.store import ConditionFailedError, StoreItem
+from aspengate.store import ConditionFailedError, StoreEra, StoreItem, make_revision, number_of
 from aspengate.telemetry import NullCounters
 
 ACCOUNT = ClientAccount("board", ("key",), 0, 0)
 KEY = ALLOWANCE_PREFIX + "board"
 LIMIT_KEY = "limits"
+SETTLE_MS = 5_000.0
 
 
 class InlineExecutor(Executor):
@@ -45,6 +46,8 @@
     def __init__(self, limit):
         self.items = {LIMIT_KEY: StoreItem(LIMIT_KEY, b"%d" % limit, 1)}
         self.revision = 1
+        self.era = StoreEra()
+        self.era.note(1)
         self.answered_ms = 0.0
         self.down = False
         self.on_written = lambda: None
@@ -61,7 +64,28 @@
 
     def get(self, key):
         self._check()
-        return self.items.get(key)
+        return self._stamped(key)
+
+    def copy(self):
+        return dict(self.items), self.revision
+
+    def come_back(self, earlier):
+        """Hold what a copy holds, in a new history; the operator writes the limit again."""
+        limit = self.limit
+        self.items, self.revision = dict(earlier[0]), earlier[1]
+        self.late.clear()
+        self.era.note(self.era.current + 1)
+        self.set_limit(limit)
+
+    def _stamped(self, key):
+        item = self.items.get(key)
+        if item is None:
+            return None
+        return StoreItem(key, item.value, make_revision(self.era.current, number_of(item.revision)))
+
+    @property
+    def limit_revision(self):
+        return self._stamped(LIMIT_KEY).revision
 
     def transact(self, conditions, puts):
         self._check()
@@ -89,15 +113,16 @@
         return None
 
     def _apply(self, conditions, puts):
+        self.era.check_conditions(conditions.values())
         for key, revision in conditions.items():
             item = self.items.get(key)
-            if (item.revision if item else 0) != revision:
-                present = {k: self.items[k] for k in conditions if k in self.items}
+            if (item.revision if item else 0) != number_of(revision):
+                present = {k: self._stamped(k) for k in conditions if k in self.items}
                 raise ConditionFailedError(present)
         self.revision += 1
         for put in puts:
             self.items[put.key] = StoreItem(put.key, put.value, self.revision)
-        return self.revision
+        return make_revision(self.era.current, self.revision)
 
     def _check(self):
         if self.down:
@@ -260,7 +285,7 @@
         self.sessions[number] = session
         self.witnesses[number] = WorldWitness(self, number, session)
         self.loans[number] = WorldLoans(self, number, session)
-        self.known[number] = (self.store.limit, self.store.items[LIMIT_KEY].revision)
+        self.known[number] = (self.store.limit, self.store.limit_revision)
         self.accounts[number] = TokenAccounts(
             session=session,
             store=self.store,
@@ -276,7 +301,7 @@
         )
         self.accounts[number].routers = len(self.accounts)
         accounts = self.accounts[number]
-        parts = (accounts.lender, accounts.writer, accounts.book)
+        parts = (accounts.lender, accounts.writer, accounts.book, accounts)
         for rule, broken in self.rules.items():
             part = next(each for each in parts if hasattr(each, rule))
             setattr(part, rule, broken.__get__(part))
@@ -319,6 +344,16 @@
         session = self.session_of(number)
         self.accounts[(number + 1) % len(self.accounts)]._close_silent(session, ("board",))
 
+    def come_back(self, earlier, order):
+        """The store comes back from a copy; routers hear of it in some order, soon."""
+        before = self.store.era.current
+        self.store.down = False
+        self.store.next_write = "done"
+        self.store.come_back(earlier)
+        for number in order:
+            self.accounts[number].restore(before)
+        self.clock.advance(SETTLE_MS)
+
     def pay(self, lender, payment):
         """A repayment arrives, at the life of a router that it is meant for."""
         if self.session_of(lender) == payment.lender:
@@ -337,7 +372,7 @@
 
     def hear(self, number):
         """A router hears of the present limit."""
-        self.known[number] = (self.store.limit, self.store.items[LIMIT_KEY].revision)
+        self.known[number] = (self.store.limit, self.store.limit_revision)
         self.accounts[number].limits_changed()
 
     @property
--- a/src/aspengate/allowances/__init__.py
+++ b/src/aspengate/allowances/__init__.py
@@ -14,6 +14,11 @@
     set_allowance,
 )
 from aspengate.allowances._purse import Purse
+from aspengate.allowances._restoration import (
+    adopt_document,
+    restore_document,
+    restore_sessions,
+)
 from aspengate.allowances._sizing import AllowanceSizing, Demand, Holding
 from aspengate.allowances._witness import WitnessBook
 
@@ -24,10 +29,13 @@
     "Holding",
     "Purse",
     "WitnessBook",
+    "adopt_document",
     "close_session",
     "decode_document",
     "encode_document",
     "end_session",
+    "restore_document",
+    "restore_sessions",
     "router_of",
     "session_name",
     "set_allowance",
--- a/src/aspengate/allowances/_document.py
+++ b/src/aspengate/allowances/_document.py
@@ -31,6 +31,10 @@
     its sessions that settled itself: settling it again after a lost answer changes nothing.
     ``spent`` is what those sessions' own requests used, without any loan; it is only there to
     check the rest of the document against.
+
+    ``era`` is the history of the store in which it was written. ``restored_from`` is the revision
+    of the newest document of an earlier history that it was made from, and ``restored_closed`` is
+    what that counted as closed.
     """
 
     limit: int = 0
@@ -40,6 +44,9 @@
     witnesses: dict[str, str] = {}
     ended: dict[str, str] = {}
     spent: int = 0
+    era: int = 0
+    restored_from: int = 0
+    restored_closed: int = 0
 
     def limit_for(self, limit: int, revision: int) -> int:
         """Return the limit in force for a writer that read ``limit`` as of ``revision``."""
--- a/src/aspengate/allowances/_witness.py
+++ b/src/aspengate/allowances/_witness.py
@@ -52,6 +52,25 @@
             entry.closed = True
             return dict(entry.ceilings)
 
+    def ceilings_of(self, account: str, since_ms: float) -> dict[str, int]:
+        """Return an account's ceilings by open session, of those heard since ``since_ms``."""
+        with self._lock:
+            return {
+                session: entry.ceilings[account]
+                for session, entry in self._entries.items()
+                if not entry.closed and entry.heard_ms >= since_ms and account in entry.ceilings
+            }
+
+    def accounts(self, since_ms: float) -> set[str]:
+        """Return the accounts of the open sessions that were heard since ``since_ms``."""
+        with self._lock:
+            return {
+                account
+                for entry in self._entries.values()
+                if not entry.closed and entry.heard_ms >= since_ms
+                for account in entry.ceilings
+            }
+
     def is_closed(self, session: str) -> bool:
         """Return whether a session was closed here."""
         with self._lock:
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -281,6 +281,7 @@
         # Their answers would be of the history before.
         self.deployment.store.end_watches()
         self.peering.note_store_restored()
+        self.tokens.restore(before)
 
     def _is_ready(self) -> bool:
         return self.holder.known and bool(self.replicas.state.revision) and not self.leaving
--- a/src/aspengate/gateway/prepaid/_account.py
+++ b/src/aspengate/gateway/prepaid/_account.py
@@ -6,7 +6,7 @@
 
 from aspengate.allowances import AllowanceDocument, Purse
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.store import StoreItem
+from aspengate.store import StoreItem, make_revision
 
 ALLOWANCE_PREFIX = "aspengate/allowances/"
 
@@ -55,6 +55,11 @@
     ``session`` is this router's own, under which the document lists what it may use.
     ``limit`` is what it may use in all, as the last configuration said.
 
+    ``known`` is the newest document that the store is known to have held, as of ``known_revision``,
+    also while ``document`` is not believed. ``restores`` means that the store came back from an
+    older copy and holds less than is known here, ``is_copy`` that what it holds is of before, and
+    ``asks_witness`` that it may lack sessions which this router witnesses.
+
     ``uncertain`` means that a write without an answer may still take effect while the document
     is unchanged: only another write, which moves the revision on, rules that out. ``listed``
     means that the store confirmed this session's entry in the document. ``named_witness`` is the
@@ -73,6 +78,11 @@
     limit: int = 0
     document: AllowanceDocument | None = None
     revision: int = 0
+    known: AllowanceDocument | None = None
+    known_revision: int = 0
+    restores: bool = False
+    is_copy: bool = False
+    asks_witness: bool = False
     working: bool = False
     uncertain: bool = False
     listed: bool = False
@@ -116,6 +126,13 @@
         self.document = document
         self.revision = item.revision if item else 0
 
+    def note_known(self, era: int) -> None:
+        """Note that the store holds the present document in its history ``era``."""
+        self.known = self.document
+        self.known_revision = max(self.revision, make_revision(era, 0))
+        self.restores = False
+        self.asks_witness = False
+
     def grant_waiting(self, now_ms: float) -> None:
         """Grant the waiting requests that are covered, in order; call it with the lock held.
 
--- a/src/aspengate/gateway/prepaid/_accounts.py
+++ b/src/aspengate/gateway/prepaid/_accounts.py
@@ -1,8 +1,9 @@
 """The prepaid tokens of all accounts, as requests and other routers use them."""
 
+import random
 import threading
 from collections.abc import Callable, Mapping
-from concurrent.futures import Executor, ThreadPoolExecutor, wait
+from concurrent.futures import Executor, Future, ThreadPoolExecutor, wait
 
 from aspengate.allowances import AllowanceSizing, Purse, WitnessBook
 from aspengate.clock import Clock
@@ -32,6 +33,13 @@
 _EXHAUSTED_MS = 400.0
 _UNAVAILABLE_MS = 300.0
 _SCARCE_MS = 3_000.0
+# How long all routers in touch have to write again what a store that came back from an older copy
+# has lost, in ms, beside what their calls are spread over: each hears of it within half a second.
+_SETTLE_MS = 1_000.0
+# How far apart the reads of all routers are then on average, in ms.
+_RESTORE_GAP_MS = 1.0
+# A copy is younger than this, in ms: what a witness heard before is in it.
+_COPY_AGE_MS = 60_000.0
 
 
 class TokenAccounts:
@@ -86,6 +94,7 @@
             executor=self._executor,
         )
         self.writer.ask_holders = self.supply.ask_holders
+        self.writer.witnessed = self._witnessed
         self.lender = Lender(self.supply, counters)
         self._clock = clock
         self._counters = counters
@@ -245,6 +254,39 @@
             if not self.sessions.is_alive(session):
                 self._close_silent(session, names)
 
+    def restore(self, before: int) -> None:
+        """Have the store hold again what is known, after it named a history beyond ``before``."""
+        accounts = self._all()
+        spread_ms = self.routers * len(accounts) * _RESTORE_GAP_MS
+        self.writer.settle_era(before, _SETTLE_MS + spread_ms)
+        if before:
+            done = self._executor.submit(self._restore_all, random.uniform(0.0, spread_ms))
+            done.add_done_callback(self._note_restored)
+
+    def _note_restored(self, done: Future[None]) -> None:
+        """Tell of a fault: nobody waits for the result."""
+        error = None if done.cancelled() else done.exception()
+        if error is not None:
+            self._counters.count("allowances.restore_faults")
+            log_change("allowance.restore_fault", error=repr(error))
+
+    def _restore_all(self, delay_ms: float) -> None:
+        """Look at all documents of which something is known, also of other routers' sessions."""
+        self._clock.sleep_ms(delay_ms)
+        since_ms = self._clock.monotonic_ms() - _COPY_AGE_MS
+        witnessed = self.book.accounts(since_ms)
+        for account in map(self.account, witnessed.union(each.name for each in self._all())):
+            with account.changed:
+                account.asks_witness = account.name in witnessed
+                account.document = None
+                if account.working:
+                    self.supply.schedule_later(account)
+                else:
+                    self.supply.schedule(account)
+
+    def _witnessed(self, name: str) -> dict[str, int]:
+        return self.book.ceilings_of(name, self._clock.monotonic_ms() - _COPY_AGE_MS)
+
     def close(self, timeout_ms: float = _CLOSE_MS) -> None:
         """Settle every account exactly, as far as the store can be reached in time."""
         jobs = [self._executor.submit(self.writer.settle_for_good, each) for each in self._all()]
--- a/src/aspengate/gateway/prepaid/_writer.py
+++ b/src/aspengate/gateway/prepaid/_writer.py
@@ -1,16 +1,19 @@
 """Reads and writes accounts' documents in the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 
 from aspengate.allowances import (
     AllowanceDocument,
     AllowanceSizing,
     Holding,
+    adopt_document,
     close_session,
     decode_document,
     encode_document,
     end_session,
+    restore_document,
+    restore_sessions,
     set_allowance,
 )
 from aspengate.clock import Clock
@@ -29,6 +32,7 @@
     OutageOutlook,
     Put,
     StoreItem,
+    era_of,
 )
 from aspengate.telemetry import Counters, log_change
 
@@ -47,7 +51,11 @@
     whether other calls to the store succeed, and ``is_dead`` of a session and its witness
     whether that session may be settled. ``ask_holders`` asks the sessions that hold tokens of a
     spent account, with its lock held, and returns whether their answer is to be waited for.
-    ``outlook`` tells what outage of the store the reserve is to last for.
+    ``outlook`` tells what outage of the store the reserve is to last for. ``witnessed`` returns
+    the ceilings of an account by session that this router witnesses.
+
+    After the store came back from an older copy, nothing is granted anew until ``settle_era`` says
+    that all routers have had the time to write again what it lost.
     """
 
     def __init__(
@@ -67,6 +75,7 @@
         self.session = session
         self.routers = 1
         self.outlook: Callable[[], OutageOutlook] = OutageOutlook
+        self.witnessed: Callable[[str], Mapping[str, int]] = lambda _: {}
         self.ask_holders: Callable[[Account, float], bool] = lambda *_: False
         self.writes = GroupedWrites(store)
         self._store = store
@@ -79,6 +88,16 @@
         self._reaches_store = reaches_store
         self._is_dead = is_dead
         self._failed_ms = float("-inf")
+        self._settled_ms = float("-inf")
+        self._is_restored = False
+
+    def settle_era(self, before: int, settle_ms: float) -> None:
+        """Grant nothing anew for ``settle_ms``, since the store names another history.
+
+        Where it is the first one that this router hears of, that holds for copied documents alone.
+        """
+        self._is_restored = before > 0
+        self._settled_ms = self._clock.monotonic_ms() + settle_ms
 
     def seems_down(self, now: float) -> bool:
         """Return whether the store did not answer, and has not since.
@@ -150,8 +169,9 @@
             self._pass_over(account)
             return False
         try:
-            if account.document is None:
-                self._read(account)
+            self._refresh(account)
+            if not self._may_grant(account):
+                return self._write_again(account)
             document = self._without_dead(account.name, account.document or AllowanceDocument())
             document = document.with_limit(source.limit, source.revision)
             source = replace(source, limit=document.limit)
@@ -162,7 +182,7 @@
                 note_exhausted(account, source.limit, self.session)
                 self._refuse(account)
                 return False
-            if plan == account.document and not account.uncertain:
+            if plan == account.document and not account.uncertain and not account.restores:
                 self._grant(account, plan)
             elif not self._write(account, plan):
                 return True
@@ -177,11 +197,34 @@
             self._pass_over(account)
             return False
 
+    def _may_grant(self, account: Account) -> bool:
+        """Return whether others have had the time to write again what the store lost."""
+        if self._clock.monotonic_ms() >= self._settled_ms:
+            return True
+        return not self._is_restored and not account.is_copy
+
+    def _write_again(self, account: Account) -> bool:
+        """Write what the store lost, without granting anything; return whether to try again."""
+        document = account.document or AllowanceDocument()
+        if not account.restores:
+            self._grant(account, document)
+        elif not self._write(account, document):
+            return True
+        self._pass_over(account)
+        return False
+
     def _asks_holders(self, account: Account) -> bool:
         """Return whether requests wait for what other sessions hold of a spent account."""
         with account.changed:
             return self.ask_holders(account, self._clock.monotonic_ms())
 
+    def _refresh(self, account: Account) -> None:
+        """Read the document where it is not known, or is of before the store came back."""
+        if account.revision and era_of(account.revision) < self._store.era.current:
+            account.document = None
+        if account.document is None:
+            self._read(account)
+
     def _read(self, account: Account) -> None:
         self._take(account, self._store.get(account.key))
 
@@ -190,14 +233,53 @@
         if document.is_undercounted:
             self._counters.count("allowances.undercounted")
             note_undercounted(account, document)
+        era = self._store.era.current
+        adopted = adopt_document(document, item.revision if item else 0, era)
         with account.changed:
-            account.take(document, item)
-            account.named_witness = document.witness(self.session)
+            restored = self._restored(account, document, item, adopted)
+            account.take(restored, item)
+            account.is_copy = item is not None and document.era < era
+            account.restores = restored != adopted
+            account.named_witness = "" if account.restores else restored.witness(self.session)
+            if not account.restores:
+                account.note_known(era)
+            document = restored
             if account.listed and self.session not in document.sessions:
                 account.listed = False
                 account.purse.count_as_closed()
                 log_change("allowance.closed_elsewhere", account=account.name)
 
+    def _restored(
+        self,
+        account: Account,
+        stored: AllowanceDocument,
+        item: StoreItem | None,
+        adopted: AllowanceDocument,
+    ) -> AllowanceDocument:
+        """Return what the store is to hold after it came back from a copy; the lock is held."""
+        era = self._store.era.current
+        is_known = era_of(account.known_revision) >= era
+        restored = adopted
+        if account.known is not None and not is_known:
+            revision = item.revision if item else 0
+            restored = restore_document(
+                stored, revision, account.known, account.known_revision, era
+            )
+        if account.listed and not is_known:
+            restored = restore_sessions(restored, {self.session: account.purse.granted})
+        if account.asks_witness:
+            restored = restore_sessions(restored, self.witnessed(account.name), self.session)
+        if restored != adopted:
+            self._counters.count("allowances.restored")
+            log_change(
+                "allowance.restored",
+                account=account.name,
+                era=era,
+                stored=adopted.committed,
+                restored=restored.committed,
+            )
+        return restored
+
     def _without_dead(self, name: str, document: AllowanceDocument) -> AllowanceDocument:
         """Return the document with dead sessions settled, as far as their witnesses tell."""
         for session, allowance in list(document.sessions.items()):
@@ -303,6 +385,7 @@
             account.uncertain = False
             account.document = plan
             account.revision = revision
+            account.note_known(era_of(revision))
         self._grant(account, plan)
         return True
 
@@ -340,8 +423,7 @@
 
     def _close(self, account: Account) -> None:
         for _ in range(_CLOSE_ATTEMPTS):
-            if account.document is None:
-                self._read(account)
+            self._refresh(account)
             plan, revision = self._closing_plan(account)
             if plan == account.document:
                 return
