Tell a gateway that starts again at once what it has lost

What callers saw: a gateway that was killed and started again within 3 s sent requests on under which replicas had ended.

Cause: the others tell what they know only to one that they had not heard for 3 s. One that starts again sooner was never away to them.

Change: they tell it to each new run as well.

Why it holds: the scenario failed before (no notice was sent after the start within 10 s), passes now.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -10,6 +10,13 @@
     When a receipt has ended three of them and is asked for once more
     Then its story names each replica, when it ended and which router saw it
 
+  # A gateway that is killed and started again within 3 s was never away to the others, which tell
+  # what they know only to those that were: it knew nothing of what it had lost.
+  Scenario: A gateway that starts again at once is told under which requests replicas ended
+    Given two gateways before four portal replicas
+    When one of them sees a receipt end its replica, and the other one is killed and starts again
+    Then the first one tells the other one once more what it knows
+
   Scenario: Requests are the same where account, path, query and body are
     Given requests of two accounts with paths and bodies of any kind
     Then two have the same id just where all of these are equal
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from hypothesis import given as given_any
 from hypothesis import strategies as st
+from platform_standins import Caller
 from platform_standins.fleet import eventually
 
 from aspengate.crashes import content_id
@@ -31,6 +32,35 @@
     start(context, replicas=4)
 
 
+@given("two gateways before four portal replicas")
+def two_gateways(context):
+    start(context, routers=2, replicas=4)
+
+
+def notices_sent(router):
+    """Return how many notices on ended replicas a gateway has sent, by its figures."""
+    text = Caller(router.metrics_address).request("GET", "/metrics").body.decode()
+    lines = [line for line in text.splitlines() if 'event="datagrams.sent.crashes"' in line]
+    return sum(float(line.rpartition(" ")[2]) for line in lines if "_total" in line)
+
+
+@when("one of them sees a receipt end its replica, and the other one is killed and starts again")
+def seen_and_started(context):
+    for replica in context.fleet.of("portal"):
+        replica.crash_on = "/receipt/ending"
+    assert ask(context.router, "/receipt/ending") == 502
+    # Each notice is sent three times within a second.
+    assert eventually(lambda: notices_sent(context.router) == 3)
+    other = context.fleet.routers[1]
+    other.kill()
+    context.fleet.start_again(other)
+
+
+@then("the first one tells the other one once more what it knows")
+def told_once_more(context):
+    assert eventually(lambda: notices_sent(context.router) > 3, 10.0)
+
+
 @when("a receipt ends its replica, and another one's answer is lost")
 def ended_and_lost(context):
     for replica in context.fleet.of("portal"):
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -385,7 +385,7 @@
             self._on_count(self.members.count)
             if self.members.leads:
                 self._datagrams.send(self._news(), news.member.address)
-        if was_away:
+        if was_away or is_new:
             # What others were told while a router was cut off, or before it started, it does not
             # know.
             for notice in (self.services.known_crashes(), self.services.known_limits()):
