Keep what is told of a replica's limit until its record is read

What callers saw: a gateway that had just started sent to replicas in need as if they named no limit, until they answered it.

Cause: it was told before it had read the list of replicas, and words on replicas that are not listed were passed over. Same cause as for lists that come late elsewhere: a message that is ahead of the store.

Change: such words are kept, the newest of each start, and hold once its record is read.

--- a/features/replica_limits.feature
+++ b/features/replica_limits.feature
@@ -117,6 +117,11 @@
     Given a replica that named a limit in an answer
     Then its limit outlives a lapse of its record, and not another start
 
+  Scenario: A word that comes before the record of its replica counts once that is listed
+    Given a router that has not read the list of replicas
+    When it is told of a limit, of a later one and of the earlier one again, and then reads the list
+    Then the later limit holds, for the start that it was told of alone
+
   Scenario: A router that does not answer is not asked for a second, and the next one is
     Given a router that looks for the holders of a replica's permits
     When the first of them does not answer
--- a/features/steps/replica_limit_answers_steps.py
+++ b/features/steps/replica_limit_answers_steps.py
@@ -398,6 +398,29 @@
     assert limit_of(context) == LimitStatement()
 
 
+@given("a router that has not read the list of replicas")
+def not_read(context):
+    context.listed = Listed(["i-1", "i-2"])
+    context.listed.registry = ReplicaRegistry(context.listed.clock, lambda _: None)
+
+
+@when("it is told of a limit, of a later one and of the earlier one again, and then reads the list")
+def told_early(context):
+    listed = context.listed
+    for number, per_second in ((1, 2.0), (2, 0.5), (1, 2.0)):
+        listed.registry.note_limit_told(f"i-1@{listed.born}", number, per_second)
+        listed.registry.note_limit_told("i-2@1", number, per_second)
+    listed.write()
+
+
+@then("the later limit holds, for the start that it was told of alone")
+def later_holds(context):
+    limits = {each: context.listed.view(each).said.limit for each in ("i-1", "i-2")}
+    assert limits["i-1"].per_second == 0.5 and limits["i-1"].number == 2, limits
+    assert limits["i-2"] == LimitStatement(), limits
+    assert context.listed.registry.limited
+
+
 @given("a router that looks for the holders of a replica's permits")
 def looks(context):
     context.clock = ManualClock()
--- a/src/aspengate/replicas/_registry.py
+++ b/src/aspengate/replicas/_registry.py
@@ -52,6 +52,8 @@
         # Made anew with each change of the list, and never changed: it is read without the lock.
         self._services: dict[str, tuple[ReplicaView, ...]] = {}
         self._unlisted: OrderedDict[str, ReplicaView] = OrderedDict()
+        # What others told of limits of starts that are not listed here yet.
+        self._told_early: OrderedDict[str, tuple[LimitStatement, str]] = OrderedDict()
         self._evacuated: dict[str, float] = {}
         self._on_gone = on_gone
         self._on_limit = on_limit
@@ -212,6 +214,7 @@
         with self._lock:
             view = self._lives.get(life)
             if view is None:
+                self._keep_told_early(life, number, per_second, told_by)
                 return
             before = view.said
             limit = before.limit.with_told(number, per_second, now)
@@ -220,6 +223,17 @@
         if limit.per_second != before.limit.per_second:
             _tell_limit(view, told_by)
 
+    def _keep_told_early(
+        self, life: str, number: int, per_second: float | None, told_by: str
+    ) -> None:
+        """Keep what was told of a start that is not listed here yet; the lock is held."""
+        now = self.clock.monotonic_ms()
+        before, _ = self._told_early.get(life, (LimitStatement(), ""))
+        self._told_early[life] = (before.with_told(number, per_second, now), told_by)
+        self._told_early.move_to_end(life)
+        while len(self._told_early) > _MOST_UNLISTED:
+            self._told_early.popitem(last=False)
+
     def limits(self, most: int) -> dict[str, LimitStatement]:
         """Return what starts of listed replicas have ever said of limits, the newest ``most``."""
         with self._lock:
@@ -264,6 +278,10 @@
 
     def _begin(self, view: ReplicaView) -> None:
         self._views[view.identity] = view
+        told, told_by = self._told_early.pop(view.life, (LimitStatement(), ""))
+        is_told = told.number > view.said.limit.number
+        if is_told:
+            view.said = replace(view.said, limit=told)
         self._note_cold(view)
         log_change(
             "replica.listed",
@@ -274,6 +292,8 @@
             state=view.replica.state.value,
             revision=number_of(self.revision),
         )
+        if is_told:
+            _tell_limit(view, told_by)
 
     def _update(self, view: ReplicaView, replica: Replica) -> None:
         if view.replica.state is not replica.state:
