--- a/features/soak.feature
+++ b/features/soak.feature
@@ -13,6 +13,11 @@
       | 2    | 4       |
       | 3    | 4       |
 
+  Scenario: A short run in which the store comes back from copies keeps every promise
+    When the plan of seed 1 is played for 25 seconds on 4 gateways whose store comes back from copies
+    Then no promise is broken, and all gateways serve at the end
+    And the store came back from a copy
+
   Scenario: Routers that are replaced by another build one after the other, and back, keep every promise
     Given the build that landed last, from the history
     When the plan of seed 1 is played for 30 seconds on 4 gateways, which are replaced and back
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -18,6 +18,7 @@
     parser.add_argument("--callers", type=int, default=16)
     parser.add_argument("--prepaid", type=int, default=2_000_000, help="tokens")
     parser.add_argument("--earlier", help="commit of another build to begin with and go back to")
+    parser.add_argument("--restored", action="store_true", help="the store comes back from copies")
     parser.add_argument("--logs", type=Path, help="folder for the lines of runs that broke one")
     chosen = parser.parse_args()
     first, _, last = chosen.seeds.partition("-")
@@ -27,7 +28,7 @@
         parser.error(f"the history does not hold {chosen.earlier}")
     for seed in range(int(first), int(last or first) + 1):
         size = (chosen.routers, chosen.callers, chosen.prepaid)
-        soak = Soak(seed, chosen.seconds, *size, earlier=earlier).play()
+        soak = Soak(seed, chosen.seconds, *size, earlier=earlier, restored=chosen.restored).play()
         broken = broken_promises(soak)
         failed += bool(broken)
         print(seed, "BROKEN" if broken else "kept", json.dumps(soak.figures), flush=True)
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -20,6 +20,13 @@
 # While routers of two builds run side by side replicas also speak for themselves. The plans of the
 # kinds above stay as they are: their seeds are regression cases.
 SPEAKING_KINDS = {**KINDS, "leave": 8, "rest": 8, "lapse": 3, "start again": 3}
+# While the store comes back from copies not all routers die together: nobody knows then what was
+# granted in the lost seconds.
+RESTORED_KINDS = {
+    **{kind: weight for kind, weight in KINDS.items() if kind not in ("kill all", "storm")},
+    "come back": 6,
+    "evacuate": 2,
+}
 STORE_FAULTS = ("busy", "reset", "silent", "mute", "slow", "lose")
 REPLICA_FAULTS = ("refuse", "fail", "lose", "stall", "mute", "surplus", "break off")
 QUIET_S = 2.0
@@ -54,6 +61,11 @@
     return sorted(faults, key=lambda each: each.at_s)
 
 
+def draw_restored(seed, seconds, routers):
+    """Return the faults of a run in which the store comes back from copies."""
+    return draw_plan(seed, seconds, routers, RESTORED_KINDS)
+
+
 def draw_plan(seed, seconds, routers, kinds=None):
     """Return the faults of a run in order; they overlap, and come in series."""
     kinds = kinds or KINDS
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -12,7 +12,7 @@
 from platform_standins.builds import ROOT
 from platform_standins.fleet import eventually
 
-from soak.plan import draw_plan, draw_upgrade
+from soak.plan import draw_plan, draw_restored, draw_upgrade
 
 ENDED_S = 20.0
 RECOVERED_S = 60.0
@@ -22,6 +22,9 @@
 REST_S = 1.5
 LAPSE_S = 0.4
 ASKED_S = 1.0
+# How long a store that comes back from a copy is away, and until its writers have written again.
+AWAY_S = 0.5
+WRITTEN_AGAIN_S = 0.7
 # A record says that its replica leaves so much later at least than its answers do.
 RECORDED_LATE_S = 3.0
 # Prompts of so many kinds, so that each engine is somebody's first choice.
@@ -57,16 +60,28 @@
 
     With ``earlier``, the folder of another build, all routers begin with that one, are replaced one
     after the other, and back. ``frozen`` are the processes that were stopped, from when to when.
+    Where it is ``restored`` the store comes back from copies of itself.
     """
 
-    def __init__(self, seed, seconds, routers=4, callers=16, prepaid=2_000_000, earlier=None):
+    def __init__(
+        self,
+        seed,
+        seconds,
+        routers=4,
+        callers=16,
+        prepaid=2_000_000,
+        earlier=None,
+        *,
+        restored=False,
+    ):
         self.seed, self.seconds, self.size, self.callers = seed, seconds, routers, callers
         # A small ratio: callers ask so often that a usual one would hide what the slack allows.
         self.ratio, self.slack, self.window_s, self.events = 0.02, 40, 10, 5
         self.prepaid = prepaid
         self.earlier = earlier
         self.builds = [earlier or ROOT] * routers
-        draw = draw_upgrade if earlier else draw_plan
+        draw = draw_upgrade if earlier else draw_restored if restored else draw_plan
+        self.coming_back = False
         self.plan = draw(seed, seconds, routers)
         self.frozen = []
         self.calls, self.figures, self.happened = [], {}, []
@@ -167,10 +182,17 @@
             replica.behaviour = "well"
         self._wake_all()
 
+        newest = self.fleet.operator.configuration["configVersion"]
+
+        def knows_newest(router):
+            applied = router.find_all("configuration.applied")
+            return bool(applied) and applied[-1]["version"] == newest
+
         def all_serve():
             for number in range(self.size):
                 self._restart(number)
-            return all(each.is_ready() for each in list(self.fleet.routers))
+            routers = list(self.fleet.routers)
+            return all(each.is_ready() and knows_newest(each) for each in routers)
 
         return bool(eventually(all_serve, RECOVERED_S))
 
@@ -302,6 +324,40 @@
     soak._later(fault.for_s, mend)
 
 
+@strike("come back")
+def come_back(soak, fault):
+    """Have the store go away later, and come back as it is now; its writers write again."""
+    if soak.coming_back:
+        return
+    soak.coming_back = True
+    store = soak.fleet.store
+    earlier = store.copy()
+
+    def away():
+        for door in store.doors:
+            door.fault = "reset"
+        soak._later(AWAY_S, back)
+
+    def back():
+        lost = store.come_back_from(earlier)
+        for door in store.doors:
+            door.mend()
+        soak._later(WRITTEN_AGAIN_S, lambda: written_again(lost))
+
+    def written_again(lost):
+        store.write_again(lost)
+        soak.coming_back = False
+
+    soak._later(fault.for_s, away)
+
+
+@strike("evacuate")
+def evacuate(soak, fault):
+    """Evacuate a failure domain that no replica is in, so that the operator's part changes."""
+    soak.fleet.operator.evacuate("hall-9")
+    soak._later(fault.for_s, lambda: soak.fleet.operator.take_back("hall-9"))
+
+
 @strike("replicas")
 def replicas(soak, fault):
     for replica in soak.fleet.replicas:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -18,6 +18,19 @@
     context.soak = Soak(seed, seconds, routers).play()
 
 
+@when(
+    "the plan of seed {seed:d} is played for {seconds:d} seconds on {routers:d} gateways "
+    "whose store comes back from copies"
+)
+def play_restored(context, seed, seconds, routers):
+    context.soak = Soak(seed, seconds, routers, prepaid=300_000, restored=True).play()
+
+
+@then("the store came back from a copy")
+def came_back(context):
+    assert context.soak.fleet.store.era > 1, context.soak.plan
+
+
 @then("no promise is broken, and all gateways serve at the end")
 def kept(context):
     broken = broken_promises(context.soak)
