Tell the first history that a store names from a return, also where that is 0

What callers saw: nothing. Found by rereading: where a store names 0 before its first return, a router took that return for the first history that it hears of, and wrote none of the lost documents again.

Why it holds: the scenario on a killed gateway's tokens runs with 0 and 1 as the first history.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -65,13 +65,18 @@
     When a receipt has ended three of them, and the store loses its record
     Then the record is written again, and no gateway sends the receipt on
 
-  Scenario: Tokens that a killed gateway drew in the lost time are not handed out again
-    Given three gateways before two replicas of each service
+  Scenario Outline: Tokens that a killed gateway drew in the lost time are not handed out again
+    Given three gateways whose store first names history <first>
     And an account with 24000 prepaid tokens
     When one gateway is killed after it drew tokens, and the store loses what it wrote
     And the other gateways spend until they are refused
     Then no more was given than was prepaid
 
+    Examples:
+      | first |
+      | 0     |
+      | 1     |
+
   Scenario: What is not written again after the store came back is over in the end
     Given three gateways before two replicas of each service
     When the store loses a replica's record for good
--- a/features/steps/allowance_steps.py
+++ b/features/steps/allowance_steps.py
@@ -191,7 +191,7 @@
     check()
 
 
-def nothing_restored(self, before):
+def nothing_restored(self, *, has_returned):
     """Write nothing again."""
 
 
--- a/features/steps/allowance_world.py
+++ b/features/steps/allowance_world.py
@@ -349,12 +349,11 @@
 
     def come_back(self, earlier, order):
         """The store comes back from a copy; routers hear of it in some order, soon."""
-        before = self.store.era.current
         self.store.down = False
         self.store.next_write = "done"
         self.store.come_back(earlier)
         for number in order:
-            self.accounts[number].restore(before)
+            self.accounts[number].restore(has_returned=True)
         self.clock.advance(SETTLE_MS)
 
     def pay(self, lender, payment):
--- a/features/steps/restored_mirror_steps.py
+++ b/features/steps/restored_mirror_steps.py
@@ -231,4 +231,4 @@
     era.on_rise = heard.append
     for each in (1, 3, 2, 3, 0):
         era.note(each)
-    assert era.current == 3 and heard == [0, 1], heard
+    assert era.current == 3 and heard == [None, 1], heard
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -199,6 +199,17 @@
         context.fleet.add_router()
 
 
+@given("three gateways whose store first names history {first:d}")
+def first_history(context, first):
+    context.fleet = Fleet(context.cleanup)
+    context.fleet.store.era = first
+    context.fleet.operator.write()
+    for _ in range(2):
+        context.fleet.add_replica("engine", events=EVENTS, pause_s=0.0)
+    for _ in range(3):
+        context.fleet.add_router(**REPEATS)
+
+
 @given("three gateways before four portal replicas")
 def four_portals(context):
     start(context, routers=3, replicas=4)
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -273,15 +273,16 @@
         members = self.peering.members
         return members.leads or members.is_first(subject)
 
-    def _on_store_era(self, before: int) -> None:
+    def _on_store_era(self, before: int | None) -> None:
         self.counters.count("store.eras")
         log_change("store.era", era=self.deployment.store.era.current, before=before)
         if self._closing.is_set():
             return
-        # Their answers would be of the history before.
-        self.deployment.store.end_watches()
-        self.peering.note_store_restored()
-        self.tokens.restore(before)
+        if before is not None:
+            # Their answers would be of the history before.
+            self.deployment.store.end_watches()
+            self.peering.note_store_restored()
+        self.tokens.restore(has_returned=before is not None)
 
     def _is_ready(self) -> bool:
         return self.holder.known and bool(self.replicas.state.revision) and not self.leaving
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -395,7 +395,9 @@
         is_other = self.leadership.leader != news.member
         if is_near and news.leads and (is_other or not news.reaches_store):
             self._look()
-        self._store.era.note(max(map(era_of, news.revisions.values()), default=0))
+        newest = max(map(era_of, news.revisions.values()), default=0)
+        if newest:
+            self._store.era.note(newest)
         for prefix, revision in news.revisions.items():
             self.sharing.note_behind(prefix, revision, news.member.address)
         for life in news.replaced:
--- a/src/aspengate/gateway/prepaid/_accounts.py
+++ b/src/aspengate/gateway/prepaid/_accounts.py
@@ -268,13 +268,16 @@
             if not self.sessions.is_alive(session):
                 self._close_silent(session, names)
 
-    def restore(self, before: int) -> None:
-        """Have the store hold again what is known, after it named a history beyond ``before``."""
+    def restore(self, *, has_returned: bool) -> None:
+        """Have the store hold again what is known, since it names a history that was not heard of.
+
+        Unless it ``has_returned`` from a copy that is the first one which this router hears of.
+        """
         era = self.writer.era
         accounts = self._all()
         spread_ms = self.routers * len(accounts) * _RESTORE_GAP_MS
-        self.writer.settle_era(before, _SETTLE_MS + spread_ms)
-        if not before:
+        self.writer.settle_era(_SETTLE_MS + spread_ms, has_returned=has_returned)
+        if not has_returned:
             self._checked_era = era
             return
         done = self._executor.submit(self._restore_all, era, random.uniform(0.0, spread_ms))
--- a/src/aspengate/gateway/prepaid/_writer.py
+++ b/src/aspengate/gateway/prepaid/_writer.py
@@ -104,12 +104,12 @@
         """The history that the store names."""
         return self._store.era.current
 
-    def settle_era(self, before: int, settle_ms: float) -> None:
+    def settle_era(self, settle_ms: float, *, has_returned: bool) -> None:
         """Grant nothing anew for ``settle_ms``, since the store names another history.
 
-        Where it is the first one that this router hears of, that holds for copied documents alone.
+        Unless it ``has_returned`` from a copy, that holds for copied documents alone.
         """
-        self._is_restored = before > 0
+        self._is_restored = has_returned
         self._settled_ms = self._clock.monotonic_ms() + settle_ms
 
     def seems_down(self, now: float) -> bool:
--- a/src/aspengate/store/_era.py
+++ b/src/aspengate/store/_era.py
@@ -17,20 +17,23 @@
 class StoreEra:
     """The highest history, ``current``, that was heard of; 0 where the store names none.
 
-    ``on_rise`` is called with the one before where it rises, on the thread that heard of it.
+    ``on_rise`` is called with the one before where it rises, None where none was heard of yet, on
+    the thread that heard of it.
     """
 
     def __init__(self) -> None:
         self.current = 0
-        self.on_rise: Callable[[int], None] = lambda _: None
+        self.on_rise: Callable[[int | None], None] = lambda _: None
+        self._is_heard = False
         self._lock = threading.Lock()
 
     def note(self, era: int) -> None:
         """Note a history that was heard of."""
         with self._lock:
-            before = self.current
-            self.current = max(era, before)
-        if era > before:
+            before = self.current if self._is_heard else None
+            self._is_heard = True
+            self.current = max(era, self.current)
+        if before is None or era > before:
             self.on_rise(before)
 
     def check_watch(self, prefix: str, since: int) -> None:
