--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -12,6 +12,8 @@
       | and says that the history is gone |
       | while watches wait                |
       | twice                             |
+      | and first refuses all calls       |
+      | but not to one gateway            |
 
   Scenario: A configuration is in force whose revision was there before the store came back
     Given three gateways before two replicas of each service
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -32,13 +32,21 @@
         door.fault = fault
 
 
-def come_back(context, earlier, *, fault="reset"):
-    """Have the store go away, and come back from a copy; then its writers write again."""
+FAULTS = {"while watches wait": "", "and first refuses all calls": "busy"}
+
+
+def come_back(context, earlier, *, fault="reset", cut_off=()):
+    """Have the store go away, and come back from a copy; then its writers write again.
+
+    The doors ``cut_off`` stay closed.
+    """
     store = context.fleet.store
     set_fault(context, fault)
     time.sleep(AWAY_S if fault else 0.0)
     lost = store.come_back_from(earlier)
     set_fault(context, "")
+    for door in cut_off:
+        door.fault = "silent"
     time.sleep(WRITTEN_AGAIN_S)
     store.write_again(lost)
 
@@ -88,7 +96,9 @@
     for number in range(2 if how == "twice" else 1):
         earlier = context.fleet.store.copy()
         lose_changes(context, number)
-        come_back(context, earlier, fault="" if how == "while watches wait" else "reset")
+        last = context.fleet.routers[-1].door
+        cut_off = [last] if how == "but not to one gateway" else []
+        come_back(context, earlier, fault=FAULTS.get(how, "reset"), cut_off=cut_off)
 
 
 @when("the store comes back from a copy, and more is written than was lost before it answers")
