--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -57,6 +57,12 @@
     And watches and conditions of an earlier one fail, and writes that another one did are unsure
     And an older one that is heard of late changes nothing
 
+  Scenario: The story of a refused request tells that the store came back before it
+    Given three gateways before two replicas of each service
+    When the store comes back from a copy "and says that the history is gone"
+    And a call with an unknown key is refused
+    Then its story tells which history the store names, and what was kept
+
   Scenario: A store that names no history is followed as one
     Given three gateways whose store names no history
     When then a key is taken away and a route is added
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -1,5 +1,6 @@
 """Steps on gateways whose store comes back from an older copy of itself."""
 
+import json
 import time
 
 from behave import given, then, when
@@ -8,6 +9,7 @@
 from platform_standins.operator import route
 
 from aspengate.crashes import RECORD_PREFIX
+from aspengate.explanation import read_lines, tell_story
 from crashes_steps import ask as ask_once
 from gateway_prepaid_steps import EVENTS, ask, given_tokens, spend
 from gateway_world import REPEATS, start
@@ -199,6 +201,20 @@
     assert now == context.before, (now, context.before)
 
 
+@when("a call with an unknown key is refused")
+def unknown_key(context):
+    assert status_of(context.router, key="key-none") == 401
+
+
+@then("its story tells which history the store names, and what was kept")
+def story_tells(context):
+    ended = eventually(lambda: context.router.find("request.ended", status=401))
+    lines = [json.dumps(line) for line in context.router.lines]
+    story = "\n".join(tell_story(ended["request_id"], read_lines("router-1", lines)).lines())
+    assert "store.era  era=2 before=1" in story, story
+    assert "store.restored  prefix=op/" in story and "kept=['op/config']" in story, story
+
+
 @given("three gateways whose store names no history")
 def names_no_history(context):
     context.fleet = Fleet(context.cleanup)
--- a/src/aspengate/explanation/_story.py
+++ b/src/aspengate/explanation/_story.py
@@ -10,6 +10,9 @@
 _STATE = {
     "store.connected": "store",
     "store.lost": "store",
+    "store.era": "store",
+    "store.restored": "store",
+    "store.kept_ended": "store",
     "configuration.applied": "configuration",
     "evacuation.began": "configuration",
     "evacuation.ended": "configuration",
