Have a run that has just begun let others see to what the one before it drew

Cause, from the lines of one of them: the others took the killed ones for alive, since they had been heard within 3 s. Half a second later their new runs were heard, which had nothing to write again and said so; so all seemed to have written, and what the dead runs had drawn was not looked at.

Change: a run that hears of its first history says a second later that the store holds all it knows; and half a second after a return others write for all that may be dead by then, whatever is said.

--- a/features/allowances.feature
+++ b/features/allowances.feature
@@ -13,6 +13,10 @@
     And none overspends where one router dies in the lost time and its witness lives
     And one overspends where nothing is written again
 
+  Scenario: A run that has just begun does not say that the store holds what the one before drew
+    Given a router that hears of the store's history for the first time
+    Then it says that the store holds all it knows a second later, and one that was there at once
+
   Scenario Outline: Settling again after a lost answer counts nothing twice
     Given a router that <got> tokens and did not use all of them
     When it settles for good and the answer to that is lost
--- a/features/steps/allowance_steps.py
+++ b/features/steps/allowance_steps.py
@@ -191,6 +191,21 @@
     check()
 
 
+@given("a router that hears of the store's history for the first time")
+def first_heard(context):
+    context.world = World(LIMIT)
+    context.world.accounts[0].restore(has_returned=False)
+    context.world.accounts[1].restore(has_returned=True)
+
+
+@then("it says that the store holds all it knows a second later, and one that was there at once")
+def says_later(context):
+    started, was_there, _ = context.world.accounts
+    assert (started.restored_era, was_there.restored_era) == (0, 1)
+    context.world.clock.advance(1_000.0)
+    assert started.restored_era == 1
+
+
 def nothing_restored(self, *, has_returned):
     """Write nothing again."""
 
--- a/src/aspengate/allowances/_witness.py
+++ b/src/aspengate/allowances/_witness.py
@@ -61,14 +61,13 @@
                 if not entry.closed and entry.heard_ms >= since_ms and account in entry.ceilings
             }
 
-    def accounts(self, since_ms: float) -> set[str]:
-        """Return the accounts of the open sessions that were heard since ``since_ms``."""
+    def open_since(self, since_ms: float) -> dict[str, tuple[str, ...]]:
+        """Return the accounts of each open session that was heard since ``since_ms``."""
         with self._lock:
             return {
-                account
-                for entry in self._entries.values()
+                session: tuple(entry.ceilings)
+                for session, entry in self._entries.items()
                 if not entry.closed and entry.heard_ms >= since_ms
-                for account in entry.ceilings
             }
 
     def is_closed(self, session: str) -> bool:
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -374,7 +374,7 @@
         self.loans.on_others_done = self.tokens.take_others_done
         self.loans.reaches_store = self._can_draw
         self.peering.on_reply = self._on_reply
-        self.tokens.writer.others_restored = self.peering.members.have_restored
+        self.tokens.restorer.others_restored = self.peering.members.have_restored
         self.tokens.on_restored = self.peering.tell_now
         self.peering.restored_era = lambda: self.tokens.restored_era
         self.tokens.writer.tell_grant = self.peering.tell_grant
--- a/src/aspengate/gateway/prepaid/_accounts.py
+++ b/src/aspengate/gateway/prepaid/_accounts.py
@@ -11,9 +11,9 @@
 from aspengate.connections import Waiter
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway.prepaid._account import Account, LimitSource, Ticket
-from aspengate.gateway.prepaid._heard_grants import HeardGrants
 from aspengate.gateway.prepaid._lending import Lender
 from aspengate.gateway.prepaid._loans import Loans
+from aspengate.gateway.prepaid._restorer import DocumentRestorer
 from aspengate.gateway.prepaid._supply import Supply
 from aspengate.gateway.prepaid._witness import SessionList, Witness
 from aspengate.gateway.prepaid._writer import DocumentWriter
@@ -42,8 +42,6 @@
 _SILENT_RESTORE_MS = 500.0
 # How far apart the reads of all routers are then on average, in ms.
 _RESTORE_GAP_MS = 1.0
-# A copy is younger than this, in ms: what a witness heard before is in it.
-_COPY_AGE_MS = 60_000.0
 
 
 class TokenAccounts:
@@ -75,6 +73,7 @@
         self.sizing = sizing or AllowanceSizing()
         self.sessions = sessions
         self.loans = loans
+        self.restorer = DocumentRestorer(session, store, clock, counters, self.book, sessions)
         self.writer = DocumentWriter(
             session=session,
             store=store,
@@ -86,6 +85,7 @@
             is_primary=loans.is_primary,
             reaches_store=reaches_store,
             is_dead=self._is_dead,
+            restorer=self.restorer,
         )
         self._executor = executor or ThreadPoolExecutor(_WRITERS, thread_name_prefix="allowances")
         self.supply = Supply(
@@ -98,13 +98,10 @@
             executor=self._executor,
         )
         self.writer.ask_holders = self.supply.ask_holders
-        self.heard_grants = HeardGrants(clock)
         self.on_restored: Callable[[], None] = lambda: None
         self._checked_era = 0
-        self._recalls_silent = False
+        self._checked_ms = float("-inf")
         self.writer.on_restored = self._note_checked
-        self.writer.witnessed = self._witnessed
-        self.writer.heard_grants = self._grants_heard
         self.lender = Lender(self.supply, counters)
         self._clock = clock
         self._counters = counters
@@ -169,7 +166,7 @@
 
     def take_grants(self, grants: Iterable[Grant]) -> None:
         """Remember what the store granted another router's session."""
-        self.heard_grants.note(grants)
+        self.restorer.heard_grants.note(grants)
 
     def take_loan(self, reply: LoanReply) -> None:
         """Take the answer of another router that was asked for tokens."""
@@ -273,12 +270,14 @@
 
         Unless it ``has_returned`` from a copy that is the first one which this router hears of.
         """
-        era = self.writer.era
+        era = self.restorer.era
         accounts = self._all()
         spread_ms = self.routers * len(accounts) * _RESTORE_GAP_MS
-        self.writer.settle_era(_SETTLE_MS + spread_ms, has_returned=has_returned)
+        self.restorer.settle(_SETTLE_MS + spread_ms, has_returned=has_returned)
         if not has_returned:
+            # The run before this one may have died with what it drew: others are to see to that.
             self._checked_era = era
+            self._checked_ms = self._clock.monotonic_ms() + _SETTLE_MS
             return
         done = self._executor.submit(self._restore_all, era, random.uniform(0.0, spread_ms))
         done.add_done_callback(self._note_restored)
@@ -298,6 +297,8 @@
     @property
     def restored_era(self) -> int:
         """The history of the store that holds all that this router knows; 0 for none."""
+        if self._clock.monotonic_ms() < self._checked_ms:
+            return 0
         if any(account.is_unchecked for account in self._all()):
             return 0
         return self._checked_era
@@ -308,19 +309,16 @@
         Routers that were heard write for themselves. Those that do not say so may be dead.
         """
         self._clock.sleep_ms(delay_ms)
-        self._recalls_silent = False
         self._check_documents({account.name for account in self._all() if account.known})
         self._checked_era = era
         self._note_checked()
         self._clock.sleep_ms(_SILENT_RESTORE_MS)
-        if not self.writer.others_restored(era):
-            self._recalls_silent = True
-            self._check_documents(set())
+        self.restorer.recalls_silent = True
+        self._check_documents(set())
 
     def _check_documents(self, names: set[str]) -> None:
         """Look at the documents of some accounts, and of those that others' sessions drew from."""
-        since_ms = self._clock.monotonic_ms() - _COPY_AGE_MS
-        recalled = self.book.accounts(since_ms) | self.heard_grants.accounts(since_ms)
+        recalled = self.restorer.recalled_accounts()
         for account in map(self.account, names | recalled):
             with account.changed:
                 account.document = None
@@ -331,22 +329,6 @@
                 else:
                     self.supply.schedule(account)
 
-    def _may_be_dead(self, session: str) -> bool:
-        """Return whether a session may not write for itself what the store has lost of it."""
-        if not self.sessions.is_alive(session):
-            return True
-        return self._recalls_silent and not self.sessions.has_restored(session, self.writer.era)
-
-    def _grants_heard(self, name: str) -> list[Grant]:
-        since_ms = self._clock.monotonic_ms() - _COPY_AGE_MS
-        found = self.heard_grants.of_account(name, since_ms)
-        return [grant for grant in found if self._may_be_dead(grant.session)]
-
-    def _witnessed(self, name: str) -> dict[str, int]:
-        since_ms = self._clock.monotonic_ms() - _COPY_AGE_MS
-        found = self.book.ceilings_of(name, since_ms)
-        return {session: each for session, each in found.items() if self._may_be_dead(session)}
-
     def close(self, timeout_ms: float = _CLOSE_MS) -> None:
         """Settle every account exactly, as far as the store can be reached in time."""
         jobs = [self._executor.submit(self.writer.settle_for_good, each) for each in self._all()]
--- a/src/aspengate/gateway/prepaid/_heard_grants.py
+++ b/src/aspengate/gateway/prepaid/_heard_grants.py
@@ -33,16 +33,7 @@
             while len(self._heard) > _MOST_GRANTS:
                 self._heard.popitem(last=False)
 
-    def accounts(self, since_ms: float) -> set[str]:
-        """Return the accounts of the grants that were heard since ``since_ms``."""
+    def since(self, since_ms: float) -> list[Grant]:
+        """Return the grants that were heard since ``since_ms``."""
         with self._lock:
-            return {grant.account for grant, at_ms in self._heard.values() if at_ms >= since_ms}
-
-    def of_account(self, account: str, since_ms: float) -> list[Grant]:
-        """Return an account's grants that were heard since ``since_ms``."""
-        with self._lock:
-            return [
-                grant
-                for grant, at_ms in self._heard.values()
-                if grant.account == account and at_ms >= since_ms
-            ]
+            return [grant for grant, at_ms in self._heard.values() if at_ms >= since_ms]
--- /dev/null
+++ b/src/aspengate/gateway/prepaid/_restorer.py
@@ -0,0 +1,145 @@
+"""What one router knows of accounts' documents beyond a store that came back from an older copy."""
+
+from collections.abc import Callable
+
+from aspengate.allowances import (
+    AllowanceDocument,
+    WitnessBook,
+    adopt_document,
+    restore_document,
+    restore_sessions,
+)
+from aspengate.clock import Clock
+from aspengate.gateway.prepaid._account import Account
+from aspengate.gateway.prepaid._heard_grants import HeardGrants
+from aspengate.gateway.prepaid._witness import SessionList
+from aspengate.store import KeyValueStore, StoreItem, era_of, make_revision
+from aspengate.telemetry import Counters, log_change
+
+# A copy is younger than this, in ms: what was heard of other sessions before is in it.
+_COPY_AGE_MS = 60_000.0
+
+
+class DocumentRestorer:
+    """Says what a document is to hold, and whether anything may be granted yet.
+
+    ``book`` holds the ceilings of the sessions that this router, ``session``, witnesses, and
+    ``sessions`` tells which of them run. ``others_restored`` tells whether a history of the store
+    holds all that the other routers know. While ``recalls_silent`` it counts routers as dead that
+    were heard lately and do not say so.
+    """
+
+    def __init__(
+        self,
+        session: str,
+        store: KeyValueStore,
+        clock: Clock,
+        counters: Counters,
+        book: WitnessBook,
+        sessions: SessionList,
+    ) -> None:
+        self.session = session
+        self.heard_grants = HeardGrants(clock)
+        self.others_restored: Callable[[int], bool] = lambda _: False
+        self.recalls_silent = False
+        self._store = store
+        self._clock = clock
+        self._counters = counters
+        self._book = book
+        self._sessions = sessions
+        self._settled_ms = float("-inf")
+        self._has_returned = False
+
+    @property
+    def era(self) -> int:
+        """The history that the store names."""
+        return self._store.era.current
+
+    def settle(self, settle_ms: float, *, has_returned: bool) -> None:
+        """Give the routers up to ``settle_ms`` to write again what the store lost.
+
+        Unless it ``has_returned`` from a copy, that holds for copied documents alone.
+        """
+        self.recalls_silent = False
+        self._has_returned = has_returned
+        self._settled_ms = self._clock.monotonic_ms() + settle_ms
+
+    def may_grant(self, account: Account) -> bool:
+        """Return whether what the document lacks has been written again, as far as is known."""
+        if self._clock.monotonic_ms() >= self._settled_ms:
+            return True
+        if not self._has_returned:
+            return not account.is_copy
+        return not account.restores and self.others_restored(self.era)
+
+    def recalled_accounts(self) -> set[str]:
+        """Return the accounts that sessions which may be dead drew from, as is remembered here."""
+        since_ms = self._since_ms()
+        witnessed = self._book.open_since(since_ms).items()
+        drawn = {
+            name for session, names in witnessed if self._may_be_dead(session) for name in names
+        }
+        granted = self.heard_grants.since(since_ms)
+        return drawn | {each.account for each in granted if self._may_be_dead(each.session)}
+
+    def compare(
+        self, account: Account, stored: AllowanceDocument, item: StoreItem | None
+    ) -> tuple[AllowanceDocument, bool]:
+        """Return what the store is to hold of an account, and whether it does.
+
+        ``stored`` is what ``item`` holds. Call it with the account's lock held.
+        """
+        revision = item.revision if item else 0
+        adopted = adopt_document(stored, revision, self.era)
+        restored = adopted
+        if era_of(account.known_revision) < self.era:
+            restored = self._with_known(account, stored, revision, adopted)
+        if account.recalls_others:
+            restored = self._with_recalled(account.name, restored)
+        if restored == adopted:
+            return adopted, True
+        self._counters.count("allowances.restored")
+        log_change(
+            "allowance.restored",
+            account=account.name,
+            era=self.era,
+            stored=adopted.committed,
+            restored=restored.committed,
+        )
+        return restored, False
+
+    def _with_known(
+        self, account: Account, stored: AllowanceDocument, revision: int, adopted: AllowanceDocument
+    ) -> AllowanceDocument:
+        """Return a document with what this router read and was granted before."""
+        restored = adopted
+        if account.known is not None:
+            known, known_revision = account.known, account.known_revision
+            restored = restore_document(stored, revision, known, known_revision, self.era)
+        if account.listed:
+            restored = restore_sessions(restored, {self.session: account.purse.granted})
+        return restored
+
+    def _with_recalled(self, name: str, document: AllowanceDocument) -> AllowanceDocument:
+        """Return a document with what sessions that may be dead have drawn."""
+        since_ms = self._since_ms()
+        ceilings = self._book.ceilings_of(name, since_ms)
+        used = {session: each for session, each in ceilings.items() if self._may_be_dead(session)}
+        document = restore_sessions(document, used, self.session)
+        for grant in self.heard_grants.since(since_ms):
+            if grant.account != name:
+                continue
+            is_lost = document.restored_from < grant.revision < make_revision(self.era, 0)
+            if is_lost and self._may_be_dead(grant.session):
+                allowed = {grant.session: grant.allowance}
+                document = restore_sessions(document, allowed, grant.witness)
+        return document
+
+    def _may_be_dead(self, session: str) -> bool:
+        """Return whether a session may not write for itself what the store has lost of it."""
+        if not self._sessions.is_alive(session):
+            return True
+        return self.recalls_silent and not self._sessions.has_restored(session, self.era)
+
+    def _since_ms(self) -> float:
+        return self._clock.monotonic_ms() - _COPY_AGE_MS
--- a/src/aspengate/gateway/prepaid/_writer.py
+++ b/src/aspengate/gateway/prepaid/_writer.py
@@ -1,24 +1,22 @@
 """Reads and writes accounts' documents in the store."""
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable
 from dataclasses import replace
 
 from aspengate.allowances import (
     AllowanceDocument,
     AllowanceSizing,
     Holding,
-    adopt_document,
     close_session,
     decode_document,
     encode_document,
     end_session,
-    restore_document,
-    restore_sessions,
     set_allowance,
 )
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway.prepaid._account import Account, LimitSource, Ticket
+from aspengate.gateway.prepaid._restorer import DocumentRestorer
 from aspengate.gateway.prepaid._statements import (
     note_exhausted,
     note_granted,
@@ -34,7 +32,6 @@
     Put,
     StoreItem,
     era_of,
-    make_revision,
 )
 from aspengate.telemetry import Counters, log_change
 
@@ -53,13 +50,12 @@
     whether other calls to the store succeed, and ``is_dead`` of a session and its witness
     whether that session may be settled. ``ask_holders`` asks the sessions that hold tokens of a
     spent account, with its lock held, and returns whether their answer is to be waited for.
-    ``outlook`` tells what outage of the store the reserve is to last for. ``witnessed`` returns
-    the ceilings of an account by session that this router witnesses, ``heard_grants`` what others
-    have told of the store's grants, and ``tell_grant`` tells some others of one.
+    ``outlook`` tells what outage of the store the reserve is to last for, and ``tell_grant`` has
+    some others remember a grant of the store.
 
-    After the store came back from an older copy, nothing is granted anew until all routers have
-    written again what it lost, as ``others_restored`` tells of a history, or have had the time
-    that ``settle_era`` gives them. ``on_restored`` is called after each account that was checked.
+    After the store came back from an older copy, documents are written again as ``restorer`` says,
+    and nothing is granted anew before it agrees. ``on_restored`` is called after each account that
+    was checked.
     """
 
     def __init__(
@@ -75,14 +71,13 @@
         is_primary: Callable[[str], bool],
         reaches_store: Callable[[], bool],
         is_dead: Callable[[str, str], bool],
+        restorer: DocumentRestorer,
     ) -> None:
         self.session = session
+        self.restorer = restorer
         self.routers = 1
         self.outlook: Callable[[], OutageOutlook] = OutageOutlook
-        self.witnessed: Callable[[str], Mapping[str, int]] = lambda _: {}
-        self.heard_grants: Callable[[str], Collection[Grant]] = lambda _: ()
         self.tell_grant: Callable[[Grant], None] = lambda _: None
-        self.others_restored: Callable[[int], bool] = lambda _: False
         self.on_restored: Callable[[], None] = lambda: None
         self.ask_holders: Callable[[Account, float], bool] = lambda *_: False
         self.writes = GroupedWrites(store)
@@ -96,21 +91,6 @@
         self._reaches_store = reaches_store
         self._is_dead = is_dead
         self._failed_ms = float("-inf")
-        self._settled_ms = float("-inf")
-        self._is_restored = False
-
-    @property
-    def era(self) -> int:
-        """The history that the store names."""
-        return self._store.era.current
-
-    def settle_era(self, settle_ms: float, *, has_returned: bool) -> None:
-        """Grant nothing anew for ``settle_ms``, since the store names another history.
-
-        Unless it ``has_returned`` from a copy, that holds for copied documents alone.
-        """
-        self._is_restored = has_returned
-        self._settled_ms = self._clock.monotonic_ms() + settle_ms
 
     def seems_down(self, now: float) -> bool:
         """Return whether the store did not answer, and has not since.
@@ -183,7 +163,7 @@
             return False
         try:
             self._refresh(account)
-            if not self._may_grant(account):
+            if not self.restorer.may_grant(account):
                 return self._write_again(account)
             document = self._without_dead(account.name, account.document or AllowanceDocument())
             document = document.with_limit(source.limit, source.revision)
@@ -210,14 +190,6 @@
             self._pass_over(account)
             return False
 
-    def _may_grant(self, account: Account) -> bool:
-        """Return whether others have had the time to write again what the store lost."""
-        if self._clock.monotonic_ms() >= self._settled_ms:
-            return True
-        if not self._is_restored:
-            return not account.is_copy
-        return not account.restores and self.others_restored(self._store.era.current)
-
     def _write_again(self, account: Account) -> bool:
         """Write what the store lost, without granting anything; return whether to try again."""
         document = account.document or AllowanceDocument()
@@ -226,7 +198,7 @@
         elif not self._write(account, document):
             return True
         self.on_restored()
-        if self._may_grant(account):
+        if self.restorer.may_grant(account):
             return bool(account.waiting)
         self._pass_over(account)
         return False
@@ -251,15 +223,14 @@
         if document.is_undercounted:
             self._counters.count("allowances.undercounted")
             note_undercounted(account, document)
-        era = self._store.era.current
-        adopted = adopt_document(document, item.revision if item else 0, era)
+        era = self.restorer.era
         with account.changed:
-            restored = self._restored(account, document, item, adopted)
+            restored, is_stored = self.restorer.compare(account, document, item)
             account.take(restored, item)
             account.is_copy = item is not None and document.era < era
-            account.restores = restored != adopted
-            account.named_witness = "" if account.restores else restored.witness(self.session)
-            if not account.restores:
+            account.restores = not is_stored
+            account.named_witness = restored.witness(self.session) if is_stored else ""
+            if is_stored:
                 account.note_known(era)
             document = restored
             if account.listed and self.session not in document.sessions:
@@ -267,41 +238,6 @@
                 account.purse.count_as_closed()
                 log_change("allowance.closed_elsewhere", account=account.name)
 
-    def _restored(
-        self,
-        account: Account,
-        stored: AllowanceDocument,
-        item: StoreItem | None,
-        adopted: AllowanceDocument,
-    ) -> AllowanceDocument:
-        """Return what the store is to hold after it came back from a copy; the lock is held."""
-        era = self._store.era.current
-        is_known = era_of(account.known_revision) >= era
-        restored = adopted
-        if account.known is not None and not is_known:
-            revision = item.revision if item else 0
-            restored = restore_document(
-                stored, revision, account.known, account.known_revision, era
-            )
-        if account.listed and not is_known:
-            restored = restore_sessions(restored, {self.session: account.purse.granted})
-        if account.recalls_others:
-            restored = restore_sessions(restored, self.witnessed(account.name), self.session)
-            for grant in self.heard_grants(account.name):
-                if restored.restored_from < grant.revision < make_revision(era, 0):
-                    allowed = {grant.session: grant.allowance}
-                    restored = restore_sessions(restored, allowed, grant.witness)
-        if restored != adopted:
-            self._counters.count("allowances.restored")
-            log_change(
-                "allowance.restored",
-                account=account.name,
-                era=era,
-                stored=adopted.committed,
-                restored=restored.committed,
-            )
-        return restored
-
     def _without_dead(self, name: str, document: AllowanceDocument) -> AllowanceDocument:
         """Return the document with dead sessions settled, as far as their witnesses tell."""
         for session, allowance in list(document.sessions.items()):
