Give a stand-in of the store in a test the history that mirrors ask for

"A fault while changes are taken over does not end the following": the test's own stand-in named no history, so that its mirror met a fault of its own instead of the one that the scenario is about. The check is as it was.

--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -14,7 +14,7 @@
 from aspengate.clock import ManualClock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.platform import PlatformDeployment
-from aspengate.store import Changes, Snapshot, StoreItem, StoreMirror
+from aspengate.store import Changes, Snapshot, StoreEra, StoreItem, StoreMirror
 from aspengate.telemetry import NullCounters, lasting_thread
 from crashes_steps import ask
 from structure_steps import SOURCE
@@ -136,6 +136,8 @@
 class FewChanges:
     """A store that tells the changes that it is given, one after the other."""
 
+    era = StoreEra()
+
     def __init__(self):
         self.revision = 1
         self.told = threading.Semaphore(0)
