Read a witness's ceilings by one method, and say once when a state is of a later history

No behaviour changes. WitnessBook had two scans of the same entries that differed in what they returned; what is recalled of an account is now taken from the one that names all. The test for a later history compared revisions twice.

--- a/src/aspengate/allowances/_witness.py
+++ b/src/aspengate/allowances/_witness.py
@@ -52,20 +52,11 @@
             entry.closed = True
             return dict(entry.ceilings)
 
-    def ceilings_of(self, account: str, since_ms: float) -> dict[str, int]:
-        """Return an account's ceilings by open session, of those heard since ``since_ms``."""
+    def open_since(self, since_ms: float) -> dict[str, dict[str, int]]:
+        """Return the ceilings by account of each open session heard since ``since_ms``."""
         with self._lock:
             return {
-                session: entry.ceilings[account]
-                for session, entry in self._entries.items()
-                if not entry.closed and entry.heard_ms >= since_ms and account in entry.ceilings
-            }
-
-    def open_since(self, since_ms: float) -> dict[str, tuple[str, ...]]:
-        """Return the accounts of each open session that was heard since ``since_ms``."""
-        with self._lock:
-            return {
-                session: tuple(entry.ceilings)
+                session: dict(entry.ceilings)
                 for session, entry in self._entries.items()
                 if not entry.closed and entry.heard_ms >= since_ms
             }
--- a/src/aspengate/gateway/prepaid/_restorer.py
+++ b/src/aspengate/gateway/prepaid/_restorer.py
@@ -123,8 +123,11 @@
     def _with_recalled(self, name: str, document: AllowanceDocument) -> AllowanceDocument:
         """Return a document with what sessions that may be dead have drawn."""
         since_ms = self._since_ms()
-        ceilings = self._book.ceilings_of(name, since_ms)
-        used = {session: each for session, each in ceilings.items() if self._may_be_dead(session)}
+        used = {
+            session: ceilings[name]
+            for session, ceilings in self._book.open_since(since_ms).items()
+            if name in ceilings and self._may_be_dead(session)
+        }
         document = restore_sessions(document, used, self.session)
         for grant in self.heard_grants.since(since_ms):
             if grant.account != name:
--- a/src/aspengate/store/_mirror.py
+++ b/src/aspengate/store/_mirror.py
@@ -180,9 +180,8 @@
                 return False
             items = {item.key: item for item in snapshot.items}
             differs = items != self.state.items
-            is_restored = 0 < self.state.revision < snapshot.revision and era_of(
-                snapshot.revision
-            ) > era_of(self.state.revision)
+            was_known = self.state.revision > 0
+            is_restored = was_known and era_of(snapshot.revision) > era_of(self.state.revision)
             if is_restored:
                 self._keep(items, snapshot.revision)
             else:
