Tell other routers the store's own revisions, and their history beside them

What callers saw: after an upgrade and its rollback (routers replaced one after the other by a newer build and back), routers kept to an old configuration for good, and asked the store for a list and a watch 45 times a second each.

Cause: a revision that holds the store's history above its number went as it is into news, changes and the answer with a mirror, where builds before the histories read the store's number.

Change: these messages hold the number again and name the history in a field of its own, which older builds pass over. A leader that names no history is no one to rest behind, since its revisions can't be compared; routers of this build follow the store themselves until one of their own build leads.

Why it holds: an older build gets exactly what it got before; what it sends is of history 0, which is never newer than what the store names. The conversion is made where messages are made and read, in peers/.

--- a/features/steps/upgrades_steps.py
+++ b/features/steps/upgrades_steps.py
@@ -160,6 +160,54 @@
     assert eventually(known, 10.0), context.other.lines[-3:]
 
 
+@when("a gateway of {build} starts next to them, and a key is revoked after it is ready")
+def key_revoked_later(context, build):
+    found = build_of(context, build)
+    if found is None or not hasattr(context, "fleet"):
+        return
+    context.fleet.add_router(build=found)
+    # It settles whom to rest behind within a second.
+    time.sleep(2.0)
+    context.version = context.fleet.operator.revoke("key-two")
+    context.changed_s = time.monotonic()
+
+
+@then("all gateways have applied that version within {seconds:d} s")
+def applied_in_time(context, seconds):
+    def behind():
+        return [
+            router.name
+            for router in context.fleet.routers
+            if not router.find("configuration.applied", version=context.version)
+        ]
+
+    # Whatever applies it later is late; how long the look itself takes does not count.
+    eventually(lambda: not behind(), context.changed_s + seconds - time.monotonic())
+    assert not behind(), (behind(), context.fleet.routers[-1].lines[-5:])
+
+
+@when("a gateway of {build} that has rested behind them is left alone, and a key is revoked")
+def left_alone(context, build):
+    found = build_of(context, build)
+    if found is None:
+        return
+    first, second = context.fleet.routers
+    last = context.fleet.add_router(build=found)
+    assert eventually(lambda: last.find("domain.leader_heard"), 10.0), last.lines
+    context.fleet.operator.revoke("key-two")
+    for router in (first, second):
+        router.kill()
+        context.fleet.routers.remove(router)
+    context.version = context.fleet.operator.revoke("key-one")
+
+
+@then("it applies that version")
+def applies_version(context):
+    (last,) = context.fleet.routers
+    applied = eventually(lambda: last.find("configuration.applied", version=context.version), 10.0)
+    assert applied, last.lines[-5:]
+
+
 @when("a gateway of today that is called {name} starts next to it")
 def named_starts(context, name):
     if not hasattr(context, "fleet"):
--- a/features/upgrades.feature
+++ b/features/upgrades.feature
@@ -52,6 +52,28 @@
     When one of today starts next to them, and a record of a request that ends replicas is written
     Then it knows that record
 
+  Scenario Outline: A changed configuration is in force in time behind leaders of another build
+    Given two gateways of <leading> that lead, and replicas
+    When a gateway of <resting> starts next to them, and a key is revoked after it is ready
+    Then all gateways have applied that version within 2 s
+
+    Examples:
+      | leading | resting |
+      | today   | 64f8938 |
+      | today   | b95c5d9 |
+      | 64f8938 | today   |
+      | b95c5d9 | today   |
+
+  Scenario Outline: An older build that newer leaders told of changes goes on by itself
+    Given two gateways of today that lead, and replicas
+    When a gateway of <build> that has rested behind them is left alone, and a key is revoked
+    Then it applies that version
+
+    Examples:
+      | build   |
+      | 64f8938 |
+      | b95c5d9 |
+
   Scenario: The build of each router is told
     Given a gateway of 49152d8 that serves, and replicas
     When a gateway of today that is called v9 starts next to it
--- a/src/aspengate/gateway/_mirror_sharing.py
+++ b/src/aspengate/gateway/_mirror_sharing.py
@@ -7,13 +7,18 @@
 from functools import partial
 
 from aspengate.errors import AspengateError
-from aspengate.peers import ChangedItem, DomainLeadership, MemberList, MirrorChanges, PeerClient
+from aspengate.peers import (
+    ChangedItem,
+    DomainLeadership,
+    MemberList,
+    MirrorChanges,
+    PeerClient,
+    changed_items,
+)
 from aspengate.store import (
     Changes,
-    Removal,
     Snapshot,
     Stance,
-    StoreItem,
     StoreMirror,
     era_of,
     number_of,
@@ -105,18 +110,11 @@
         mirror = self.mirrors.get(changes.prefix)
         if mirror is None:
             return
-        written = tuple(
-            StoreItem(each.key, each.value, each.revision)
-            for each in changes.items
-            if each.value is not None
-        )
-        removed = tuple(
-            Removal(each.key, each.revision) for each in changes.items if each.value is None
-        )
-        if mirror.apply(changes.after, Changes(written, removed, changes.revision)):
+        told = changes.changes()
+        if mirror.apply(changes.known_before, told):
             self._counters.count("mirror.pushed")
         else:
-            self.note_behind(changes.prefix, changes.revision, address)
+            self.note_behind(changes.prefix, told.revision, address)
 
     def _push(self, prefix: str, after: int, changes: Changes) -> None:
         """Tell the routers of this one's domain what has changed."""
@@ -128,7 +126,8 @@
         messages = list(
             itertools.islice(_messages(prefix, after, changes), _MOST_PUSHED_MESSAGES + 1)
         )
-        if None in messages or len(messages) > _MOST_PUSHED_MESSAGES:
+        is_of_one_era = era_of(after) == era_of(changes.revision)
+        if not is_of_one_era or None in messages or len(messages) > _MOST_PUSHED_MESSAGES:
             self._tell(receivers)
             return
         for message in messages:
@@ -207,19 +206,17 @@
     None stands for an item that no message holds. Without the split each router of the domain
     fetched the whole list of replicas for a change of more than one message: 750 KB for 3,000.
     """
-    items = [ChangedItem(each.key, each.revision, each.value) for each in changes.written]
-    items += [ChangedItem(each.key, each.revision) for each in changes.removed]
-    items.sort(key=lambda each: each.revision)
+    era, known = era_of(changes.revision), number_of(after)
     batch: list[ChangedItem] = []
     size = 0
-    for item in items:
+    for item in changed_items(changes):
         item_bytes = len(item.key) + len(item.value or b"")
         if item_bytes > _MOST_PUSHED_BYTES:
             yield None
             return
         if batch and size + item_bytes > _MOST_PUSHED_BYTES and batch[-1].revision < item.revision:
-            yield MirrorChanges(prefix, after, batch[-1].revision, batch)
-            after, batch, size = batch[-1].revision, [], 0
+            yield MirrorChanges(prefix, known, batch[-1].revision, batch, era)
+            known, batch, size = batch[-1].revision, [], 0
         batch.append(item)
         size += item_bytes
-    yield MirrorChanges(prefix, after, changes.revision, batch)
+    yield MirrorChanges(prefix, known, number_of(changes.revision), batch, era)
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -51,6 +51,7 @@
     Stance,
     StoreMirror,
     era_of,
+    number_of,
 )
 from aspengate.telemetry import Counters, lasting_thread, log_change
 
@@ -295,14 +296,16 @@
         self._datagrams.send(self._news(), *receivers)
 
     def _news(self) -> PeerNews:
+        newest = self.sharing.revisions
         return PeerNews(
             self.members.own,
-            self.sharing.revisions,
+            {prefix: number_of(revision) for prefix, revision in newest.items()},
             self.reaches_store,
             self.members.listed_here,
             self.members.leads,
             self.registry.replaced()[:_MOST_REPLACED],
             self.restored_era(),
+            {prefix: era_of(revision) for prefix, revision in newest.items()},
         )
 
     def _keep_listed(self) -> None:
@@ -378,7 +381,7 @@
             reaches_store=news.reaches_store,
             leads=news.leads,
             listed=news.listed,
-            prefixes=news.revisions,
+            prefixes=news.eras,
             restored=news.restored,
         )
         if is_new:
@@ -395,10 +398,10 @@
         is_other = self.leadership.leader != news.member
         if is_near and news.leads and (is_other or not news.reaches_store):
             self._look()
-        newest = max(map(era_of, news.revisions.values()), default=0)
-        if newest:
-            self._store.era.note(newest)
-        for prefix, revision in news.revisions.items():
+        era = max(news.eras.values(), default=0)
+        if era:
+            self._store.era.note(era)
+        for prefix, revision in news.newest.items():
             self.sharing.note_behind(prefix, revision, news.member.address)
         for life in news.replaced:
             self.registry.note_replaced(life, news.member.name)
--- a/src/aspengate/peers/__init__.py
+++ b/src/aspengate/peers/__init__.py
@@ -29,6 +29,7 @@
     ReadyPermit,
     Repayment,
     RepaymentReply,
+    changed_items,
 )
 from aspengate.peers._notices import NoticeExchange, merge_crashes, merge_limits
 from aspengate.peers._placements import PlacementExchange, PlacementSink
@@ -69,6 +70,7 @@
     "ReadyPermit",
     "Repayment",
     "RepaymentReply",
+    "changed_items",
     "merge_crashes",
     "merge_limits",
     "peer_addresses",
--- a/src/aspengate/peers/_exchange.py
+++ b/src/aspengate/peers/_exchange.py
@@ -24,7 +24,18 @@
     Repayment,
 )
 from aspengate.serving import StartResponse, WsgiEnvironment
-from aspengate.store import DECODE_ERRORS, Changes, Removal, Snapshot, StoreItem, StoreMirror
+from aspengate.store import (
+    DECODE_ERRORS,
+    Changes,
+    MirrorState,
+    Removal,
+    Snapshot,
+    StoreItem,
+    StoreMirror,
+    era_of,
+    make_revision,
+    number_of,
+)
 
 _MIRROR_PATH = "/mirror"
 # The fastest level brings a made list of 3,000 replicas from 765 to 43 KB in 4 ms.
@@ -35,6 +46,8 @@
 
 
 class _Item(msgspec.Struct, array_like=True):
+    """``revision`` is its number in the history that the body names, as in a removal."""
+
     key: str
     value: bytes
     revision: int
@@ -46,13 +59,17 @@
 
 
 class _MirrorBody(msgspec.Struct, array_like=True):
-    """``items`` are all, unless ``is_whole`` says that they are those that have changed."""
+    """``items`` are all, unless ``is_whole`` says that they are those that have changed.
+
+    Revisions are numbers in the history ``era``, which builds before the histories do not name.
+    """
 
     items: list[_Item]
     revision: int
     changed: int
     removed: list[_Removal] = []
     is_whole: bool = True
+    era: int = 0
 
 
 class _CeilingsBody(msgspec.Struct, array_like=True):
@@ -135,7 +152,8 @@
         if since is None:
             # Builds that don't ask for a revision can't read a compressed answer either.
             return msgspec.msgpack.encode(_body_below(self._mirrors, prefix))
-        return self._mirror(prefix, int(since[0]))
+        era = query.get("era", ["0"])[0]
+        return self._mirror(prefix, make_revision(int(era), int(since[0])))
 
     def _mirror(self, prefix: str, since: int) -> bytes:
         """Return a mirror's answer; whole lists are encoded once for all that ask together."""
@@ -155,11 +173,28 @@
     state = mirror.state
     changes = mirror.changes_since(since)
     if changes is None:
-        items = [_Item(item.key, item.value, item.revision) for item in state.items.values()]
-        return _MirrorBody(items, state.revision, state.changed)
-    written = [_Item(item.key, item.value, item.revision) for item in changes.written]
-    removed = [_Removal(each.key, each.revision) for each in changes.removed]
-    return _MirrorBody(written, changes.revision, state.changed, removed, is_whole=False)
+        return _whole_body(state, state.items.values())
+    return _MirrorBody(
+        _as_items(changes.written),
+        number_of(changes.revision),
+        number_of(state.changed),
+        [_Removal(each.key, number_of(each.revision)) for each in changes.removed],
+        is_whole=False,
+        era=era_of(changes.revision),
+    )
+
+
+def _whole_body(state: MirrorState, items: Iterable[StoreItem]) -> _MirrorBody:
+    return _MirrorBody(
+        _as_items(items),
+        number_of(state.revision),
+        number_of(state.changed),
+        era=era_of(state.revision),
+    )
+
+
+def _as_items(items: Iterable[StoreItem]) -> list[_Item]:
+    return [_Item(each.key, each.value, number_of(each.revision)) for each in items]
 
 
 def _body_below(mirrors: Mapping[str, StoreMirror], prefix: str) -> _MirrorBody:
@@ -170,12 +205,8 @@
     for followed, mirror in mirrors.items():
         if prefix.startswith(followed):
             state = mirror.state
-            items = [
-                _Item(item.key, item.value, item.revision)
-                for item in state.items.values()
-                if item.key.startswith(prefix)
-            ]
-            return _MirrorBody(items, state.revision, state.changed)
+            items = state.items.values()
+            return _whole_body(state, (each for each in items if each.key.startswith(prefix)))
     raise KeyError(prefix)
 
 
@@ -190,17 +221,23 @@
 
         Raises STORE_UNAVAILABLE. A list of 3,000 replicas has 750 KB, a change of one 250 bytes.
         """
-        query = urlencode({"prefix": prefix, "since": since})
+        query = urlencode({"prefix": prefix, "since": number_of(since), "era": era_of(since)})
         content = self._get(address, f"{_MIRROR_PATH}?{query}")
         try:
             body = msgspec.msgpack.decode(_decompressed(content), type=_MirrorBody)
         except (*DECODE_ERRORS, zlib.error) as error:
             raise _unavailable(address, error) from error
-        items = tuple(StoreItem(each.key, each.value, each.revision) for each in body.items)
+        items = tuple(
+            StoreItem(each.key, each.value, make_revision(body.era, each.revision))
+            for each in body.items
+        )
+        revision = make_revision(body.era, body.revision)
         if body.is_whole:
-            return Snapshot(items, body.revision, body.changed)
-        removed = tuple(Removal(each.key, each.revision) for each in body.removed)
-        return Changes(items, removed, body.revision)
+            return Snapshot(items, revision, make_revision(body.era, body.changed))
+        removed = tuple(
+            Removal(each.key, make_revision(body.era, each.revision)) for each in body.removed
+        )
+        return Changes(items, removed, revision)
 
     def close_witnessed(self, address: str, session: str) -> dict[str, int]:
         """Have a peer close a session that it witnesses, and return the session's ceilings.
--- a/src/aspengate/peers/_leadership.py
+++ b/src/aspengate/peers/_leadership.py
@@ -43,8 +43,9 @@
     loans of a day went unanswered and 4 in 100 of all tokens were lost on the way (30 routers, 1
     play).
 
-    ``prefixes`` are the parts of the store that this router has to know. A leader that follows
-    less, since it is of an older build, is no one to rest behind: nobody would tell of the rest.
+    ``prefixes`` are the parts of the store that this router has to know. A leader of an older build
+    that follows less, or does not name the history of its revisions, is no one to rest behind:
+    what it leaves out nobody would tell of, and its revisions can't be compared.
     """
 
     def __init__(self, members: MemberList, clock: Clock, prefixes: Collection[str] = ()) -> None:
--- a/src/aspengate/peers/_members.py
+++ b/src/aspengate/peers/_members.py
@@ -48,8 +48,8 @@
 
     ``leads`` tells whether it follows the store for its failure domain, ``listed`` how many
     routers it knows, 0 where it has not read the store's list. ``prefixes`` are the parts of the
-    store that it follows or is told of. ``restored`` is the history of the store that holds all
-    which it knows.
+    store that it follows or is told of, and of which it names the history. ``restored`` is the
+    history of the store that holds all which it knows.
     """
 
     member: Member
--- a/src/aspengate/peers/_messages.py
+++ b/src/aspengate/peers/_messages.py
@@ -1,16 +1,28 @@
-"""What routers tell each other by datagrams."""
+"""What routers tell each other by datagrams.
+
+A revision of the store travels as its number, which older builds read, and beside
+it the history that it belongs to.
+"""
 
 import enum
 
 import msgspec
 
 from aspengate.peers._members import Member
+from aspengate.store import (
+    Changes,
+    Removal,
+    StoreItem,
+    make_revision,
+    number_of,
+)
 
 
 class PeerNews(msgspec.Struct, frozen=True, tag="news"):
     """What one router tells others, which is also its sign of life.
 
-    ``revisions`` maps a prefix of the store to the newest change known below it;
+    ``revisions`` maps a prefix of the store to the number of the newest change known below it,
+    ``eras`` to that change's history; builds before the histories name none.
     ``reaches_store`` tells whether the store answers this router, ``leads`` whether it follows
     the store for its failure domain, and ``listed`` how many routers this one knows, 0 where it
     has not read the store's list. ``replaced`` are starts of listed replicas at whose addresses
@@ -25,10 +37,22 @@
     leads: bool = False
     replaced: list[str] = []
     restored: int = 0
+    eras: dict[str, int] = {}
+
+    @property
+    def newest(self) -> dict[str, int]:
+        """The revision of the newest change that is known below each prefix."""
+        return {
+            prefix: make_revision(self.eras.get(prefix, 0), number)
+            for prefix, number in self.revisions.items()
+        }
 
 
 class ChangedItem(msgspec.Struct, frozen=True, array_like=True):
-    """An item of the store as it was written; without a ``value`` it was removed."""
+    """An item of the store as it was written; without a ``value`` it was removed.
+
+    ``revision`` is its number in the history that the message names.
+    """
 
     key: str
     revision: int
@@ -38,13 +62,43 @@
 class MirrorChanges(msgspec.Struct, frozen=True, tag="changes"):
     """What has changed below a prefix of the store, told to routers that do not watch it.
 
-    It is complete for whoever knows all up to the revision ``after``, and leads to ``revision``.
+    It is complete for whoever knows all up to the revision ``after``, and leads to ``revision``:
+    numbers in the history ``era``, which builds before the histories do not name.
     """
 
     prefix: str
     after: int
     revision: int
     items: list[ChangedItem]
+    era: int = 0
+
+    @property
+    def known_before(self) -> int:
+        """The revision up to which all has to be known before."""
+        return make_revision(self.era, self.after)
+
+    def changes(self) -> Changes:
+        """Return what has changed."""
+        written = tuple(
+            StoreItem(each.key, each.value, make_revision(self.era, each.revision))
+            for each in self.items
+            if each.value is not None
+        )
+        removed = tuple(
+            Removal(each.key, make_revision(self.era, each.revision))
+            for each in self.items
+            if each.value is None
+        )
+        return Changes(written, removed, make_revision(self.era, self.revision))
+
+
+def changed_items(changes: Changes) -> list[ChangedItem]:
+    """Return changes of one history as a message holds them, in their order."""
+    items = [
+        *(ChangedItem(each.key, number_of(each.revision), each.value) for each in changes.written),
+        *(ChangedItem(each.key, number_of(each.revision)) for each in changes.removed),
+    ]
+    return sorted(items, key=lambda each: each.revision)
 
 
 class PlacementScope(enum.Enum):
