Keep the number of an account's limit readable for older builds

What callers saw: an account's limit was raised after an upgrade had been rolled back, and its requests went on ending in 402; a lowered limit would not have been kept either.

`limit_revision` of an account's document outlives the router that wrote it. Written with the store's history above the number, it is higher than any revision that an older build knows, so that this one takes its own configuration for older news.

Change: `limit_revision` is the store's number again, `limit_era` its history. A document that an older build wrote counts as of history 0, so a router of this build goes by its own configuration then.

--- a/features/steps/allowance_steps.py
+++ b/features/steps/allowance_steps.py
@@ -395,6 +395,7 @@
         era=st.integers(0, 2**20),
         restored_from=st.integers(0, 2**60),
         restored_closed=st.integers(-(2**40), 2**40),
+        limit_era=st.integers(0, 2**20),
     )
 
     @given_any(documents)
@@ -426,6 +427,7 @@
         "era": 0,
         "restored_from": 0,
         "restored_closed": 0,
+        "limit_era": 0,
     }
 
 
--- a/features/steps/upgrades_steps.py
+++ b/features/steps/upgrades_steps.py
@@ -208,6 +208,41 @@
     assert applied, last.lines[-5:]
 
 
+def score(router):
+    """Ask for a scored essay; return the status."""
+    fields = {"body": b"x", "tokens": (1_000, 500), "deadline_ms": 10_000}
+    return router.call().request("POST", f"/score/{time.monotonic_ns()}", **fields).status
+
+
+@given("a gateway of today that has spent an account")
+def account_spent(context):
+    context.fleet = Fleet(context.cleanup)
+    context.fleet.operator.set_prepaid("board", 5_000)
+    for service in ("portal", "engine"):
+        context.fleet.add_replica(service)
+    router = context.fleet.add_router()
+    assert eventually(lambda: score(router) == 402, 20.0)
+
+
+@when("a gateway of {build} replaces it, and the account's limit is raised")
+def replaced_and_raised(context, build):
+    found = build_of(context, build)
+    if found is None:
+        return
+    before = context.fleet.routers[0]
+    before.terminate()
+    assert eventually(lambda: before.has_ended, 20.0)
+    router = context.fleet.start_again(before, build=found)
+    assert score(router) == 402
+    context.fleet.operator.set_prepaid("board", 50_000)
+
+
+@then("requests of the account are served again")
+def served_again(context):
+    router = context.fleet.routers[0]
+    assert eventually(lambda: score(router) == 200, 10.0), router.lines[-5:]
+
+
 @when("a gateway of today that is called {name} starts next to it")
 def named_starts(context, name):
     if not hasattr(context, "fleet"):
--- a/features/upgrades.feature
+++ b/features/upgrades.feature
@@ -74,6 +74,16 @@
       | 64f8938 |
       | b95c5d9 |
 
+  Scenario Outline: A raised limit is in force at an older build that goes on with the account
+    Given a gateway of today that has spent an account
+    When a gateway of <build> replaces it, and the account's limit is raised
+    Then requests of the account are served again
+
+    Examples:
+      | build   |
+      | 64f8938 |
+      | b95c5d9 |
+
   Scenario: The build of each router is told
     Given a gateway of 49152d8 that serves, and replicas
     When a gateway of today that is called v9 starts next to it
--- a/src/aspengate/allowances/_document.py
+++ b/src/aspengate/allowances/_document.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.store import DECODE_ERRORS
+from aspengate.store import DECODE_ERRORS, era_of, make_revision, number_of
 
 _MOST_SESSIONS = 200
 
@@ -26,11 +26,13 @@
     """What closed sessions used, and the allowance of each other session, in tokens.
 
     ``witnesses`` maps a session to the session of the router that witnesses it. ``limit`` is the
-    account's limit as of the configuration's ``limit_revision``, the newest that a writer knew:
-    a router whose configuration is older keeps to it. ``ended`` maps each router to the last of
-    its sessions that settled itself: settling it again after a lost answer changes nothing.
-    ``spent`` is what those sessions' own requests used, without any loan; it is only there to
-    check the rest of the document against.
+    account's limit as of the configuration's revision ``limit_as_of``, the newest that a writer
+    knew: a router whose configuration is older keeps to it. ``limit_revision`` is that revision's
+    number, which builds before the histories of a store read, ``limit_era`` its history.
+
+    ``ended`` maps each router to the last of its sessions that settled itself: settling it again
+    after a lost answer changes nothing. ``spent`` is what those sessions' own requests used,
+    without any loan; it is only there to check the rest of the document against.
 
     ``era`` is the history of the store in which it was written. ``restored_from`` is the revision
     of the newest document of an earlier history that it was made from, and ``restored_closed`` is
@@ -47,16 +49,24 @@
     era: int = 0
     restored_from: int = 0
     restored_closed: int = 0
+    limit_era: int = 0
+
+    @property
+    def limit_as_of(self) -> int:
+        """The revision of the configuration that the limit was read from."""
+        return make_revision(self.limit_era, self.limit_revision)
 
     def limit_for(self, limit: int, revision: int) -> int:
         """Return the limit in force for a writer that read ``limit`` as of ``revision``."""
-        return self.limit if revision < self.limit_revision else limit
+        return self.limit if revision < self.limit_as_of else limit
 
     def with_limit(self, limit: int, revision: int) -> "AllowanceDocument":
         """Return the document with a limit that is newer and another one than it has."""
-        if revision < self.limit_revision or limit == self.limit:
+        if revision < self.limit_as_of or limit == self.limit:
             return self
-        return msgspec.structs.replace(self, limit=limit, limit_revision=revision)
+        return msgspec.structs.replace(
+            self, limit=limit, limit_revision=number_of(revision), limit_era=era_of(revision)
+        )
 
     @property
     def committed(self) -> int:
--- a/src/aspengate/allowances/_restoration.py
+++ b/src/aspengate/allowances/_restoration.py
@@ -95,4 +95,4 @@
         restored_from=max(known_revision, stored.restored_from),
         restored_closed=max(stored.restored_closed, known.closed),
     )
-    return joined.with_limit(known.limit, known.limit_revision)
+    return joined.with_limit(known.limit, known.limit_as_of)
