Refuse no request for a minute whose try ended its replica together with several others

What callers saw: all replicas of a service ended within some 30 ms, as when a rack loses power. A page that many ask for was refused for a minute at all gateways, though all its replicas were back after a second.

By its lines a gateway began the one recorded try at 5.238 s, when it knew of three ends (from 5.216 s on), and sent it to the last replica that still lived, which ended at 5.250 s. So the try "ended its replica", which is followed by a minute's pause.

Cause: the end of a try's replica was taken for proof against the request whatever else ended at that moment.

Change: where at least three other replicas ended within 100 ms of it, the try shows nothing, and the next one may begin a second later. It is concluded 100 ms after the end, so that the other ends are known; until then it counts as under way. A request that ends its replicas one after the other has met two ends before its try, so it is refused as before.

Why the bound holds: a try that shows nothing is counted as before, and three of them are followed by ten minutes.

Test: "A request whose replica ended together with others while it was tried is not refused" failed before (quarantined); all of crashes.feature passes, its bound at 4, 26, 68 and 760 routers included.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -95,6 +95,11 @@
     When a request met two ends, and each of its tries ends a replica
     Then it is tried at once, after a minute and after ten more, and never again
 
+  Scenario: A request whose replica ended together with others while it was tried is not refused
+    Given 4 routers that share the records of a store
+    When a request met two ends, and its replica ends during its try, as three others do
+    Then it is tried again a second later
+
   Scenario: A record that an operator removes is forgotten
     Given 4 routers that share the records of a store
     When a request is refused, and its record is removed
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -317,8 +317,19 @@
     assert verdicts(context.storm) == {"sent": context.count}
 
 
-def try_again(storm, *, ends):
-    """Have the try that was just admitted be sent, and show nothing or end its replica."""
+def others_end(storm, router, count):
+    """Have a router see replicas end under another request."""
+    for number in range(count):
+        run = f"other-{number}"
+        storm.ended.add(run)
+        router.guard.note_lost("another request", run, run, None)
+
+
+def try_again(storm, *, ends, beside=lambda: None):
+    """Have the try that was just admitted be sent, and show nothing or end its replica.
+
+    ``beside`` happens right after its end.
+    """
     storm.held.sent = True
     if ends:
         storm.numbers += 1
@@ -326,6 +337,7 @@
         storm.ended.add(run)
         storm.trier.guard.note_lost(CONTENT, run, run, storm.held)
     storm.trier.guard.end_try(storm.held, answered=False)
+    beside()
     storm.advance(100)
 
 
@@ -363,6 +375,22 @@
     assert verdicts(context.storm) == {ErrorKind.QUARANTINED: context.count}
 
 
+@when("a request met two ends, and its replica ends during its try, as three others do")
+def ends_with_others(context):
+    storm = meet_ends(context, 2)
+    assert verdicts(storm)["tried"] == 1
+    other = next(each for each in storm.routers if each is not storm.trier)
+    try_again(storm, ends=True, beside=lambda: others_end(storm, other, 3))
+
+
+@then("it is tried again a second later")
+def tried_soon(context):
+    storm = context.storm
+    assert verdicts(storm) == {ErrorKind.SUSPECTED: context.count}
+    storm.advance(1_000)
+    assert verdicts(storm) == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}
+
+
 @when("a request is refused, and its record is removed")
 def removed_record(context):
     storm = meet_ends(context, 2)
--- a/src/aspengate/crashes/_book.py
+++ b/src/aspengate/crashes/_book.py
@@ -83,6 +83,15 @@
                 self._ended.popitem(last=False)
             return True
 
+    def ended_with(self, run: str, within_ms: float) -> int:
+        """Return how many other runs ended within so many milliseconds of the end of one."""
+        with self._lock:
+            ended_ms = self._ended.get(run)
+            if ended_ms is None:
+                return 0
+            others = (at_ms for each, at_ms in self._ended.items() if each != run)
+            return sum(1 for at_ms in others if abs(at_ms - ended_ms) <= within_ms)
+
     def is_lost_at(self, run: str) -> bool:
         """Return whether any request was lost at a run."""
         with self._lock:
--- a/src/aspengate/crashes/_policy.py
+++ b/src/aspengate/crashes/_policy.py
@@ -27,9 +27,10 @@
     counted from their lines by account and size). So two ends alone refuse nobody.
 
     A try that ends its replica is followed by a pause of ``ended_ms``, the next one by one
-    ``growth`` times as long, and after ``most_ended`` of them there are no more. A try that shows
-    nothing, since its caller left, may be made again after ``pause_ms``, from ``few_tries`` on
-    after ``many_ms``. A try whose router says nothing is over after ``try_ms``, which is longer
+    ``growth`` times as long, and after ``most_ended`` of them there are no more. A try shows
+    nothing where its caller left, or where ``mass_ends`` other replicas ended within ``mass_ms`` of
+    its own, as when a rack loses power. It may be made again after ``pause_ms``, from ``few_tries``
+    on after ``many_ms``. A try whose router says nothing is over after ``try_ms``, which is longer
     than requests usually last.
     """
 
@@ -37,6 +38,8 @@
     most_ended: int = 3
     ended_ms: float = 60_000.0
     growth: float = 10.0
+    mass_ends: int = 3
+    mass_ms: float = 100.0
     few_tries: int = 3
     pause_ms: float = 1_000.0
     many_ms: float = 600_000.0
--- a/src/aspengate/gateway/_crash_guard.py
+++ b/src/aspengate/gateway/_crash_guard.py
@@ -24,14 +24,14 @@
     """One request's permission to be sent though replicas ended under it: to one replica.
 
     ``recorded`` tells whether the store knows of it, ``sent`` whether it reached a replica, and
-    ``has_ended`` whether that ended.
+    ``ended_run`` which run of that has ended, empty for none.
     """
 
     def __init__(self, content: str, *, recorded: bool) -> None:
         self.content = content
         self.recorded = recorded
         self.sent = False
-        self.has_ended = False
+        self.ended_run = ""
 
 
 class CrashGuard:
@@ -66,6 +66,7 @@
             counters,
             self.policy,
             self.book.ends,
+            lambda run: self.book.ended_with(run, self.policy.mass_ms),
             self._on_record_gone,
             writes_again,
         )
@@ -115,10 +116,10 @@
         """Tell how a request with a try has ended; an answer in whole is noted apart."""
         if answered or not made.recorded:
             return
-        change = Change.TAKE_BACK_TRY
-        if made.sent:
-            change = Change.END_TRY_WITH_REPLICA if made.has_ended else Change.END_TRY
-        self.records.ask(made.content, change)
+        if made.ended_run:
+            self.records.ask_end(made.content, made.ended_run)
+        else:
+            self.records.ask(made.content, Change.END_TRY if made.sent else Change.TAKE_BACK_TRY)
 
     def run_of(self, replica: str) -> str:
         """Return the name of a replica's present run, for what is noted of it later."""
@@ -133,7 +134,7 @@
             log_change("replica.ended", replica=run, content=content)
             self._note_ended(run)
             if held is not None:
-                held.has_ended = True
+                held.ended_run = run
         self._tell(CrashNotice([LostRun(content, run)], [run] if has_ended else []))
 
     def note_refused(self, run: str) -> None:
--- a/src/aspengate/gateway/_crash_records.py
+++ b/src/aspengate/gateway/_crash_records.py
@@ -42,6 +42,18 @@
     REMOVE = 5
 
 
+@dataclass(frozen=True)
+class _Wanted:
+    """A change that was asked for, to be made from ``due_ms`` on, in monotonic milliseconds.
+
+    ``ended_run`` is the run of a replica that ended under the try, if the change tells of one.
+    """
+
+    change: Change
+    due_ms: float = 0.0
+    ended_run: str = ""
+
+
 @dataclass(frozen=True)
 class _Known:
     """A record as of the store's ``revision``; None where it can't be read, and may be replaced."""
@@ -53,9 +65,11 @@
 class CrashRecords:
     """Keeps a copy of the records, and changes them on a thread of its own.
 
-    Only ``begin_try`` writes at once, since a request waits for it. ``on_gone`` is called with the
-    content of each record that was removed, by a router or by an operator. ``writes_again`` tells
-    whether this router is one of those that write a record again which the store has lost.
+    Only ``begin_try`` writes at once, since a request waits for it. ``ends_of`` returns the runs of
+    replicas that ended under a content, ``ended_with`` how many others ended together with a run.
+    ``on_gone`` is called with the content of each record that was removed, by a router or by an
+    operator. ``writes_again`` tells whether this router is one of those that write a record again
+    which the store has lost.
     """
 
     def __init__(
@@ -65,6 +79,7 @@
         counters: Counters,
         policy: CrashPolicy,
         ends_of: Callable[[str], Collection[str]],
+        ended_with: Callable[[str], int],
         on_gone: Callable[[str], None],
         writes_again: Callable[[str], bool] = lambda _: True,
     ) -> None:
@@ -74,6 +89,7 @@
         self._counters = counters
         self._policy = policy
         self._ends_of = ends_of
+        self._ended_with = ended_with
         self._on_gone = on_gone
         self._writes_again = writes_again
         # The store's revision up to which its records have been read.
@@ -84,7 +100,7 @@
         self._unwritten: set[str] = set()
         self._unreadable = UnreadableItems(counters)
         self._known: dict[str, _Known] = {}
-        self._changes: dict[str, Change] = {}
+        self._changes: dict[str, _Wanted] = {}
         self._lock = threading.Lock()
         self._some = threading.Event()
         self._closing = threading.Event()
@@ -160,8 +176,17 @@
 
     def ask(self, content: str, change: Change) -> None:
         """Have a record changed soon."""
+        self._ask(content, _Wanted(change))
+
+    def ask_end(self, content: str, ended_run: str) -> None:
+        """Have the end of a try recorded whose replica ended, once other ends are known as well."""
+        due_ms = self._clock.monotonic_ms() + self._policy.mass_ms
+        self._ask(content, _Wanted(Change.END_TRY_WITH_REPLICA, due_ms, ended_run))
+
+    def _ask(self, content: str, wanted: _Wanted) -> None:
         with self._lock:
-            self._changes[content] = max(change, self._changes.get(content, change))
+            waiting = self._changes.get(content, wanted)
+            self._changes[content] = max(wanted, waiting, key=lambda each: each.change)
         self._some.set()
 
     def _read(self, item: StoreItem) -> _Known:
@@ -179,37 +204,44 @@
                 self._closing.wait(_AGAIN_MS / 1_000)
 
     def make_changes(self) -> bool:
-        """Make the changes that were asked for; return whether none is left to be made again."""
+        """Make the changes that are due; return whether none is left to be made later."""
+        now = self._clock.monotonic_ms()
         with self._lock:
-            changes, self._changes = self._changes, {}
+            asked = self._changes
+            self._changes = {key: each for key, each in asked.items() if each.due_ms > now}
         failed = {}
-        for content, change in changes.items():
+        for content, wanted in asked.items():
+            if wanted.due_ms > now:
+                continue
             try:
-                if not self._make(content, change):
-                    failed[content] = change
+                if not self._make(content, wanted):
+                    failed[content] = wanted
             except AspengateError as error:
-                failed[content] = change
+                failed[content] = wanted
                 self._counters.count("crashes.not_recorded")
                 log_change(
-                    "crash.not_recorded", content=content, wanted=change.name, error=str(error)
+                    "crash.not_recorded",
+                    content=content,
+                    wanted=wanted.change.name,
+                    error=str(error),
                 )
             except Exception as error:
                 self._counters.count("crashes.not_recorded")
                 log_change("crash.record_fault", content=content, error=repr(error))
         with self._lock:
             self._changes = {**failed, **self._changes}
-        return not failed
+            return not self._changes
 
-    def _make(self, content: str, change: Change) -> bool:
+    def _make(self, content: str, wanted: _Wanted) -> bool:
         """Make a change; return False where another router changed the record first."""
         known = self._known.get(content)
-        if change is Change.REMOVE:
+        if wanted.change is Change.REMOVE:
             self._store.remove(RECORD_PREFIX + content)
             with self._lock:
                 self._known.pop(content, None)
             return True
         record = (known.record if known else None) or CrashRecord()
-        changed = self._changed(content, record, change)
+        changed = self._changed(content, record, wanted)
         if changed == record and content not in self._unwritten:
             return True
         try:
@@ -220,14 +252,17 @@
         self._drop_oldest()
         return True
 
-    def _changed(self, content: str, record: CrashRecord, change: Change) -> CrashRecord:
+    def _changed(self, content: str, record: CrashRecord, wanted: _Wanted) -> CrashRecord:
         """Return what a change makes of a record; a try of another router's stays as it is."""
-        if record.trying != self.session or change is Change.WRITE_AGAIN:
+        if record.trying != self.session or wanted.change is Change.WRITE_AGAIN:
             return record
         now = self._clock.now_ms()
-        if change is Change.TAKE_BACK_TRY:
+        if wanted.change is Change.TAKE_BACK_TRY:
             return record.take_back_try(now, self._policy)
-        has_ended = change is Change.END_TRY_WITH_REPLICA
+        has_ended = (
+            wanted.change is Change.END_TRY_WITH_REPLICA
+            and self._ended_with(wanted.ended_run) < self._policy.mass_ends
+        )
         return record.end_try(self._ends_of(content), now, self._policy, has_ended=has_ended)
 
     def _write(self, content: str, record: CrashRecord, revision: int) -> None:
