--- a/features/platform_standins/fleet.py
+++ b/features/platform_standins/fleet.py
@@ -1,7 +1,9 @@
 """Routers as processes against the stand-ins."""
 
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,6 +20,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 PATIENCE_S = 60.0
+# Ports below those that the system hands out by itself, also to clients of any other program.
+_UNASSIGNED_PORTS = (20_000, 32_000)
 _SETTINGS = """\
 [instance]
 name = {name}
@@ -237,6 +241,9 @@
 
 
 def _free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that all routers of a fleet can listen at, each at its own address."""
+    while True:
+        port = random.randrange(*_UNASSIGNED_PORTS)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(("", port))
+            return port
--- a/features/upgrades.feature
+++ b/features/upgrades.feature
@@ -12,6 +12,7 @@
       | c2c3948 |
       | 49152d8 |
       | 64f8938 |
+      | b95c5d9 |
 
   Scenario: What is written today is read by the build that landed last
     Given the build that landed last, from the history
@@ -35,6 +36,8 @@
       | today   | 49152d8 |
       | 64f8938 | today   |
       | today   | 64f8938 |
+      | b95c5d9 | today   |
+      | today   | b95c5d9 |
 
   # Routers of 2cd8a79 do not know of evacuations. One of today that learnt the configuration from
   # them alone would send to failure domains that the operator has emptied, so it waits for the store.
