Name the histories of revisions in news by position

Leaders tell all routers of themselves each 300 ms; three prefixes named once more are 50 bytes in each of these messages, three small numbers are 4.

--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -305,7 +305,7 @@
             self.members.leads,
             self.registry.replaced()[:_MOST_REPLACED],
             self.restored_era(),
-            {prefix: era_of(revision) for prefix, revision in newest.items()},
+            [era_of(revision) for revision in newest.values()],
         )
 
     def _keep_listed(self) -> None:
@@ -381,7 +381,7 @@
             reaches_store=news.reaches_store,
             leads=news.leads,
             listed=news.listed,
-            prefixes=news.eras,
+            prefixes=news.newest,
             restored=news.restored,
         )
         if is_new:
@@ -398,7 +398,7 @@
         is_other = self.leadership.leader != news.member
         if is_near and news.leads and (is_other or not news.reaches_store):
             self._look()
-        era = max(news.eras.values(), default=0)
+        era = max(news.eras, default=0)
         if era:
             self._store.era.note(era)
         for prefix, revision in news.newest.items():
--- a/src/aspengate/peers/_messages.py
+++ b/src/aspengate/peers/_messages.py
@@ -21,8 +21,8 @@
 class PeerNews(msgspec.Struct, frozen=True, tag="news"):
     """What one router tells others, which is also its sign of life.
 
-    ``revisions`` maps a prefix of the store to the number of the newest change known below it,
-    ``eras`` to that change's history; builds before the histories name none.
+    ``revisions`` maps a prefix of the store to the number of the newest change known below it;
+    ``eras`` are the histories of these, in the same order. Builds before the histories name none.
     ``reaches_store`` tells whether the store answers this router, ``leads`` whether it follows
     the store for its failure domain, and ``listed`` how many routers this one knows, 0 where it
     has not read the store's list. ``replaced`` are starts of listed replicas at whose addresses
@@ -37,15 +37,13 @@
     leads: bool = False
     replaced: list[str] = []
     restored: int = 0
-    eras: dict[str, int] = {}
+    eras: list[int] = []
 
     @property
     def newest(self) -> dict[str, int]:
-        """The revision of the newest change that is known below each prefix."""
-        return {
-            prefix: make_revision(self.eras.get(prefix, 0), number)
-            for prefix, number in self.revisions.items()
-        }
+        """The revision of the newest change below each prefix of which the history is named."""
+        named = zip(self.revisions.items(), self.eras, strict=False)
+        return {prefix: make_revision(era, number) for (prefix, number), era in named}
 
 
 class ChangedItem(msgspec.Struct, frozen=True, array_like=True):
