--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -30,6 +30,8 @@
         size = (chosen.routers, chosen.callers, chosen.prepaid)
         soak = Soak(seed, chosen.seconds, *size, earlier=earlier, restored=chosen.restored).play()
         broken = broken_promises(soak)
+        if not soak.figures["recovered"]:
+            broken.append("not all gateways serve by the newest configuration at the end")
         failed += bool(broken)
         print(seed, "BROKEN" if broken else "kept", json.dumps(soak.figures), flush=True)
         for line in broken[:5]:
