--- a/features/steps/leaving_and_resting_steps.py
+++ b/features/steps/leaving_and_resting_steps.py
@@ -1,17 +1,12 @@
 """Steps on replicas that leave or ask for rest."""
 
-import time
 
 from behave import given, then, when
 
-from gateway_world import start
-from pressing_callers import Callers, arrivals
+from pressing_callers import Callers, arrivals, start_asked
 
 ROUTERS = 4
 REPLICAS = 4
-WINDOW_S = 2
-START_MS = 1_000
-WARM_UP_S = 1.0
 DRAIN_S = 2.0
 REST_S = 1.5
 REST_NOTED_S = 0.5
@@ -20,23 +15,7 @@
 
 @given("four gateways that share repeats, before four replicas of each service")
 def fleet(context):
-    # Repeats as the platform allows them, but in a shorter window.
-    start(
-        context,
-        routers=ROUTERS,
-        replicas=REPLICAS,
-        retry_ratio=0.2,
-        retry_slack=54,
-        retry_window_s=WINDOW_S,
-        retry_start_ms=START_MS,
-    )
-    time.sleep(START_MS / 1_000 + 0.5)
-    # Those that are asked most are to speak: a replica that nobody would choose tells nothing.
-    Callers(context.fleet.routers).run_for(WARM_UP_S)
-    context.told = [
-        max(context.fleet.of(service), key=lambda each: len(each.requests))
-        for service in ("portal", "engine")
-    ]
+    context.told = start_asked(context, routers=ROUTERS, replicas=REPLICAS)
 
 
 @when("for 6 s one replica of each service says that it leaves, and its record does not")
--- a/features/steps/pressing_callers.py
+++ b/features/steps/pressing_callers.py
@@ -4,7 +4,12 @@
 import threading
 import time
 
-from gateway_world import TOKENS
+from gateway_world import TOKENS, start
+
+# Repeats as the platform allows them, but in a shorter window.
+WINDOW_S = 2
+START_MS = 1_000
+WARM_UP_S = 1.0
 
 CALLERS = 8
 PAUSE_S = 0.01
@@ -100,6 +105,31 @@
         asked.headers = answer.headers
 
 
+def start_asked(context, *, routers, replicas, change=None):
+    """Start gateways that share repeats; return the replica of each service that is asked most.
+
+    These are to speak: what a replica says that nobody would choose puts nothing to the test.
+    ``change`` is applied to the configuration.
+    """
+    start(
+        context,
+        routers=routers,
+        replicas=replicas,
+        retry_ratio=0.2,
+        retry_slack=54,
+        retry_window_s=WINDOW_S,
+        retry_start_ms=START_MS,
+    )
+    if change is not None:
+        context.fleet.operator.change(change)
+    time.sleep(START_MS / 1_000 + 0.5)
+    Callers(context.fleet.routers).run_for(WARM_UP_S)
+    return [
+        max(context.fleet.of(service), key=lambda each: len(each.requests))
+        for service in ("portal", "engine")
+    ]
+
+
 def arrivals(callers, replica):
     """Return what a replica got of the callers' requests, as pairs of id and time."""
     return [
--- a/features/steps/replica_limits_steps.py
+++ b/features/steps/replica_limits_steps.py
@@ -5,13 +5,9 @@
 from behave import given, then, when
 from platform_standins.fleet import eventually
 
-from gateway_world import start
-from pressing_callers import Callers, arrivals
+from pressing_callers import Callers, arrivals, start_asked
 
 REPLICAS = 4
-WINDOW_S = 2
-START_MS = 1_000
-WARM_UP_S = 1.0
 # What the platform allows: from so long after the first word, in any 4 s, so much more than named.
 SETTLED_S = 3.0
 SPAN_S = 4.0
@@ -28,23 +24,7 @@
 
 @given("{routers:d} gateways that share repeats, before four replicas of each service")
 def fleet(context, routers):
-    start(
-        context,
-        routers=routers,
-        replicas=REPLICAS,
-        retry_ratio=0.2,
-        retry_slack=54,
-        retry_window_s=WINDOW_S,
-        retry_start_ms=START_MS,
-    )
-    context.fleet.operator.change(uncap)
-    time.sleep(START_MS / 1_000 + 0.5)
-    # Those that are asked most are to speak: a replica that nobody would choose tells nothing.
-    Callers(context.fleet.routers).run_for(WARM_UP_S)
-    context.in_need = [
-        max(context.fleet.of(service), key=lambda each: len(each.requests))
-        for service in ("portal", "engine")
-    ]
+    context.in_need = start_asked(context, routers=routers, replicas=REPLICAS, change=uncap)
 
 
 @when("for {seconds:d} s one replica of each service names a limit of {limit} request a second")
