Tell where the store names a history that can't be read, and read all that fit

Cause: a header that could not be read, or had more than six digits, was turned into "no history" without a line.

Change: every history whose revisions fit into 63 bits is read; of another one a line tells, once.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -63,6 +63,20 @@
     And a call with an unknown key is refused
     Then its story tells which history the store names, and what was kept
 
+  Scenario Outline: A history that can't be read is told once, and the store followed as one
+    Given a client of a store whose answers name the history "<named>"
+    When it makes three calls
+    Then it knows history <known>, and one line tells what could not be read: <told>
+
+    Examples:
+      | named               | known   | told |
+      | 8388607             | 8388607 | no   |
+      | 8388608             | 0       | yes  |
+      | 9999999999999999999 | 0       | yes  |
+      | -1                  | 0       | yes  |
+      | seven               | 0       | yes  |
+      | 1, 2                | 0       | yes  |
+
   Scenario: A store that names no history is followed as one
     Given three gateways whose store names no history
     When then a key is taken away and a route is added
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -3,13 +3,17 @@
 import json
 import time
 
+import eliot
 from behave import given, then, when
 from platform_standins import Fleet
 from platform_standins.fleet import eventually
 from platform_standins.operator import route
+from platform_standins.store import StoreStandIn
 
+from aspengate.clock import SystemClock
 from aspengate.crashes import RECORD_PREFIX
 from aspengate.explanation import read_lines, tell_story
+from aspengate.platform import PlatformStore
 from crashes_steps import ask as ask_once
 from gateway_prepaid_steps import EVENTS, ask, given_tokens, spend
 from gateway_world import REPEATS, start
@@ -215,6 +219,30 @@
     assert "store.restored  prefix=op/" in story and "kept=['op/config']" in story, story
 
 
+@given('a client of a store whose answers name the history "{named}"')
+def client_of_named(context, named):
+    stand_in = StoreStandIn()
+    context.cleanup.callback(stand_in.close)
+    stand_in.era = named
+    context.client = PlatformStore(stand_in.open_door().address, 2_000.0, SystemClock())
+    context.lines = []
+    eliot.add_destinations(context.lines.append)
+    context.cleanup.callback(eliot.remove_destination, context.lines.append)
+
+
+@when("it makes three calls")
+def three_calls(context):
+    for _ in range(3):
+        assert context.client.get("op/config") is None
+
+
+@then("it knows history {known:d}, and one line tells what could not be read: {told}")
+def knows_history(context, known, told):
+    assert context.client.era.current == known
+    lines = [each for each in context.lines if "era_unreadable" in each.get("message_type", "")]
+    assert len(lines) == (told == "yes"), lines
+
+
 @given("three gateways whose store names no history")
 def names_no_history(context):
     context.fleet = Fleet(context.cleanup)
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -18,6 +18,7 @@
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.store import (
     DECODE_ERRORS,
+    MOST_ERA,
     AdaptiveTimeout,
     Changes,
     ConditionFailedError,
@@ -223,7 +224,7 @@
         if not is_watch:
             self.timeout.answered(self.clock.monotonic_ms() - begun_ms)
         self._connections.give_back(connection)
-        era = _era_of(answer)
+        era = self._read_era(answer)
         self.era.note(era)
         if answer.status in _NOTHING_DONE:
             raise AspengateError(
@@ -235,6 +236,14 @@
         self.answered_ms = self.clock.monotonic_ms()
         return _Answer(answer.status, content, era)
 
+    def _read_era(self, answer: http.client.HTTPResponse) -> int:
+        """Return the history that an answer names; a store that names none has only one, 0."""
+        named = answer.getheader(_ERA_HEADER, "0")
+        if _ERA_PATTERN.fullmatch(named) and int(named) <= MOST_ERA:
+            return int(named)
+        self.era.tell_unreadable(named)
+        return 0
+
     def end_watches(self) -> None:
         """Have the watches that wait fail, so that they are made anew."""
         self._connections.end_watches()
@@ -247,7 +256,7 @@
 # A key that is never there: nothing but a short 404 comes. A read that may be old costs a tenth.
 _PROBE = "/kv-key?key=aspengate%2Fprobe&stale=1"
 _ERA_HEADER = "Store-Era"
-_ERA_PATTERN = re.compile(r"[0-9]{1,6}", re.ASCII)
+_ERA_PATTERN = re.compile(r"[0-9]{1,19}", re.ASCII)
 _KINDS = {"/kv-key": "get", "/kv-range": "list", "/kv-watch": "watch", "/kv-txn": "write"}
 _NOTHING_DONE = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
 _EXPECTED = frozenset(
@@ -255,12 +264,6 @@
 )
 
 
-def _era_of(answer: http.client.HTTPResponse) -> int:
-    """Return the history that an answer names; a store that names none has only one, 0."""
-    named = answer.getheader(_ERA_HEADER, "")
-    return int(named) if _ERA_PATTERN.fullmatch(named) else 0
-
-
 def _decode(body: bytes, kind: type[_Body]) -> _Body:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/src/aspengate/store/__init__.py
+++ b/src/aspengate/store/__init__.py
@@ -15,13 +15,14 @@
     Snapshot,
     StoreItem,
 )
-from aspengate.store._revision import era_of, make_revision, number_of
+from aspengate.store._revision import MOST_ERA, era_of, make_revision, number_of
 from aspengate.store._timeout import AdaptiveTimeout
 from aspengate.store._values import DECODE_ERRORS, MOST_VALUE_BYTES, decode_value
 
 __all__ = [
     "DECODE_ERRORS",
     "KEEP_MS",
+    "MOST_ERA",
     "MOST_VALUE_BYTES",
     "AdaptiveTimeout",
     "Changes",
--- a/src/aspengate/store/_era.py
+++ b/src/aspengate/store/_era.py
@@ -5,6 +5,10 @@
 
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.store._revision import era_of
+from aspengate.telemetry import log_change
+
+# What a line tells of a history that can't be read, in characters.
+_MOST_TOLD = 100
 
 
 class HistoryLostError(AspengateError):
@@ -15,7 +19,7 @@
 
 
 class StoreEra:
-    """The highest history, ``current``, that was heard of; 0 where the store names none.
+    """The highest history, ``current``, that was heard of; 0 where the store names none to be read.
 
     ``on_rise`` is called with the one before where it rises, None where none was heard of yet, on
     the thread that heard of it.
@@ -25,6 +29,7 @@
         self.current = 0
         self.on_rise: Callable[[int | None], None] = lambda _: None
         self._is_heard = False
+        self._is_unreadable_told = False
         self._lock = threading.Lock()
 
     def note(self, era: int) -> None:
@@ -36,6 +41,12 @@
         if before is None or era > before:
             self.on_rise(before)
 
+    def tell_unreadable(self, named: str) -> None:
+        """Tell once that the store names a history that can't be read."""
+        if not self._is_unreadable_told:
+            self._is_unreadable_told = True
+            log_change("store.era_unreadable", era=named[:_MOST_TOLD])
+
     def check_watch(self, prefix: str, since: int) -> None:
         """Raise HistoryLostError where a watch would go on from an earlier history."""
         if era_of(since) < self.current:
