Make the mirrors of the store, and what paces them, in a module of their own

gateway/_daemon.py held what a gateway is made of, its planned stop, and how often it asks the store for what.

--- a/features/steps/leaving_and_resting_steps.py
+++ b/features/steps/leaving_and_resting_steps.py
@@ -1,6 +1,5 @@
 """Steps on replicas that leave or ask for rest."""
 
-
 from behave import given, then, when
 
 from pressing_callers import Callers, arrivals, start_asked
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -1,14 +1,13 @@
-"""The gateway as a process: its followers of the store, its servers, and its planned stop."""
+"""The gateway as a process: what it is made of, and its planned stop."""
 
 import threading
-from collections.abc import Callable
 from dataclasses import replace
 
 from aspengate.clock import Clock
 from aspengate.cold_starts import ColdStartPolicy, Contact
 from aspengate.configuration import ConfigurationHolder, FleetConfiguration
 from aspengate.connections import ConnectionPool
-from aspengate.crashes import RECORD_PREFIX, replica_of
+from aspengate.crashes import replica_of
 from aspengate.gateway._application import ADMISSION, GatewayApplication
 from aspengate.gateway._attempt import AttemptParts
 from aspengate.gateway._crash_guard import CrashGuard
@@ -24,6 +23,7 @@
 from aspengate.gateway._selection import ReplicaSelection
 from aspengate.gateway._settings import GatewaySettings
 from aspengate.gateway._stop import StopPlan
+from aspengate.gateway._store_mirrors import StoreMirrors
 from aspengate.gateway._store_reader import StoreReader
 from aspengate.gateway._story import RequestLog
 from aspengate.gateway._suspension import SuspensionWatch
@@ -46,28 +46,10 @@
 )
 from aspengate.retries import RetryPolicy, SharedRetryBudget
 from aspengate.serving import RelayServer, WsgiServer
-from aspengate.store import (
-    KEEP_MS,
-    MirrorState,
-    StoreMirror,
-    WriterOrder,
-    no_order,
-    number_of,
-)
+from aspengate.store import number_of
 from aspengate.telemetry import Counters, lasting_thread, log_change
 
 _READY_THREADS = 2
-_WATCH_MS = 25_000
-# How long changes are gathered before the next watch, in ms. The platform's shortest bound on
-# configuration and leaving replicas is 2 s, counted from a change to a request. While there are
-# requests a tenth of it is spent; without any, nobody is served by what is known: half of it.
-_GATHER_MS = 150.0
-_GATHER_AT_REST_MS = 800.0
-# The longest pause before a store that does not answer is asked again, in ms: the leader of a
-# failure domain finds out first that it is back, and the others hear that without a call.
-_LEADER_PAUSE_MS = 200.0
-_PAUSE_MS = 1_500.0
-_AT_REST_MS = 1_000.0
 _LONGEST_REST_MS = 6_000.0
 _RESERVED_DESCRIPTORS = 200
 _DRAIN_POLL_MS = 50.0
@@ -114,12 +96,6 @@
         self.registry = ReplicaRegistry(clock, self._on_replica_gone, self._tell_limit)
         self._reader = StoreReader(deployment, self.holder, self.registry, counters)
         self.retries = SharedRetryBudget(_retry_policy(settings), clock)
-        self.operator = self._mirror(
-            deployment.operator_prefix, self._reader.take_operator, order=deployment.read_order
-        )
-        self.replicas = self._mirror(
-            deployment.replica_prefix, self._reader.take_replicas, order=deployment.read_order
-        )
         self.bounds = ReplicaBounds(
             settings.name,
             clock,
@@ -137,9 +113,15 @@
             is_first=lambda content: self.peering.members.is_first(content),
             writes_again=self._writes_again,
         )
-        # Routers alone write these, and write again what the store has lost.
-        self.crash_records = self._mirror(
-            RECORD_PREFIX, self.crashes.take_records, keep_ms=float("inf")
+        self.mirrors = StoreMirrors(
+            deployment,
+            clock,
+            counters,
+            self._reader,
+            self.crashes.take_records,
+            stance=lambda: self.peering.stance(),
+            leads=lambda: self.peering.members.leads,
+            last_request_ms=lambda: self.application.last_request_ms,
         )
         self.peering = self._make_peering()
         self.witness = self._make_witness()
@@ -160,15 +142,9 @@
         self._closing = threading.Event()
         self._ticker = lasting_thread(self._tick, "ticker", counters)
 
-    @property
-    def mirrors(self) -> tuple[StoreMirror, ...]:
-        """The parts of the store that this gateway follows."""
-        return (self.operator, self.replicas, self.crash_records)
-
     def start(self) -> None:
         """Begin to serve."""
-        for mirror in self.mirrors:
-            mirror.start()
+        self.mirrors.start()
         self.peering.start()
         self.crashes.start(self.peering.session)
         self.witness.start()
@@ -212,13 +188,13 @@
             "first_token_over_expected_p90": error.tail,
             "leads_failure_domain": self.peering.members.leads,
             "configuration_version": self.holder.version,
-            "configuration_connected": self.operator.connected,
+            "configuration_connected": self.mirrors.operator.connected,
             "failure_domains_evacuated": len(self.registry.evacuated),
             **self.registry.gauges(),
             "store_era": self.deployment.store.era.current,
-            "operator_revision": number_of(self.operator.state.revision),
-            "replicas_revision": number_of(self.replicas.state.revision),
-            "replicas_connected": self.replicas.connected,
+            "operator_revision": number_of(self.mirrors.operator.state.revision),
+            "replicas_revision": number_of(self.mirrors.replicas.state.revision),
+            "replicas_connected": self.mirrors.replicas.connected,
             "routers_known": self.peering.members.count,
             **{f"routers_build_{name}": n for name, n in self.peering.members.builds().items()},
             "retry_routers": self.retries.routers,
@@ -263,8 +239,7 @@
         self.witness.close()
         self.loans.close()
         self.crashes.close()
-        for mirror in self.mirrors:
-            mirror.close()
+        self.mirrors.close()
         self.peering.close()
         self.pool.close()
 
@@ -285,7 +260,8 @@
         self.tokens.restore(has_returned=before is not None)
 
     def _is_ready(self) -> bool:
-        return self.holder.known and bool(self.replicas.state.revision) and not self.leaving
+        is_listed = bool(self.mirrors.replicas.state.revision)
+        return self.holder.known and is_listed and not self.leaving
 
     def _sleep_until(self, until_ms: float) -> None:
         self.clock.sleep_ms(until_ms - self.clock.monotonic_ms())
@@ -296,37 +272,6 @@
             self.tokens.tick()
             self.report.tell()
 
-    def _mirror(
-        self,
-        prefix: str,
-        on_change: Callable[[MirrorState], None],
-        *,
-        keep_ms: float = KEEP_MS,
-        order: WriterOrder = no_order,
-    ) -> StoreMirror:
-        return StoreMirror(
-            self.deployment.store,
-            prefix,
-            self.clock,
-            self.counters,
-            on_change,
-            _WATCH_MS,
-            self._gather_ms,
-            stance=lambda: self.peering.stance(),
-            longest_pause_ms=self._longest_pause_ms,
-            keep_ms=keep_ms,
-            order=order,
-        )
-
-    def _gather_ms(self) -> float:
-        """Return how long the mirrors gather changes: longer while there are no requests."""
-        rested_ms = self.clock.monotonic_ms() - self.application.last_request_ms
-        return _GATHER_AT_REST_MS if rested_ms > _AT_REST_MS else _GATHER_MS
-
-    def _longest_pause_ms(self) -> float:
-        """Return how long to wait before the store is asked again; leaders are to be the first."""
-        return _LEADER_PAUSE_MS if self.peering.members.leads else _PAUSE_MS
-
     def _make_peering(self) -> Peering:
         host = self.settings.listen.rpartition(":")[0]
         return Peering(
@@ -336,7 +281,7 @@
             capacity=self.settings.memory_mb,
             build=self.build,
             seeds=self.settings.seeds,
-            mirrors={mirror.prefix: mirror for mirror in self.mirrors},
+            mirrors=self.mirrors.by_prefix,
             store=self.deployment.store,
             clock=self.clock,
             counters=self.counters,
