Encode a whole list once for all that ask, whichever history the store names

What it cost: with a store that names its history, a router encoded and compressed its whole list anew for each router that asked (765 KB for 3,000 replicas, 4 ms to compress), as many times as there are routers that start or list anew together.

An answer's revision became the store's number, and the cache of encoded answers went on comparing it with a mirror's, which holds the history as well: they are equal only in history 0. Found by rereading the whole change.

Change: the cache holds the revision with its history again. A step that turned a message into changes by itself now uses the message's own method; what it asserts is as it was.

Test: "A whole list is encoded once for all that ask together", row of history 1, failed before; both rows and the rest of leadership.feature pass (17 scenarios).

--- a/features/leadership.feature
+++ b/features/leadership.feature
@@ -84,3 +84,13 @@
     When 1,000 replicas change at once and the first one tells of it
     Then every message fits into a datagram, and the second one knows the same list
     And a router that missed one of the messages notices it
+
+  Scenario Outline: A whole list is encoded once for all that ask together
+    Given a router that knows a list as of history <era> of the store
+    When two that know nothing ask it for the list
+    Then both get the same bytes, which were encoded once
+
+    Examples:
+      | era |
+      | 0   |
+      | 1   |
--- a/features/steps/mirror_changes_steps.py
+++ b/features/steps/mirror_changes_steps.py
@@ -6,7 +6,14 @@
 from aspengate.clock import ManualClock
 from aspengate.gateway._mirror_sharing import _messages
 from aspengate.peers import PeerApplication, PeerClient
-from aspengate.store import Changes, Removal, Snapshot, StoreItem, StoreMirror
+from aspengate.store import (
+    Changes,
+    Removal,
+    Snapshot,
+    StoreItem,
+    StoreMirror,
+    make_revision,
+)
 from aspengate.telemetry import NullCounters
 
 PREFIX = "replicas/"
@@ -74,6 +81,25 @@
     context.first, context.second = told(whole()), mirror()
 
 
+@given("a router that knows a list as of history {era:d} of the store")
+def knows_in_history(context, era):
+    revision = make_revision(era, 1)
+    context.first = told(Snapshot((StoreItem(key(1), RECORD, revision),), revision, revision))
+
+
+@when("two that know nothing ask it for the list")
+def two_ask(context):
+    application = PeerApplication({PREFIX: context.first}, None)
+    environ = {"PATH_INFO": "/mirror", "QUERY_STRING": f"prefix={PREFIX}&since=0&era=0"}
+    context.answers = [application(environ, lambda *_: None)[0] for _ in range(2)]
+
+
+@then("both get the same bytes, which were encoded once")
+def encoded_once(context):
+    first, second = context.answers
+    assert first is second
+
+
 @given("a router that knows a list of 3,000 replicas, and one that missed nothing")
 def missed_nothing(context):
     context.first, context.second = told(whole()), told(whole())
@@ -113,13 +139,7 @@
 
 
 def take(made, message):
-    written = tuple(
-        StoreItem(each.key, each.value, each.revision)
-        for each in message.items
-        if each.value is not None
-    )
-    removed = tuple(Removal(each.key, each.revision) for each in message.items if not each.value)
-    return made.apply(message.after, Changes(written, removed, message.revision))
+    return made.apply(message.known_before, message.changes())
 
 
 @then("every message fits into a datagram, and the second one knows the same list")
--- a/src/aspengate/peers/_exchange.py
+++ b/src/aspengate/peers/_exchange.py
@@ -164,7 +164,8 @@
         body = _mirror_body(mirror, since)
         encoded = zlib.compress(msgspec.msgpack.encode(body), _COMPRESSION_LEVEL)
         if body.is_whole:
-            self._encoded = {(prefix, since): (body.revision, encoded)}
+            revision = make_revision(body.era, body.revision)
+            self._encoded = {(prefix, since): (revision, encoded)}
         return encoded
 
 
