Log the shared prompt segments of each request

Which of the hypotheses on replicas that crash one after the other holds could not be seen: the lines of lost requests name their content, but not the segments of their prompts, so that it could not be counted which segment met each end and which was answered meanwhile. request.ended names them now; replica.ended joins it by content.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -5,6 +5,11 @@
     When a receipt crashes its replica, and the response to another receipt is lost
     Then one log line names the crashed replica and its request, and none names the other request
 
+  Scenario: The log names the prompt segments of a request that crashed its replica
+    Given a gateway before four portal replicas
+    When a streamed request with three prompt segments crashes its replica
+    Then its log line names the segments that other requests may share
+
   Scenario: The trace of a refused request names the crashes that led to the refusal
     Given a gateway before four portal replicas
     When a receipt has crashed three of them and is requested once more
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -88,6 +88,24 @@
     assert sorted(line["content"] for line in lines) == sorted(fingerprints), lines
 
 
+@when("a streamed request with three prompt segments crashes its replica")
+def segments_of_crash(context):
+    for replica in context.fleet.of("engine"):
+        replica.crash_on = "/review/ending"
+    caller = context.router.call()
+    segments = {"tokens": (1_000, 60), "parts": "a1:400,b2:400,c3:200"}
+    context.identity = caller.send("POST", "/review/ending", body=b"essay", **segments)
+    caller.read()
+
+
+@then("its log line names the segments that other requests may share")
+def segments_logged(context):
+    find = context.router.find
+    line = eventually(lambda: find("request.ended", request_id=context.identity))
+    assert line["segments"] == ["a1", "b2"], line
+    assert find("replica.ended", content=line["content"]), context.router.lines
+
+
 @when("a receipt has crashed three of them and is requested once more")
 def requested_once_more(context):
     for replica in context.fleet.of("portal"):
--- a/src/aspengate/gateway/_exchange.py
+++ b/src/aspengate/gateway/_exchange.py
@@ -8,7 +8,7 @@
 from aspengate.connections import Waiter
 from aspengate.crashes import request_fingerprint
 from aspengate.errors import AspengateError, ErrorKind
-from aspengate.gateway._request import CallerRequest
+from aspengate.gateway._request import CallerRequest, PromptSegment
 from aspengate.streams import VersionPin
 
 
@@ -48,6 +48,11 @@
         account = self.account.name if self.account else ""
         return request_fingerprint(account, self.request.target, self.request.body)
 
+    @property
+    def shared_segments(self) -> tuple[PromptSegment, ...]:
+        """The prompt's segments that other requests may share: all but the last."""
+        return self.request.prompt_segments[:-1]
+
 
 @dataclass(frozen=True)
 class Outcome:
--- a/src/aspengate/gateway/_request_log.py
+++ b/src/aspengate/gateway/_request_log.py
@@ -6,6 +6,10 @@
 from aspengate.gateway._progress import Progress
 from aspengate.telemetry import Counters, log_change
 
+# Limits the part of a line that a caller can lengthen.
+_MAX_SEGMENTS = 8
+_MAX_SEGMENT_CHARS = 64
+
 
 class RequestLog:
     """Logs and counts the end of each request.
@@ -84,6 +88,10 @@
         "service": exchange.service.name if exchange.service else "",
         "account": exchange.account.name if exchange.account else "",
         "content": exchange.fingerprint,
+        "segments": [
+            segment.identity[:_MAX_SEGMENT_CHARS]
+            for segment in exchange.shared_segments[:_MAX_SEGMENTS]
+        ],
         "tokens": exchange.request.tokens.max_total if exchange.request.tokens else 0,
         "settled": progress.settled_tokens,
         "aim_ms": exchange.route.objective_ms if exchange.route else 0,
--- a/src/aspengate/gateway/_selection.py
+++ b/src/aspengate/gateway/_selection.py
@@ -293,7 +293,7 @@
     if not request.prompt_segments:
         own_tokens = request.tokens.prompt if request.tokens else 0
         return PromptShape((), own_tokens, gap_aim_ms)
-    shared = tuple((segment.identity, segment.tokens) for segment in request.prompt_segments[:-1])
+    shared = tuple((segment.identity, segment.tokens) for segment in exchange.shared_segments)
     return PromptShape(shared, request.prompt_segments[-1].tokens, gap_aim_ms)
 
 
