--- /dev/null
+++ b/features/crashing_segments.feature
@@ -0,0 +1,14 @@
+Feature: Prompt segments that crash replicas are detected and refused
+
+  # Requests of different content had one segment in common, under which each replica ended that
+  # began to respond. Crashes were counted by the whole request.
+  Scenario Outline: A prompt segment that has crashed replicas is stopped on all routers
+    Given four gateways before eight engine replicas that a prompt segment crashes
+    When sound streams share an account and segments with streams that have it <place>, and <failure>
+    Then at most three streams with it reach a replica later than 2 s after the fifth crash
+    And from 4 s after it on, sound streams begin at least half as often as before
+
+    Examples:
+      | place         | failure            |
+      | first         | nothing else fails |
+      | in the middle | nothing else fails |
--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -35,13 +35,20 @@
     def identity(self):
         return self.header("X-Request-Id")
 
+    @property
+    def segments(self):
+        """The ids of the prompt's segments."""
+        listed = self.header("X-Prefix-Hash").split(",")
+        return [segment.partition(":")[0] for segment in listed if segment]
+
 
 class ReplicaStandIn:
     """Serves on a free port; ``behaviours`` maps a request number, from 1, to a behaviour name.
 
     Other requests get ``behaviour``. The replica reads a request ``stall_s`` after its first bytes
     arrive. It crashes ``crash_after_s`` after the start of a request whose target contains a
-    non-empty ``crash_on``, sets ``has_ended`` and calls ``on_crash``. While ``leaving`` is set all
+    non-empty ``crash_on``, or whose prompt has the segment ``crash_on_segment``, sets ``has_ended``
+    and calls ``on_crash``. While ``leaving`` is set all
     responses report it. The behaviour "rest" refuses requests with the Retry-After value
     ``retry_after`` (seconds, or any text) and records them in ``backoff_requests``. ``limit`` is
     the rate limit in all responses, in requests per second; None for no limit. The fraction
@@ -92,6 +99,7 @@
         self.refused_fraction = 0.0
         self.backoff_requests = []
         self.crash_on = ""
+        self.crash_on_segment = ""
         self.crash_after_s = 0.1
         self.crashed_s = None
         self.on_crash = lambda replica: None
@@ -195,7 +203,7 @@
                 name = self.behaviours.get(number, self.behaviour)
                 if number * self.refused_fraction % 1 + self.refused_fraction > 1:
                     name = "refuse"
-                if self.crash_on and self.crash_on in request.target:
+                if self._crashes_on(request):
                     name = "crash"
                 if not self._respond(name, connection, request):
                     break
@@ -209,6 +217,11 @@
             except OSError:
                 pass
 
+    def _crashes_on(self, request):
+        if self.crash_on and self.crash_on in request.target:
+            return True
+        return bool(self.crash_on_segment) and self.crash_on_segment in request.segments
+
     def _respond(self, name, connection, request):
         """Serve a request; return whether the connection stays open."""
         with self._lock:
--- /dev/null
+++ b/features/steps/crashing_segments_steps.py
@@ -0,0 +1,160 @@
+"""Steps on prompt segments that crash replicas."""
+
+import itertools
+import threading
+import time
+
+from behave import given, then, when
+from platform_standins.fleet import eventually
+
+from gateway_world import start_gateways
+
+SEGMENT = "dead"
+CRASHES = 5
+MIN_CRASHES = 3
+CONTACT_S = 2.0
+MAX_LATE_ARRIVALS = 3
+CALM_S = 2.0
+CRASHING_S = 12.0
+REPLACEMENT_S = 2.5
+CRASHING_INTERVAL_S = 0.25
+SOUND_INTERVAL_S = 0.05
+# The prompts of crashing streams by the place of the segment; the last segment is the stream's own.
+CRASHING_PROMPTS = {
+    "first": [f"{SEGMENT}:300", "f1:300", "m1:200"],
+    "in the middle": ["f1:300", f"{SEGMENT}:300", "m1:200"],
+}
+
+
+class SegmentFleet:
+    """Gateways before replicas that a prompt segment crashes, and streams with and without it.
+
+    Crashed replicas are replaced by others with new ids. ``sound`` has the start time of each
+    sound stream, and whether its first attempt brought an event.
+    """
+
+    def __init__(self, context):
+        start_gateways(context, routers=4)
+        self.fleet = context.fleet
+        self.crash_times = []
+        self.sound = []
+        self.numbers = itertools.count(1)
+        self.lock = threading.Lock()
+        self.closing = threading.Event()
+        context.cleanup.callback(self.closing.set)
+        self.on_crash_counted = lambda: None
+        self.sender = None
+        for replica in self.fleet.of("engine"):
+            self.arm(replica)
+        for _ in range(7):
+            self.arm(self.fleet.add_replica("engine"))
+
+    def arm(self, replica):
+        replica.work_s = 0.03
+        replica.crash_after_s = 0.06
+        replica.crash_on_segment = SEGMENT
+        replica.on_crash = self.record_crash
+
+    def record_crash(self, replica):
+        with self.lock:
+            self.crash_times.append(time.monotonic())
+        threading.Thread(target=self.replace, args=(replica,), daemon=True).start()
+        self.on_crash_counted()
+
+    def replace(self, replica):
+        replica.unlist()
+        if not self.closing.wait(REPLACEMENT_S):
+            with self.lock:
+                self.arm(self.fleet.add_replica("engine"))
+
+    @property
+    def counted_from_s(self):
+        """The time of the fifth crash, or of the last one if there are fewer."""
+        return self.crash_times[:CRASHES][-1]
+
+    def stream(self, shared):
+        """Stream a response for a prompt with shared segments; return the ids of its events."""
+        number = next(self.numbers)
+        router = self.fleet.routers[number % len(self.fleet.routers)]
+        parts = ",".join([*shared, f"{number:x}:200"])
+        if any(segment.startswith(SEGMENT) for segment in shared):
+            self.sender = router
+        try:
+            caller = router.call()
+        except OSError:
+            return []
+        try:
+            body = b"essay %d" % number
+            tokens = (1_000, 60)
+            return caller.request(
+                "POST", f"/score/{number}", body=body, tokens=tokens, parts=parts
+            ).event_ids
+        except OSError:
+            return []
+        finally:
+            caller.close()
+
+    def stream_sound(self):
+        begun_s = time.monotonic()
+        event_ids = self.stream(["f1:300", f"m{next(self.numbers) % 4}:200"])
+        self.sound.append((begun_s, bool(event_ids)))
+
+    def repeat(self, action, interval_s, until_s):
+        """Run an action in new threads, at intervals, until a time or the end of the test."""
+        while time.monotonic() < until_s and not self.closing.wait(interval_s):
+            threading.Thread(target=action, daemon=True).start()
+
+    def arrivals(self):
+        return sorted(
+            request.at_s
+            for replica in list(self.fleet.replicas)
+            for request in list(replica.requests)
+            if SEGMENT in request.segments
+        )
+
+
+@given("four gateways before eight engine replicas that a prompt segment crashes")
+def segment_fleet(context):
+    context.segments = SegmentFleet(context)
+    listed = len(context.fleet.of("engine"))
+    for router in context.fleet.routers:
+        assert eventually(lambda: len(router.find_all("replica.listed")) >= listed)  # noqa: B023
+
+
+@when(
+    "sound streams share an account and segments with streams that have it {place}, and {failure}"
+)
+def crashing_streams(context, place, failure):
+    fleet = context.segments
+    assert failure == "nothing else fails"
+    prompt = CRASHING_PROMPTS[place]
+    context.began_s = time.monotonic() + CALM_S
+    last_s = context.began_s + CRASHING_S
+    sound = threading.Thread(
+        target=fleet.repeat, args=(fleet.stream_sound, SOUND_INTERVAL_S, last_s), daemon=True
+    )
+    sound.start()
+    time.sleep(CALM_S)
+    fleet.repeat(lambda: fleet.stream(prompt), CRASHING_INTERVAL_S, last_s)
+    sound.join()
+    assert len(fleet.crash_times) >= MIN_CRASHES, fleet.crash_times
+
+
+@then("at most three streams with it reach a replica later than 2 s after the fifth crash")
+def late_streams(context):
+    fleet = context.segments
+    if len(fleet.crash_times) < CRASHES:
+        return
+    arrivals = [at_s - fleet.counted_from_s for at_s in fleet.arrivals()]
+    late = [at_s for at_s in arrivals if at_s > CONTACT_S]
+    assert len(late) <= MAX_LATE_ARRIVALS, (len(fleet.crash_times), arrivals)
+
+
+@then("from 4 s after it on, sound streams begin at least half as often as before")
+def sound_streams(context):
+    fleet = context.segments
+    before = [begun for at_s, begun in fleet.sound if at_s < context.began_s - CALM_S / 4]
+    from_s = fleet.counted_from_s + 2 * CONTACT_S
+    after = [begun for at_s, begun in fleet.sound if at_s >= from_s]
+    assert len(before) >= 20 and len(after) >= 20, (len(before), len(after))
+    assert sum(after) / len(after) >= sum(before) / len(before) / 2, (sum(after), len(after))
