Stop prompt segments that crash replicas, on all routers

Callers of one route got 502 and broken streams while replicas ended one after the other: 36 in 12 s.

Cause: routers counted crashes by the content of a request only. Requests that share a deadly segment are of different content, so each was new. The class is that of the retry budget and of crashing requests: a bound of the whole fleet on something that no router counted.

Change: a shared segment is a subject of suspicion of its own, with the counts, notices, records and trials of a request. It is suspect after three ends. Since sound requests share most segments, a whole answer with output clears a segment at all routers, and for 30 s no end counts against it. A request gets one trial for all its suspect subjects, in one write of the store.

The simulation of 4 to 760 routers with cuts, restarts and lost messages holds the same bound, and sound streams with the same first segment are not refused in most cases.

--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -9,6 +9,20 @@
     And from 4 s after it on, sound streams begin at least half as often as before
 
     Examples:
-      | place         | failure            |
-      | first         | nothing else fails |
-      | in the middle | nothing else fails |
+      | place         | failure                                           |
+      | first         | nothing else fails                                |
+      | in the middle | nothing else fails                                |
+      | in the middle | the gateway that sent one is killed at each crash |
+      | in the middle | all gateways are killed after the third crash     |
+      | in the middle | the store is away for 3 s from the first crash on |
+
+  Scenario Outline: Few sends follow the fifth crash, whichever messages routers receive
+    Given <routers> routers that share the records of a store
+    Then no order of events lets a crashing segment exceed the limit or refuses most sound streams
+
+    Examples:
+      | routers |
+      | 4       |
+      | 26      |
+      | 100     |
+      | 760     |
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -10,7 +10,14 @@
 from hypothesis import strategies as st
 
 from aspengate.clock import ManualClock
-from aspengate.crashes import RECORD_PREFIX, CrashRecord, decode_record, encode_record
+from aspengate.crashes import (
+    RECORD_PREFIX,
+    CrashRecord,
+    CrashSubject,
+    crash_subjects,
+    decode_record,
+    encode_record,
+)
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._crash_guard import CrashGuard
 from aspengate.store import ConditionFailedError, MirrorState, StoreItem
@@ -19,6 +26,7 @@
 SYNC_MS = 3_000.0
 MAX_LATE_SENDS = 3
 CONTENT = "0f" * 16
+SUBJECTS = (CrashSubject(CONTENT),)
 CRASHES = 3
 
 
@@ -103,7 +111,12 @@
 
 
 class CrashSimulation:
-    """Simulates a request that crashes every replica, on routers with incomplete information."""
+    """Simulates a request that crashes every replica, on routers with incomplete information.
+
+    ``crashes`` is the number of crashes after which sends are counted.
+    """
+
+    crashes = CRASHES
 
     def __init__(self, count, seed):
         self.source = random.Random(seed)
@@ -136,25 +149,30 @@
         """Send the caller's request to a random router."""
         router = self.source.choice(self.routers)
         router.load_records()
+        subjects = self.subjects()
         try:
-            trial = router.guard.admit(CONTENT, None)
+            trial = router.guard.admit(subjects, None)
         except AspengateError:
             return
-        self.send(router, trial)
+        self.send(router, subjects, trial)
 
-    def send(self, router, trial):
+    def subjects(self):
+        """Return the subjects of the next request."""
+        return SUBJECTS
+
+    def send(self, router, subjects, trial):
         self.numbers += 1
         now = self.clock.monotonic_ms()
-        third = self.end_times[CRASHES - 1] if len(self.end_times) >= CRASHES else float("inf")
-        if router.is_in_sync() and now > third + SYNC_MS:
+        counted = self.end_times[self.crashes - 1 : self.crashes]
+        if router.is_in_sync() and counted and now > counted[0] + SYNC_MS:
             self.sends.append(now)
         if trial is not None:
             trial.sent = True
         run = router.guard.current_run(f"i-{self.numbers}")
         due = now + self.source.choice([20, 20, 100, 400])
-        self.under_way.append((due, router, router.runs, run, trial))
+        self.under_way.append((due, router, router.runs, run, subjects, trial))
 
-    def crash(self, router, runs, run, trial):
+    def crash(self, router, runs, run, subjects, trial):
         """Terminate a replica; its router detects that unless it terminates at the same moment.
 
         ``unseen`` counts crashes that no router can report to the others.
@@ -171,9 +189,9 @@
         self.unseen += router.link.cut
         if self.source.random() < self.mass_restart_probability:
             self.mass_restarts.append(self.clock.monotonic_ms() + self.source.uniform(1, 50))
-        router.guard.record_lost(CONTENT, run, run, trial)
+        router.guard.record_lost(subjects, run, run, trial)
         if trial is not None:
-            router.guard.end_trial(trial, answered=False)
+            router.guard.end_trial(trial)
         # The router may be killed before it writes the record.
         if self.source.random() < 0.2:
             self.restart(router)
@@ -245,6 +263,40 @@
                 router.guard.records.apply_pending_changes()
 
 
+class SegmentSimulation(CrashSimulation):
+    """Simulates streams of different content with one segment that crashes every replica.
+
+    Sound streams share the first segment; most of them are answered. ``refused`` counts those that
+    a router refused, of ``sound``.
+    """
+
+    crashes = 5
+
+    def __init__(self, count, seed):
+        super().__init__(count, seed)
+        self.sound = 0
+        self.refused = 0
+        self.stream_sound()
+
+    def subjects(self):
+        return crash_subjects(f"{self.numbers:032x}", ["first", "crashing"])
+
+    def stream_sound(self):
+        """Have some routers answer a sound stream, unless they refuse it."""
+        for router in self.source.sample(self.routers, min(4, len(self.routers))):
+            self.sound += 1
+            subjects = crash_subjects(f"a{self.sound:031x}", ["first", "other"])
+            router.load_records()
+            try:
+                trial = router.guard.admit(subjects, None)
+            except AspengateError:
+                self.refused += 1
+                continue
+            router.guard.record_answered(subjects, trial, has_output=True)
+            if trial is not None:
+                router.guard.end_trial(trial)
+
+
 @given("{routers:d} routers that share the records of a store")
 def routers_with_shared_records(context, routers):
     context.count = routers
@@ -273,13 +325,36 @@
     check()
 
 
+@then("no order of events lets a crashing segment exceed the limit or refuses most sound streams")
+def segment_limit_holds(context):
+    few = context.count < 100
+
+    @given_any(st.integers(0, 2**32))
+    @settings(max_examples=30 if few else 2)
+    def check(seed):
+        simulation = SegmentSimulation(context.count, seed)
+        for _ in range(120):
+            simulation.receive_request()
+            simulation.advance(simulation.source.choice([100, 250, 600]))
+            simulation.stream_sound()
+            simulation.inject_failure()
+        assert len(simulation.end_times) >= CRASHES
+        assert len(simulation.sends) <= MAX_LATE_SENDS + simulation.unseen, (
+            simulation.sends,
+            simulation.end_times,
+        )
+        assert simulation.refused * 2 <= simulation.sound, (simulation.refused, simulation.sound)
+
+    check()
+
+
 def record_crashes(context, count):
     """Let one router record that a request crashed replicas, and report it to the others."""
     simulation = context.simulation = CrashSimulation(context.count, 1)
     for number in range(count):
         run = f"i-{number}"
         simulation.ended.add(run)
-        simulation.routers[0].guard.record_lost(CONTENT, run, run, None)
+        simulation.routers[0].guard.record_lost(SUBJECTS, run, run, None)
     simulation.advance(100)
     for router in simulation.routers:
         router.load_records()
@@ -292,7 +367,7 @@
     for router in simulation.routers:
         router.load_records()
         try:
-            trial = router.guard.admit(CONTENT, None)
+            trial = router.guard.admit(SUBJECTS, None)
         except AspengateError as error:
             found[error.kind] += 1
         else:
@@ -306,8 +381,8 @@
 def answer(simulation, trial, router):
     """Answer a trial completely."""
     trial.sent = True
-    router.guard.record_answered(CONTENT)
-    router.guard.end_trial(trial, answered=True)
+    router.guard.record_answered(SUBJECTS, trial, has_output=True)
+    router.guard.end_trial(trial)
     simulation.advance(100)
 
 
@@ -332,7 +407,7 @@
     for number in range(count):
         run = f"other-{number}"
         simulation.ended.add(run)
-        router.guard.record_lost("another request", run, run, None)
+        router.guard.record_lost((CrashSubject("another request"),), run, run, None)
 
 
 def run_trial(simulation, *, crashes, after_crash=lambda: None):
@@ -345,8 +420,8 @@
         simulation.numbers += 1
         run = f"tried-{simulation.numbers}"
         simulation.ended.add(run)
-        simulation.trial_router.guard.record_lost(CONTENT, run, run, simulation.trial)
-    simulation.trial_router.guard.end_trial(simulation.trial, answered=False)
+        simulation.trial_router.guard.record_lost(SUBJECTS, run, run, simulation.trial)
+    simulation.trial_router.guard.end_trial(simulation.trial)
     after_crash()
     simulation.advance(100)
 
--- a/features/steps/crashing_segments_steps.py
+++ b/features/steps/crashing_segments_steps.py
@@ -17,6 +17,7 @@
 CALM_S = 2.0
 CRASHING_S = 12.0
 REPLACEMENT_S = 2.5
+STORE_AWAY_S = 3.0
 CRASHING_INTERVAL_S = 0.25
 SOUND_INTERVAL_S = 0.05
 # The prompts of crashing streams by the place of the segment; the last segment is the stream's own.
@@ -44,6 +45,7 @@
         context.cleanup.callback(self.closing.set)
         self.on_crash_counted = lambda: None
         self.sender = None
+        self.returned_s = 0.0
         for replica in self.fleet.of("engine"):
             self.arm(replica)
         for _ in range(7):
@@ -104,6 +106,13 @@
         while time.monotonic() < until_s and not self.closing.wait(interval_s):
             threading.Thread(target=action, daemon=True).start()
 
+    def kill(self, router):
+        """Kill a gateway and restart it, unless it has been replaced already."""
+        with self.lock:
+            if router in self.fleet.routers:
+                router.kill()
+                self.fleet.start_again(router, ready=False)
+
     def arrivals(self):
         return sorted(
             request.at_s
@@ -113,6 +122,43 @@
         )
 
 
+def kill_senders(fleet):
+    """Kill a gateway about 20 ms after each crash, which it may just have detected."""
+    fleet.on_crash_counted = lambda: threading.Timer(0.02, fleet.kill, (fleet.sender,)).start()
+
+
+def kill_all_after_third(fleet):
+    def kill_all():
+        if len(fleet.crash_times) == 3:
+            for router in list(fleet.fleet.routers):
+                threading.Thread(target=fleet.kill, args=(router,), daemon=True).start()
+
+    fleet.on_crash_counted = kill_all
+
+
+def take_store_away(fleet):
+    def interrupt():
+        if len(fleet.crash_times) == 1:
+            for router in fleet.fleet.routers:
+                router.endpoint.fault = "silent"
+            threading.Timer(STORE_AWAY_S, bring_back).start()
+
+    def bring_back():
+        for router in fleet.fleet.routers:
+            router.endpoint.clear_faults()
+        fleet.returned_s = time.monotonic()
+
+    fleet.on_crash_counted = interrupt
+
+
+FAILURES = {
+    "nothing else fails": lambda fleet: None,
+    "the gateway that sent one is killed at each crash": kill_senders,
+    "all gateways are killed after the third crash": kill_all_after_third,
+    "the store is away for 3 s from the first crash on": take_store_away,
+}
+
+
 @given("four gateways before eight engine replicas that a prompt segment crashes")
 def segment_fleet(context):
     context.segments = SegmentFleet(context)
@@ -126,7 +172,7 @@
 )
 def crashing_streams(context, place, failure):
     fleet = context.segments
-    assert failure == "nothing else fails"
+    FAILURES[failure](fleet)
     prompt = CRASHING_PROMPTS[place]
     context.began_s = time.monotonic() + CALM_S
     last_s = context.began_s + CRASHING_S
@@ -145,7 +191,9 @@
     fleet = context.segments
     if len(fleet.crash_times) < CRASHES:
         return
-    arrivals = [at_s - fleet.counted_from_s for at_s in fleet.arrivals()]
+    # The limit holds for routers that have reached the store for this time.
+    from_s = max(fleet.counted_from_s, fleet.returned_s)
+    arrivals = [at_s - from_s for at_s in fleet.arrivals()]
     late = [at_s for at_s in arrivals if at_s > CONTACT_S]
     assert len(late) <= MAX_LATE_ARRIVALS, (len(fleet.crash_times), arrivals)
 
--- a/src/aspengate/crashes/_policy.py
+++ b/src/aspengate/crashes/_policy.py
@@ -35,9 +35,14 @@
     ``short_pause_ms``, and once there have been ``quick_trials``, after ``long_pause_ms``. A trial
     whose router does not report an outcome expires after ``trial_timeout_ms``, which is longer
     than requests usually take.
+
+    A prompt segment is suspect after ``suspect_segment_crashes``, unless a request with it was
+    answered completely within ``answered_valid_ms``.
     """
 
     suspect_crashes: int = 2
+    suspect_segment_crashes: int = 3
+    answered_valid_ms: float = 30_000.0
     max_crashed_trials: int = 3
     crash_pause_ms: float = 60_000.0
     crash_pause_factor: float = 10.0
--- a/src/aspengate/crashes/_record.py
+++ b/src/aspengate/crashes/_record.py
@@ -3,20 +3,24 @@
 from collections.abc import Collection
 
 import msgspec
+from msgspec.structs import replace
 
 from aspengate.crashes._policy import CrashPolicy, Verdict
+from aspengate.crashes._subjects import CrashSubject, is_segment_fingerprint
 from aspengate.store import decode_value
 
 RECORD_PREFIX = "aspengate/crashes/"
-# Limits the size of a record; each entry is a replica's id and start time.
+# Limit the size of a record; each run is a replica's id and start time.
 _MAX_CRASHED_RUNS = 8
+_MAX_SEGMENT_CHARS = 128
 _MAX_BYTES = 4_096
 
 
 class CrashRecord(msgspec.Struct, frozen=True):
-    """Holds the state of a suspect request, stored under ``RECORD_PREFIX`` and its fingerprint.
+    """Holds the state of a suspect, stored under ``RECORD_PREFIX`` and its fingerprint.
 
-    ``ends`` are the runs of replicas that the request may have crashed. ``tries`` counts its
+    The suspect is a request, or the prompt segment with the id ``segment``, which may be cut.
+    ``ends`` are the runs of replicas that it may have crashed. ``tries`` counts its
     trials, and ``ended`` those that crashed their replica. ``trying`` is the session of the router
     that is running a trial, and empty if there is none. No trial starts before ``next_try_ms``, in
     wall-clock milliseconds.
@@ -27,20 +31,30 @@
     ended: int = 0
     trying: str = ""
     next_try_ms: int = 0
+    segment: str = ""
 
     def begin_trial(
-        self, session: str, crashed_runs: Collection[str], now_ms: int, policy: CrashPolicy
+        self,
+        subject: CrashSubject,
+        session: str,
+        crashed_runs: Collection[str],
+        now_ms: int,
+        policy: CrashPolicy,
     ) -> "CrashRecord":
         """Return the record with one more trial, which ``session`` starts now."""
-        until_ms = now_ms + int(policy.trial_timeout_ms)
-        return CrashRecord(
-            _merge_runs(self.ends, crashed_runs), self.tries + 1, self.ended, session, until_ms
+        return replace(
+            self,
+            ends=_merge_runs(self.ends, crashed_runs),
+            tries=self.tries + 1,
+            trying=session,
+            next_try_ms=now_ms + int(policy.trial_timeout_ms),
+            segment=subject.segment[:_MAX_SEGMENT_CHARS],
         )
 
     def cancel_trial(self, now_ms: int, policy: CrashPolicy) -> "CrashRecord":
         """Return the record after a trial whose request was not sent."""
         until_ms = now_ms + int(policy.short_pause_ms)
-        return CrashRecord(self.ends, max(0, self.tries - 1), self.ended, "", until_ms)
+        return replace(self, tries=max(0, self.tries - 1), trying="", next_try_ms=until_ms)
 
     def end_trial(
         self, crashed_runs: Collection[str], now_ms: int, policy: CrashPolicy, *, has_ended: bool
@@ -48,8 +62,12 @@
         """Return the record after a trial that crashed its replica or was inconclusive."""
         ended = self.ended + has_ended
         pause_ms = policy.pause_after(self.tries, ended, has_ended=has_ended)
-        return CrashRecord(
-            _merge_runs(self.ends, crashed_runs), self.tries, ended, "", now_ms + int(pause_ms)
+        return replace(
+            self,
+            ends=_merge_runs(self.ends, crashed_runs),
+            ended=ended,
+            trying="",
+            next_try_ms=now_ms + int(pause_ms),
         )
 
 
@@ -58,15 +76,22 @@
 
 
 def decide_verdict(
-    crashed_runs: Collection[str], record: CrashRecord | None, now_ms: int, policy: CrashPolicy
+    subject: CrashSubject,
+    crashed_runs: Collection[str],
+    record: CrashRecord | None,
+    now_ms: int,
+    policy: CrashPolicy,
 ) -> Verdict:
-    """Return whether and how a request may be sent.
+    """Return whether and how a request with a subject may be sent.
 
-    ``crashed_runs`` are the runs of replicas that it may have crashed, as this router has observed
-    or received from others; ``record`` is its stored record, if any; ``now_ms`` is wall-clock time.
+    ``crashed_runs`` are the runs of replicas that the subject may have crashed, as this router has
+    observed or received from others; ``record`` is its stored record, if any; ``now_ms`` is
+    wall-clock time.
     """
     if record is None:
-        return Verdict.SEND if len(crashed_runs) < policy.suspect_crashes else Verdict.TRY
+        is_segment = is_segment_fingerprint(subject.fingerprint)
+        allowed = policy.suspect_segment_crashes if is_segment else policy.suspect_crashes
+        return Verdict.SEND if len(crashed_runs) < allowed else Verdict.TRY
     if record.ended >= policy.max_crashed_trials:
         return Verdict.REFUSE
     pause_ms = record.next_try_ms - now_ms
--- /dev/null
+++ b/src/aspengate/crashes/_subjects.py
@@ -0,0 +1,49 @@
+"""What a request is suspected by: its whole content, and each shared segment of its prompt."""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+_DIGEST_BYTES = 16
+_SEGMENT_PREFIX = "segment-"
+# One transaction of the store records the trials of all subjects of a request. It takes 32 entries,
+# a condition and a change for each subject.
+MAX_SUBJECTS = 16
+
+
+@dataclass(frozen=True)
+class CrashSubject:
+    """A property of requests that may crash replicas, identified by its fingerprint.
+
+    ``segment`` is the id of a prompt segment, and empty for the content of a whole request.
+    """
+
+    fingerprint: str
+    segment: str = ""
+
+    def log_fields(self) -> dict[str, object]:
+        """Return the log fields that identify the subject."""
+        return {
+            "content": self.fingerprint,
+            **({"segment": self.segment} if self.segment else {}),
+        }
+
+
+def crash_subjects(request: str, segments: Iterable[str]) -> tuple[CrashSubject, ...]:
+    """Return the subjects of a request with a fingerprint, and with prompt segments by their ids.
+
+    Segments beyond the limit are not tracked: such a request is only stopped as a whole.
+    """
+    found = [CrashSubject(_segment_fingerprint(each), each) for each in dict.fromkeys(segments)]
+    return (*found[: MAX_SUBJECTS - 1], CrashSubject(request))
+
+
+def is_segment_fingerprint(fingerprint: str) -> bool:
+    """Return whether a fingerprint is that of a prompt segment."""
+    return fingerprint.startswith(_SEGMENT_PREFIX)
+
+
+def _segment_fingerprint(segment: str) -> str:
+    """Return the fingerprint of a segment, which limits its length and characters."""
+    digest = hashlib.blake2b(segment.encode(), digest_size=_DIGEST_BYTES)
+    return _SEGMENT_PREFIX + digest.hexdigest()
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -89,8 +89,9 @@
 
     ``replica_run`` identifies the replica's current process, ``replica`` is the replica as of its
     record before the send, and ``rollout`` is set once the request is sent to a replica of a
-    rollout's cohort. ``is_refused`` is set if the replica responded that it has not run the
-    request. Times are in the clock's monotonic milliseconds.
+    rollout's cohort. ``has_output`` is set once the replica's output has been relayed: an event, or
+    the whole body of a success. ``is_refused`` is set if the replica responded that it has not run
+    the request. Times are in the clock's monotonic milliseconds.
     """
 
     def __init__(
@@ -120,6 +121,7 @@
         self.first_response_ms: float | None = None
         self.notice = ReplicaNotice()
         self.is_refused = False
+        self.has_output = False
         self.is_abandoned = False
         self.ended_ms: float | None = None
         self.connection: ReplicaConnection | None = None
@@ -190,7 +192,8 @@
         self.view.record_activity(self.dependencies.clock.monotonic_ms())
 
     def record_event(self, now_ms: float) -> None:
-        """Record the arrival of a stream event."""
+        """Record that a stream event was relayed."""
+        self.has_output = True
         self.view.record_event(self._work, now_ms)
 
     def release(self, answer: ReplicaResponse) -> None:
--- a/src/aspengate/gateway/_crash_guard.py
+++ b/src/aspengate/gateway/_crash_guard.py
@@ -1,13 +1,22 @@
-"""Stops a request from crashing one replica after another, whichever router receives it."""
+"""Stops requests from crashing one replica after another, whichever router receives them."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from aspengate.clock import Clock
 from aspengate.connections import refuses_connections
-from aspengate.crashes import CrashPolicy, SuspectTracker, Verdict, decide_verdict
+from aspengate.crashes import (
+    AnsweredSegments,
+    CrashPolicy,
+    CrashSubject,
+    SuspectTracker,
+    Verdict,
+    decide_verdict,
+    is_segment_fingerprint,
+)
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._crash_records import CrashRecords, RecordChange
+from aspengate.gateway._crash_trial import CrashTrial
 from aspengate.peers import CrashNotice, LostRun
 from aspengate.store import KeyValueStore, MirrorState
 from aspengate.telemetry import Counters, log_change
@@ -18,29 +27,18 @@
 # Crashes that are sent to a router that has just become reachable: a datagram of about 6 KB.
 _MAX_RESENT_CRASHES = 100
 _MAX_UNRECORDED_TRIALS = 1_000
-
-
-class CrashTrial:
-    """Permission to send a suspect request once, to one replica.
-
-    ``recorded`` is whether the trial is recorded in the store, and ``sent`` whether the request
-    was sent to a replica. ``ended_run`` is the replica's run if that terminated, otherwise empty.
-    """
-
-    def __init__(self, fingerprint: str, *, recorded: bool) -> None:
-        self.fingerprint = fingerprint
-        self.recorded = recorded
-        self.sent = False
-        self.ended_run = ""
+# Limits the length of an error message.
+_MAX_SEGMENT_CHARS = 64
 
 
 class CrashGuard:
     """Decides for each attempt whether its request may be sent, and records the outcome.
 
+    A request is refused for the sake of its whole content or of a shared segment of its prompt.
     ``broadcast`` sends a notice to all other routers. ``on_ended`` is called with each run of a
     replica that has terminated. ``reaches_store`` returns whether the store responds to this
     router, and ``has_ended`` whether the process at an address has terminated. ``is_first``
-    returns whether this router is the one that may run a trial of a request while the store is
+    returns whether this router is the one that may run a trial of a subject while the store is
     unavailable, and ``rewrites_lost`` whether it writes a record again that the store has lost.
     ``docs/design/crashes.md`` explains why the limit holds across all routers.
     """
@@ -62,6 +60,7 @@
     ) -> None:
         self.policy = CrashPolicy()
         self.suspects = SuspectTracker(clock)
+        self.answered_segments = AnsweredSegments(clock, self.policy.answered_valid_ms)
         self.records = CrashRecords(
             store,
             clock,
@@ -96,76 +95,119 @@
         """Load the records that the store holds."""
         self.records.load(state)
 
-    def admit(self, fingerprint: str, trial: CrashTrial | None) -> CrashTrial | None:
+    def admit(
+        self, subjects: tuple[CrashSubject, ...], trial: CrashTrial | None
+    ) -> CrashTrial | None:
         """Return the trial in which a request may be sent, or None if it needs no trial.
 
         ``trial`` is that of an earlier attempt of the request, if it had one. Raises SUSPECTED
         or QUARANTINED if the request may not be sent.
         """
-        if self.check(fingerprint, trial) is Verdict.TRY and trial is None:
-            return self._begin_trial(fingerprint)
+        suspects = self.check(subjects, trial)
+        if suspects:
+            return self._begin_trial(suspects)
         return trial if trial is not None and not trial.sent else None
 
-    def check(self, fingerprint: str, trial: CrashTrial | None) -> Verdict:
-        """Return whether a request may be sent freely or needs a trial; raises as ``admit``."""
+    def check(
+        self, subjects: tuple[CrashSubject, ...], trial: CrashTrial | None
+    ) -> tuple[CrashSubject, ...]:
+        """Return the subjects of a request that need a trial; raises as ``admit``."""
         if trial is not None and not trial.sent:
-            return Verdict.SEND
-        crashed_runs = self.suspects.crashed_runs(fingerprint)
-        verdict = decide_verdict(
-            crashed_runs, self.records.get(fingerprint), self._clock.now_ms(), self.policy
-        )
-        if verdict is Verdict.SEND or (verdict is Verdict.TRY and trial is None):
-            return verdict
-        raise self._refusal(fingerprint, verdict)
+            return ()
+        verdicts = {subject: self._verdict(subject) for subject in subjects}
+        for refused in (Verdict.REFUSE, Verdict.WAIT):
+            for subject, verdict in verdicts.items():
+                if verdict is refused:
+                    raise self._refusal(subject, verdict)
+        suspects = tuple(each for each in subjects if verdicts[each] is Verdict.TRY)
+        if suspects and trial is not None:
+            raise self._refusal(suspects[0], Verdict.WAIT)
+        return suspects
 
-    def end_trial(self, trial: CrashTrial, *, answered: bool) -> None:
-        """Record the outcome of a trial.
+    def _verdict(self, subject: CrashSubject) -> Verdict:
+        """Return the verdict on requests with a subject.
 
-        A complete response is also recorded separately, with ``record_answered``.
+        A recent complete answer clears a segment. One trial in the whole fleet, while all other
+        requests wait, would hold up each request of a route whose first segment is suspect.
         """
-        if answered or not trial.recorded:
+        if subject.segment and self.answered_segments.is_recent(subject.fingerprint):
+            return Verdict.SEND
+        return decide_verdict(
+            subject,
+            self.suspects.crashed_runs(subject.fingerprint),
+            self.records.get(subject.fingerprint),
+            self._clock.now_ms(),
+            self.policy,
+        )
+
+    def end_trial(self, trial: CrashTrial) -> None:
+        """Record the outcome of a trial for the subjects that it has not cleared."""
+        if not trial.recorded:
             return
-        if trial.ended_run:
-            self.records.request_crashed_trial(trial.fingerprint, trial.ended_run)
-        else:
-            self.records.request_change(
-                trial.fingerprint,
-                RecordChange.END_TRY if trial.sent else RecordChange.TAKE_BACK_TRY,
-            )
+        for fingerprint in trial.remaining:
+            if trial.ended_run:
+                self.records.request_crashed_trial(fingerprint, trial.ended_run)
+            else:
+                self.records.request_change(
+                    fingerprint,
+                    RecordChange.END_TRY if trial.sent else RecordChange.TAKE_BACK_TRY,
+                )
 
     def current_run(self, replica: str) -> str:
         """Return the name of a replica's current run, under which its outcomes are recorded."""
         return self.suspects.current_run(replica)
 
     def record_lost(
-        self, fingerprint: str, run: str, address: str, trial: CrashTrial | None
+        self,
+        subjects: tuple[CrashSubject, ...],
+        run: str,
+        address: str,
+        trial: CrashTrial | None,
     ) -> None:
         """Record that a replica lost a request, and check whether it has terminated."""
-        self.suspects.record_lost(fingerprint, run)
+        fingerprints = [subject.fingerprint for subject in subjects]
+        for fingerprint in fingerprints:
+            self.suspects.record_lost(fingerprint, run)
         has_ended = self._has_ended(address)
         if has_ended:
             self._counters.count("gateway.replica_ended")
-            log_change("replica.ended", replica=run, content=fingerprint)
+            self._log_ended(run, fingerprints)
             self._record_ended(run)
             if trial is not None:
                 trial.ended_run = run
-        self._broadcast(CrashNotice([LostRun(fingerprint, run)], [run] if has_ended else []))
+        lost = [LostRun(fingerprint, run) for fingerprint in fingerprints]
+        self._broadcast(CrashNotice(lost, [run] if has_ended else []))
 
     def record_connection_refused(self, run: str) -> None:
         """Record that a replica's address refused a connection."""
         if self.suspects.has_lost_requests(run) and self._record_ended(run):
-            for fingerprint in self.suspects.lost_fingerprints(run):
-                log_change("replica.ended", replica=run, content=fingerprint)
+            self._log_ended(run, self.suspects.lost_fingerprints(run))
             self._broadcast(CrashNotice(ended=[run]))
 
-    def record_answered(self, fingerprint: str) -> None:
-        """Record that a request was answered completely, so that it is no longer suspect."""
+    def record_answered(
+        self, subjects: tuple[CrashSubject, ...], trial: CrashTrial | None, *, has_output: bool
+    ) -> None:
+        """Record that a request was answered completely, so that it is no longer suspect.
+
+        The answer clears its segments only if a replica has generated output (``has_output``).
+        """
+        for subject in subjects:
+            if subject.segment and not has_output:
+                continue
+            if subject.segment:
+                self.answered_segments.record(subject.fingerprint)
+            if trial is not None:
+                trial.cleared.add(subject.fingerprint)
+            self._clear(subject)
+
+    def _clear(self, subject: CrashSubject) -> None:
+        fingerprint = subject.fingerprint
         if self.records.get(fingerprint) is not None:
             self.records.request_change(fingerprint, RecordChange.REMOVE)
         if not self.suspects.is_suspect(fingerprint):
             return
         if self.suspects.crashed_runs(fingerprint):
-            log_change("crash.cleared", content=fingerprint)
+            log_change("crash.cleared", **subject.log_fields())
             self._broadcast(CrashNotice(cleared=[fingerprint]))
         self.suspects.clear(fingerprint)
 
@@ -177,6 +219,8 @@
             self._record_ended(run)
         for fingerprint in notice.cleared:
             self.suspects.clear(fingerprint)
+            if is_segment_fingerprint(fingerprint):
+                self.answered_segments.record(fingerprint)
 
     def recent_crashes(self) -> CrashNotice | None:
         """Return a notice of recent crashes for a router that may have missed them, or None."""
@@ -192,57 +236,66 @@
             self._on_ended(run)
         return is_new
 
-    def _begin_trial(self, fingerprint: str) -> CrashTrial:
+    def _begin_trial(self, suspects: tuple[CrashSubject, ...]) -> CrashTrial:
         try:
-            may_start = self.records.begin_trial(fingerprint)
+            may_start = self.records.begin_trial(suspects)
             recorded = True
         except AspengateError as error:
-            log_change("crash.try_not_recorded", content=fingerprint, error=str(error))
-            may_start = self._may_try_unrecorded(fingerprint)
+            for subject in suspects:
+                log_change("crash.try_not_recorded", **subject.log_fields(), error=str(error))
+            may_start = self._may_try_unrecorded(suspects)
             recorded = False
         if not may_start:
-            raise self._refusal(fingerprint, Verdict.WAIT)
-        log_change(
-            "crash.tried",
-            content=fingerprint,
-            ends=sorted(self.suspects.crashed_runs(fingerprint)),
-            recorded=recorded,
-        )
+            raise self._refusal(suspects[0], Verdict.WAIT)
+        for subject in suspects:
+            log_change(
+                "crash.tried",
+                **subject.log_fields(),
+                ends=sorted(self.suspects.crashed_runs(subject.fingerprint)),
+                recorded=recorded,
+            )
         self._counters.count("crashes.tried")
-        return CrashTrial(fingerprint, recorded=recorded)
+        return CrashTrial(suspects, recorded=recorded)
 
-    def _may_try_unrecorded(self, fingerprint: str) -> bool:
+    def _may_try_unrecorded(self, suspects: tuple[CrashSubject, ...]) -> bool:
         """Return whether a trial may start without a record: once, if the store is unavailable.
 
         Otherwise a popular request that was on two crashed replicas by chance would be refused
         until the store is available again.
         """
-        if self._reaches_store() or not self._is_first(fingerprint):
+        fingerprints = {subject.fingerprint for subject in suspects}
+        if self._reaches_store() or not all(map(self._is_first, fingerprints)):
             return False
         with self._lock:
             if (
-                fingerprint in self._unrecorded_trials
+                fingerprints & self._unrecorded_trials
                 or len(self._unrecorded_trials) >= _MAX_UNRECORDED_TRIALS
             ):
                 return False
-            self._unrecorded_trials.add(fingerprint)
+            self._unrecorded_trials |= fingerprints
             return True
 
-    def _refusal(self, fingerprint: str, verdict: Verdict) -> AspengateError:
-        record = self.records.get(fingerprint)
-        crashed_runs = self.suspects.crashed_runs(fingerprint).union(record.ends if record else ())
+    def _refusal(self, subject: CrashSubject, verdict: Verdict) -> AspengateError:
+        record = self.records.get(subject.fingerprint)
+        crashed_runs = self.suspects.crashed_runs(subject.fingerprint)
+        runs = crashed_runs.union(record.ends if record else ())
+        name = f"segment {subject.segment[:_MAX_SEGMENT_CHARS]}" if subject.segment else "it"
         if verdict is Verdict.REFUSE:
             self._counters.count("crashes.refused")
-            message = (
-                f"{len(crashed_runs)} replicas ended under it: {', '.join(sorted(crashed_runs))}"
-            )
-            return AspengateError(ErrorKind.QUARANTINED, message, where=fingerprint)
+            message = f"{len(runs)} replicas ended under {name}: {', '.join(sorted(runs))}"
+            return AspengateError(ErrorKind.QUARANTINED, message, where=subject.fingerprint)
         self._counters.count("crashes.waiting")
-        message = f"it is tried alone, since {len(crashed_runs)} replicas ended under it"
-        return AspengateError(ErrorKind.SUSPECTED, message, where=fingerprint)
+        message = f"it is tried alone, since {len(runs)} replicas ended under {name}"
+        return AspengateError(ErrorKind.SUSPECTED, message, where=subject.fingerprint)
+
+    def _log_ended(self, run: str, fingerprints: Collection[str]) -> None:
+        """Log the end of a run for each request that it lost; their lines name the segments."""
+        for fingerprint in fingerprints:
+            if not is_segment_fingerprint(fingerprint):
+                log_change("replica.ended", replica=run, content=fingerprint)
 
     def _on_record_gone(self, fingerprint: str) -> None:
-        """Clear a request whose record was removed."""
+        """Clear a subject whose record was removed."""
         log_change("crash.forgotten", content=fingerprint)
         self.suspects.clear(fingerprint)
         with self._lock:
--- a/src/aspengate/gateway/_crash_records.py
+++ b/src/aspengate/gateway/_crash_records.py
@@ -1,8 +1,8 @@
-"""Reads and writes the stored records of requests that crash replicas."""
+"""Reads and writes the stored records of what is suspected of crashing replicas."""
 
 import enum
 import threading
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, replace
 
 from aspengate.clock import Clock
@@ -10,6 +10,7 @@
     RECORD_PREFIX,
     CrashPolicy,
     CrashRecord,
+    CrashSubject,
     decode_record,
     encode_record,
 )
@@ -62,11 +63,14 @@
     revision: int
 
 
+_ABSENT = _CachedRecord(None, 0)
+
+
 class CrashRecords:
     """Caches the records, and changes them on a background thread.
 
     Only ``begin_trial`` writes synchronously, because a request waits for it. ``crashed_runs``
-    returns the runs that a request may have crashed, and ``count_ended_near`` how many other runs
+    returns the runs that a subject may have crashed, and ``count_ended_near`` how many other runs
     terminated at about the same time as a run. ``on_removed`` is called with the fingerprint of
     each record that a router or an operator has removed. ``rewrites_lost`` returns whether this
     router is one of those that write a record again which the store has lost.
@@ -162,19 +166,26 @@
                     fingerprint, RecordChange.REMOVE if is_removed else RecordChange.WRITE_AGAIN
                 )
 
-    def begin_trial(self, fingerprint: str) -> bool:
-        """Record the start of a trial; return False if another router changed the record first.
+    def begin_trial(self, subjects: Collection[CrashSubject]) -> bool:
+        """Record the start of a trial of all subjects in one write.
 
-        Raises STORE_UNAVAILABLE or OUTCOME_UNKNOWN if the write is not confirmed.
+        Returns False if another router changed one of the records first. Raises STORE_UNAVAILABLE
+        or OUTCOME_UNKNOWN if the write is not confirmed.
         """
         now = self._clock.now_ms()
-        cached = self._records.get(fingerprint)
-        record = (cached.record if cached else None) or CrashRecord()
-        begun = record.begin_trial(self.session, self._crashed_runs(fingerprint), now, self._policy)
+        begun = {}
+        for subject in subjects:
+            cached = self._records.get(subject.fingerprint) or _ABSENT
+            runs = self._crashed_runs(subject.fingerprint)
+            record = (cached.record or CrashRecord()).begin_trial(
+                subject, self.session, runs, now, self._policy
+            )
+            begun[subject.fingerprint] = replace(cached, record=record)
         try:
-            self._write(fingerprint, begun, cached.revision if cached else 0)
+            self._write(begun)
         except ConditionFailedError as failure:
-            self._adopt_stored(fingerprint, failure)
+            for fingerprint in begun:
+                self._adopt_stored(fingerprint, failure)
             return False
         return True
 
@@ -243,18 +254,18 @@
 
     def _apply_change(self, fingerprint: str, pending: _PendingChange) -> bool:
         """Make a change; return False if another router changed the record first."""
-        cached = self._records.get(fingerprint)
+        cached = self._records.get(fingerprint) or _ABSENT
         if pending.change is RecordChange.REMOVE:
             self._store.remove(RECORD_PREFIX + fingerprint)
             with self._lock:
                 self._records.pop(fingerprint, None)
             return True
-        record = (cached.record if cached else None) or CrashRecord()
+        record = cached.record or CrashRecord()
         changed = self._changed_record(fingerprint, record, pending)
         if changed == record and fingerprint not in self._unwritten:
             return True
         try:
-            self._write(fingerprint, changed, cached.revision if cached else 0)
+            self._write({fingerprint: replace(cached, record=changed)})
         except ConditionFailedError as failure:
             self._adopt_stored(fingerprint, failure)
             return False
@@ -278,13 +289,20 @@
             self._crashed_runs(fingerprint), now, self._policy, has_ended=has_ended
         )
 
-    def _write(self, fingerprint: str, record: CrashRecord, revision: int) -> None:
-        key = RECORD_PREFIX + fingerprint
-        written = self._store.transact({key: revision}, (Put(key, encode_record(record)),))
+    def _write(self, changed: Mapping[str, _CachedRecord]) -> None:
+        """Write records in one transaction, each over its cached revision."""
+        conditions, puts = {}, []
+        for fingerprint, cached in changed.items():
+            key = RECORD_PREFIX + fingerprint
+            conditions[key] = cached.revision
+            puts.append(Put(key, encode_record(cached.record or CrashRecord())))
+        revision = self._store.transact(conditions, tuple(puts))
+        written = {key: replace(cached, revision=revision) for key, cached in changed.items()}
         with self._lock:
-            self._records = {**self._records, fingerprint: _CachedRecord(record, written)}
-            self._lost.pop(fingerprint, None)
-            self._unwritten.discard(fingerprint)
+            self._records = {**self._records, **written}
+            for fingerprint in changed:
+                self._lost.pop(fingerprint, None)
+                self._unwritten.discard(fingerprint)
 
     def _adopt_stored(self, fingerprint: str, failure: ConditionFailedError) -> None:
         """Cache the record that another router wrote, or remove it if there is none."""
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -53,14 +53,12 @@
         progress.last_event_id = exchange.request.last_event_id
         progress.pin = exchange.pin
         self._admit(exchange, progress)
-        answered = False
         try:
             self._run_attempts(exchange, caller, progress)
-            answered = True
         finally:
             self._settle_retries(exchange, progress)
             if progress.crash_trial is not None:
-                self.crashes.end_trial(progress.crash_trial, answered=answered)
+                self.crashes.end_trial(progress.crash_trial)
 
     def _admit(self, exchange: Exchange, progress: Progress) -> None:
         """Have the crash guard admit the next attempt; raises SUSPECTED or QUARANTINED.
@@ -68,7 +66,7 @@
         Each retry of a caller used to count as a new request, so one request that its caller sent
         again twice a second crashed 20 replicas in 40 s.
         """
-        progress.crash_trial = self.crashes.admit(exchange.fingerprint, progress.crash_trial)
+        progress.crash_trial = self.crashes.admit(exchange.crash_subjects, progress.crash_trial)
 
     def _run_attempts(
         self, exchange: Exchange, caller: CallerConnection, progress: Progress
@@ -113,7 +111,9 @@
         # requests although a healthy one was available.
         failed = progress.status in _SERVER_ERROR
         attempt.end("answered", failed=failed, version_failed=failed)
-        self.crashes.record_answered(exchange.fingerprint)
+        self.crashes.record_answered(
+            exchange.crash_subjects, progress.crash_trial, has_output=attempt.has_output
+        )
 
     def _end_failed(
         self, attempt: Attempt, failure: RetryableAttemptError, progress: Progress
@@ -160,7 +160,7 @@
         if attempt.sent and isinstance(error, BrokenResponseError):
             address = attempt.view.replica.address
             self.crashes.record_lost(
-                exchange.fingerprint, attempt.replica_run, address, progress.crash_trial
+                exchange.crash_subjects, attempt.replica_run, address, progress.crash_trial
             )
         elif isinstance(error.__cause__, ConnectionRefusedError):
             self.crashes.record_connection_refused(attempt.replica_run)
@@ -218,7 +218,7 @@
         self._record_notice(attempt, answer)
         if self.dependencies.header_codec.is_not_executed(answer.status, answer.headers):
             attempt.is_refused = True
-            if progress.crash_trial is not None:
+            if progress.crash_trial is not None and not progress.crash_trial.has_segments:
                 progress.crash_trial.sent = False
             is_misdirected = self.dependencies.header_codec.is_misdirected(answer.status)
             if is_misdirected:
@@ -246,6 +246,7 @@
         progress.accept_response(attempt)
         self.relay.relay_buffered(attempt, answer, caller)
         progress.status = answer.status
+        attempt.has_output = answer.status in _SUCCESS
 
     def _record_notice(self, attempt: Attempt, answer: ReplicaResponse) -> None:
         """Record what the response states about its replica: shutdown, backoff, rate limit.
@@ -336,7 +337,7 @@
     def _check_and_acquire_retry(self, exchange: Exchange, progress: Progress) -> bool:
         """Acquire a retry unless the crash guard refuses the request; return whether it was."""
         try:
-            self.crashes.check(exchange.fingerprint, progress.crash_trial)
+            self.crashes.check(exchange.crash_subjects, progress.crash_trial)
         except AspengateError:
             return False
         return self._acquire_retry(exchange, progress, attempts=progress.sent_attempts)
--- a/src/aspengate/gateway/_exchange.py
+++ b/src/aspengate/gateway/_exchange.py
@@ -6,7 +6,7 @@
 
 from aspengate.configuration import ClientAccount, FleetConfiguration, Route, Service
 from aspengate.connections import Waiter
-from aspengate.crashes import request_fingerprint
+from aspengate.crashes import CrashSubject, crash_subjects, request_fingerprint
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._request import CallerRequest, PromptSegment
 from aspengate.streams import VersionPin
@@ -48,6 +48,12 @@
         account = self.account.name if self.account else ""
         return request_fingerprint(account, self.request.target, self.request.body)
 
+    @cached_property
+    def crash_subjects(self) -> tuple[CrashSubject, ...]:
+        """What the request may be suspected of crashing replicas by."""
+        segments = (segment.identity for segment in self.shared_segments)
+        return crash_subjects(self.fingerprint, segments)
+
     @property
     def shared_segments(self) -> tuple[PromptSegment, ...]:
         """The prompt's segments that other requests may share: all but the last."""
--- a/src/aspengate/gateway/_progress.py
+++ b/src/aspengate/gateway/_progress.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from aspengate.gateway._attempt import Attempt
-    from aspengate.gateway._crash_guard import CrashTrial
+    from aspengate.gateway._crash_trial import CrashTrial
 
 
 @dataclass
