Relay streams that end with their connection as complete

Callers of a stream that its replica sent with neither length nor chunks got all events and then a broken response; a resumable stream was asked for again at another replica for nothing.

Cause: the relay took each stream without framing for broken off, since an orderly end of the connection is the only sign of its end. It now counts as complete if it ends behind an event and its replica still listens; a crashed process's connections are closed too.

Streams that end in an event, by a reset or with their replica remain recognisably incomplete, or go on at another replica.

--- a/features/gateway_streams.feature
+++ b/features/gateway_streams.feature
@@ -22,6 +22,45 @@
     When a review is streamed and its replica ends early
     Then the caller receives complete events and a response that is recognisably incomplete
 
+  # Such a stream reached the caller with all events, and then broke off.
+  Scenario Outline: A stream without framing is complete if its connection is closed cleanly
+    Given a gateway with two replicas per service
+    When a <stream> is streamed and the first response is "unframed stream"
+    Then the caller receives every event once in one complete response, with the first replica's signature
+    And only one replica ran the request
+
+    Examples:
+      | stream |
+      | score  |
+      | review |
+
+  Scenario Outline: A stream without framing that breaks off is recognisably incomplete
+    Given a gateway with two replicas per service
+    When a review is streamed and the response is "<behaviour>"
+    Then the caller receives complete events and a response that is recognisably incomplete
+
+    Examples:
+      | behaviour                        |
+      | unframed stream, cut in an event |
+      | unframed stream, reset           |
+      | unframed stream, replica ended   |
+
+  Scenario Outline: A stream without framing that breaks off is resumed at another replica
+    Given a gateway with two replicas per service
+    When a score is streamed and the first response is "<behaviour>"
+    Then the caller receives every event once in one complete response, with the first replica's signature
+
+    Examples:
+      | behaviour                        |
+      | unframed stream, cut in an event |
+      | unframed stream, reset           |
+      | unframed stream, replica ended   |
+
+  Scenario: A stream without framing and without events is retried at another replica
+    Given a gateway with two replicas per service
+    When a score is streamed and the first response is "unframed stream without events"
+    Then the caller receives every event once in one complete response
+
   Scenario: A caller that disconnects during a stream cancels the run
     Given a gateway with replicas that send long responses
     When a caller disconnects in the middle of a score
--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -146,11 +146,7 @@
 
     def crash(self):
         """Reset every connection and accept no new ones."""
-        try:
-            self._socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
-        self._socket.close()
+        self.stop_listening()
         with self._lock:
             connections = list(self._open)
         for connection in connections:
@@ -161,6 +157,14 @@
             except OSError:
                 pass
 
+    def stop_listening(self):
+        """Refuse new connections."""
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._socket.close()
+
     def close(self):
         self.crash()
 
@@ -480,6 +484,52 @@
     return False
 
 
+def send_unframed_events(replica, connection, request, last):
+    """Send the events up to ``last`` without a length or chunks."""
+    replica.run(request)
+    first = int(request.header("Last-Event-Id") or 0) + 1
+    head = replica.head(request, extra=["Content-Type: text/event-stream"])
+    replica.send(connection, head, request)
+    for number in range(first, last + 1):
+        replica.wait(connection, request, replica.pause_s)
+        replica.send(connection, event(replica, request, number), request)
+
+
+@behaviour("unframed stream")
+def unframed_stream(replica, connection, request):
+    send_unframed_events(replica, connection, request, replica.events)
+    return False
+
+
+@behaviour("unframed stream, cut in an event")
+def cut_unframed_stream(replica, connection, request):
+    send_unframed_events(replica, connection, request, 2)
+    replica.send(connection, b"id: 3\ndata", request)
+    return False
+
+
+@behaviour("unframed stream, reset")
+def reset_unframed_stream(replica, connection, request):
+    send_unframed_events(replica, connection, request, 2)
+    time.sleep(0.05)
+    replica.reset(connection)
+    return False
+
+
+@behaviour("unframed stream, replica ended")
+def end_with_unframed_stream(replica, connection, request):
+    """Close the connection in an orderly way, with a process that has ended."""
+    send_unframed_events(replica, connection, request, 2)
+    replica.stop_listening()
+    return False
+
+
+@behaviour("unframed stream without events")
+def empty_unframed_stream(replica, connection, request):
+    send_unframed_events(replica, connection, request, 0)
+    return False
+
+
 @behaviour("surplus")
 def surplus(replica, connection, request):
     """Send the response twice."""
--- a/features/steps/gateway_answers_steps.py
+++ b/features/steps/gateway_answers_steps.py
@@ -440,6 +440,24 @@
     context.answer = stream(context, "/review/1")
 
 
+@when('a {route} is streamed and the first response is "{behaviour}"')
+def first_with_behaviour(context, route, behaviour):
+    break_first_response(context, behaviour, "well")
+    context.answer = stream(context, f"/{route}/1")
+
+
+@when('a review is streamed and the response is "{behaviour}"')
+def review_with_behaviour(context, behaviour):
+    set_behaviour(context, "engine", behaviour)
+    context.answer = stream(context, "/review/1")
+
+
+@then("the caller receives every event once in one complete response")
+def events_once(context):
+    assert context.answer.status == 200 and context.answer.whole
+    assert context.answer.event_ids == [1, 2, 3, 4, 5], context.answer.event_ids
+
+
 @when("a review is streamed and its replica ends early")
 def review_ends_early(context):
     set_behaviour(context, "engine", "end early")
--- a/src/aspengate/gateway/_relay.py
+++ b/src/aspengate/gateway/_relay.py
@@ -1,6 +1,6 @@
 """Relays a replica's response to the caller."""
 
-from aspengate.connections import BrokenResponseError, ReplicaResponse
+from aspengate.connections import BrokenResponseError, ReplicaResponse, refuses_connections
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._attempt import Attempt, RetryableAttemptError
 from aspengate.gateway._events import EventSplitter, StreamEvent
@@ -11,6 +11,8 @@
 from aspengate.telemetry import Counters
 
 _MAX_BUFFERED_BYTES = 256 * 1024
+# Time limit of the connection attempt, in ms, that shows whether a replica has terminated.
+_PROBE_TIMEOUT_MS = 100.0
 
 
 class AnswerRelay:
@@ -68,7 +70,7 @@
             if splitter.remainder:
                 raise BrokenResponseError("ends within an event", answer.connection.address)
             if not answer.is_framed:
-                raise BrokenResponseError("a stream without framing", answer.connection.address)
+                _check_unframed_end(answer, progress)
         except AspengateError as error:
             resumable = not caller.started or attempt.exchange.known_route.resumable
             raise _broken_error(attempt, error, resumable=resumable) from error
@@ -114,6 +116,18 @@
             caller.start(answer.status, answer.reason, headers)
 
 
+def _check_unframed_end(answer: ReplicaResponse, progress: Progress) -> None:
+    """Raise BrokenResponseError if a stream that ended with its connection may be incomplete.
+
+    The operating system also closes the connections of a replica that crashes.
+    """
+    address = answer.connection.address
+    if not progress.events and not progress.last_event_id:
+        raise BrokenResponseError("a stream without framing and events", address)
+    if refuses_connections(address, _PROBE_TIMEOUT_MS):
+        raise BrokenResponseError("ended together with its replica", address)
+
+
 def _broken_error(attempt: Attempt, error: AspengateError, *, resumable: bool) -> Exception:
     """Return the exception to raise for a response that broke off."""
     is_lost = error.kind is ErrorKind.UPSTREAM_FAILED
