Pause for ten minutes after the third trial of a request, whatever its outcome

A request that crashes replicas could reach four of them: two trials without an outcome, as their callers left, one that ended its replica, and a fourth a minute later. Cause: the pause after a trial that ended its replica did not depend on how many trials there had been. By reading; the new scenario failed before (a trial after 60 s), and passes now (after 600 s).

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -96,6 +96,11 @@
     When a request was on two crashed replicas, and each of its trials crashes a replica
     Then it gets a trial at once, after a minute and after ten more, and never again
 
+  Scenario: A request gets three trials before a long pause, whatever their outcomes
+    Given 4 routers that share the records of a store
+    When a request was on two crashed replicas, its caller disconnects during two trials, and the third one crashes a replica
+    Then it is refused for ten minutes after the third trial
+
   Scenario: A trial whose replica terminates together with others does not count
     Given 4 routers that share the records of a store
     When a request was on two crashed replicas, and four replicas terminate together during its trial
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -129,6 +129,7 @@
         self.end_times = []
         self.sends = []
         self.unseen = 0
+        self.tries = 0
         self.under_way = []
         self.mass_restarts = []
         self.messages = []
@@ -416,6 +417,7 @@
     ``after_crash`` is called right after its end.
     """
     simulation.trial.sent = True
+    simulation.tries += 1
     if crashes:
         simulation.numbers += 1
         run = f"tried-{simulation.numbers}"
@@ -448,6 +450,24 @@
     assert context.trials[2] < 10 and context.trials[3] >= 600, context.trials
 
 
+@when(
+    "a request was on two crashed replicas, its caller disconnects during two trials, "
+    "and the third one crashes a replica"
+)
+def mixed_trials(context):
+    simulation = record_crashes(context, 2)
+    trial_seconds(simulation, 2_500, crashes=False)
+    assert simulation.tries == 2, simulation.tries
+    simulation.advance(1_000)
+    context.trials = trial_seconds(simulation, 605_000, crashes=True)
+
+
+@then("it is refused for ten minutes after the third trial")
+def long_pause(context):
+    assert len(context.trials) == 2, context.trials
+    assert context.trials[1] - context.trials[0] >= 600, context.trials
+
+
 @when("a request was on two crashed replicas, and each of its trials crashes a replica")
 def crashing_trials(context):
     context.trials = trial_seconds(record_crashes(context, 2), 2_000_000, crashes=True)
--- a/src/aspengate/crashes/_policy.py
+++ b/src/aspengate/crashes/_policy.py
@@ -34,7 +34,8 @@
     in the power failure of a rack. After an inconclusive trial the next one may start after
     ``short_pause_ms``, and once there have been ``quick_trials``, after ``long_pause_ms``. A trial
     whose router does not report an outcome expires after ``trial_timeout_ms``, which is longer
-    than requests usually take.
+    than requests usually take. Once there have been ``quick_trials``, no pause is shorter than
+    ``long_pause_ms``: that bounds the trials of a subject whose first ones were inconclusive.
 
     A prompt segment is suspect after ``suspect_segment_crashes``, unless a request with it was
     answered completely within ``answered_valid_ms``.
@@ -59,6 +60,7 @@
         ``trials`` counts all trials, ``crashed`` those that crashed their replica; ``has_ended``
         is whether the last one did.
         """
-        if has_ended:
-            return self.crash_pause_ms * self.crash_pause_factor ** max(0, crashed - 1)
-        return self.short_pause_ms if trials < self.quick_trials else self.long_pause_ms
+        least_ms = self.short_pause_ms if trials < self.quick_trials else self.long_pause_ms
+        if not has_ended:
+            return least_ms
+        return max(least_ms, self.crash_pause_ms * self.crash_pause_factor ** max(0, crashed - 1))
