--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -26,3 +26,33 @@
       | 26      |
       | 100     |
       | 760     |
+
+  Scenario: A segment that was answered recently is not refused, however many replicas terminate
+    Given 4 routers that share the records of a store
+    When a segment was answered at every router, and six replicas with it terminate
+    Then every router sends requests with it
+
+  Scenario: An answer at another router ends a wrong verdict on a segment
+    Given 4 routers that share the records of a store
+    When a segment's trial crashed a replica, and then a router answers a request with it
+    Then every router sends requests with it
+
+  Scenario: A segment whose verdict nothing contradicts is tried again after a minute
+    Given 4 routers that share the records of a store
+    When a segment's trial crashed a replica, and no request with it is answered
+    Then requests with it are refused until one router runs a trial after a minute
+
+  Scenario: An answer without output does not clear a segment
+    Given 4 routers that share the records of a store
+    When a segment was on three crashed replicas, and an answer without output is recorded
+    Then one router runs a trial of it
+
+  Scenario: An old answer does not protect a segment that crashes replicas
+    Given 4 routers that share the records of a store
+    When a segment was answered 31 s ago, and three replicas with it terminate
+    Then one router runs a trial of it
+
+  Scenario: A trial of a segment that replicas refuse counts as a trial
+    Given a gateway before six engine replicas that a prompt segment crashes
+    When streams with it have crashed three of them, and the others refuse ten more streams with it
+    Then at most three of these reach a replica
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -362,13 +362,16 @@
     return simulation
 
 
-def verdicts(simulation):
-    """Return how many routers send the request, run a trial or refuse it now."""
+def verdicts(simulation, subjects=lambda: SUBJECTS):
+    """Return how many routers send the request, run a trial or refuse it now.
+
+    ``subjects`` returns the subjects of the request that each of them receives.
+    """
     found = Counter()
     for router in simulation.routers:
         router.load_records()
         try:
-            trial = router.guard.admit(SUBJECTS, None)
+            trial = router.guard.admit(subjects(), None)
         except AspengateError as error:
             found[error.kind] += 1
         else:
@@ -422,7 +425,8 @@
         simulation.numbers += 1
         run = f"tried-{simulation.numbers}"
         simulation.ended.add(run)
-        simulation.trial_router.guard.record_lost(SUBJECTS, run, run, simulation.trial)
+        subjects = simulation.trial.subjects
+        simulation.trial_router.guard.record_lost(subjects, run, run, simulation.trial)
     simulation.trial_router.guard.end_trial(simulation.trial)
     after_crash()
     simulation.advance(100)
@@ -534,6 +538,98 @@
     assert verdicts(simulation) == {"sent": context.count}
 
 
+def segment_request(simulation):
+    """Return the subjects of another request that has the segment."""
+    simulation.numbers += 1
+    return crash_subjects(f"{simulation.numbers:032x}", ["shared"])
+
+
+def crash_with_segment(simulation, count):
+    """Let the first router lose requests with the segment to replicas that terminate."""
+    for _ in range(count):
+        subjects = segment_request(simulation)
+        run = f"i-{simulation.numbers}"
+        simulation.ended.add(run)
+        simulation.routers[0].guard.record_lost(subjects, run, run, None)
+        simulation.advance(200)
+
+
+def answer_segment(simulation, router, *, has_output=True):
+    router.guard.record_answered(segment_request(simulation), None, has_output=has_output)
+
+
+def segment_verdicts(simulation):
+    """Return how many routers send, try or refuse a request with the segment."""
+    return verdicts(simulation, lambda: segment_request(simulation))
+
+
+@when("a segment was answered at every router, and six replicas with it terminate")
+def answered_segment(context):
+    simulation = context.simulation = CrashSimulation(context.count, 1)
+    for router in simulation.routers:
+        answer_segment(simulation, router)
+    crash_with_segment(simulation, 6)
+
+
+@then("every router sends requests with it")
+def segment_sent(context):
+    assert segment_verdicts(context.simulation) == {"sent": context.count}
+
+
+def crash_segment_trial(context):
+    simulation = context.simulation = CrashSimulation(context.count, 1)
+    crash_with_segment(simulation, 3)
+    found = segment_verdicts(simulation)
+    assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
+    run_trial(simulation, crashes=True)
+    assert segment_verdicts(simulation) == {ErrorKind.QUARANTINED: context.count}
+    return simulation
+
+
+@when("a segment's trial crashed a replica, and then a router answers a request with it")
+def wrong_verdict(context):
+    simulation = crash_segment_trial(context)
+    answer_segment(simulation, simulation.routers[-1])
+    simulation.advance(100)
+
+
+@when("a segment's trial crashed a replica, and no request with it is answered")
+def right_verdict(context):
+    crash_segment_trial(context)
+
+
+@then("requests with it are refused until one router runs a trial after a minute")
+def segment_tried_after_a_minute(context):
+    simulation = context.simulation
+    simulation.advance(58_000)
+    assert segment_verdicts(simulation) == {ErrorKind.QUARANTINED: context.count}
+    simulation.advance(2_000)
+    found = segment_verdicts(simulation)
+    assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
+
+
+@when("a segment was on three crashed replicas, and an answer without output is recorded")
+def answer_without_output(context):
+    simulation = context.simulation = CrashSimulation(context.count, 1)
+    crash_with_segment(simulation, 3)
+    answer_segment(simulation, simulation.routers[0], has_output=False)
+
+
+@when("a segment was answered 31 s ago, and three replicas with it terminate")
+def old_answer(context):
+    simulation = context.simulation = CrashSimulation(context.count, 1)
+    for router in simulation.routers:
+        answer_segment(simulation, router)
+    simulation.advance(31_000)
+    crash_with_segment(simulation, 3)
+
+
+@then("one router runs a trial of it")
+def one_segment_trial(context):
+    found = segment_verdicts(context.simulation)
+    assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
+
+
 @when("a request was on two crashed replicas, and its record is unreadable")
 def unreadable_record(context):
     simulation = record_crashes(context, 2)
--- a/features/steps/crashing_segments_steps.py
+++ b/features/steps/crashing_segments_steps.py
@@ -34,8 +34,8 @@
     sound stream, and whether its first attempt brought an event.
     """
 
-    def __init__(self, context):
-        start_gateways(context, routers=4)
+    def __init__(self, context, routers, replicas):
+        start_gateways(context, routers=routers)
         self.fleet = context.fleet
         self.crash_times = []
         self.sound = []
@@ -48,7 +48,7 @@
         self.returned_s = 0.0
         for replica in self.fleet.of("engine"):
             self.arm(replica)
-        for _ in range(7):
+        for _ in range(replicas - 1):
             self.arm(self.fleet.add_replica("engine"))
 
     def arm(self, replica):
@@ -161,10 +161,42 @@
 
 @given("four gateways before eight engine replicas that a prompt segment crashes")
 def segment_fleet(context):
-    context.segments = SegmentFleet(context)
-    listed = len(context.fleet.of("engine"))
+    start_fleet(context, routers=4, replicas=8)
+
+
+@given("a gateway before six engine replicas that a prompt segment crashes")
+def one_gateway(context):
+    start_fleet(context, routers=1, replicas=6)
+
+
+def start_fleet(context, routers, replicas):
+    context.segments = SegmentFleet(context, routers, replicas)
     for router in context.fleet.routers:
-        assert eventually(lambda: len(router.find_all("replica.listed")) >= listed)  # noqa: B023
+        assert eventually(lambda: len(router.find_all("replica.listed")) > replicas)  # noqa: B023
+
+
+@when("streams with it have crashed three of them, and the others refuse ten more streams with it")
+def refused_trials(context):
+    fleet = context.segments
+    fleet.closing.set()
+    prompt = CRASHING_PROMPTS["in the middle"]
+    while len(fleet.crash_times) < MIN_CRASHES:
+        alive = [each for each in context.fleet.of("engine") if not each.has_ended]
+        fleet.stream(prompt)
+        assert any(each.has_ended for each in alive)
+    for replica in context.fleet.of("engine"):
+        replica.crash_on_segment = ""
+        replica.behaviour = "refuse"
+    before = len(fleet.arrivals())
+    for _ in range(10):
+        fleet.stream(prompt)
+        time.sleep(0.6)
+    context.reached = len(fleet.arrivals()) - before
+
+
+@then("at most three of these reach a replica")
+def three_reach(context):
+    assert 1 <= context.reached <= MAX_LATE_ARRIVALS, context.reached
 
 
 @when(
