Ask other routers whether the replica that began a stream has changed its version

Cause: the two facts that together show the version to be uncertain were never in one place. Replies to stream queries now say how old the stream is, and which replicas of the service have changed their version under their ids and when. The fields have defaults, so that routers of earlier builds go on to understand the messages.

A new scenario holds that older streams of the replica continue.

--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -129,6 +129,14 @@
     And router 1 sees the list of replicas
     Then router 2 refuses to continue it
 
+  Scenario: A stream that began long before its replica restarted is continued
+    Given routers in contact, and a service of version v1 that they have listed for a minute
+    When router 0 begins a stream at version v1
+    And 6 s pass
+    And the replica of version v1 restarts at version v2 under its id, which no router sees
+    And router 1 sees the list of replicas
+    Then router 2 continues it at version v1
+
   Scenario: A router continues a stream that it knows while the others do not reply
     Given routers in contact, and a service of version v1 that they have listed for a minute
     When version v2 is listed at all routers
--- a/src/aspengate/gateway/streams/_directory.py
+++ b/src/aspengate/gateway/streams/_directory.py
@@ -1,6 +1,6 @@
 """Finds the version that began a stream, in this router's memory and that of others."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from aspengate.clock import Clock
@@ -8,9 +8,19 @@
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._exchange import Exchange
 from aspengate.gateway.streams._queries import StreamQueries
-from aspengate.peers import BegunStream, Datagram, StreamNotice, StreamQuery, StreamReply
+from aspengate.peers import (
+    BegunStream,
+    Datagram,
+    StreamNotice,
+    StreamQuery,
+    StreamReply,
+    VersionChange,
+)
 from aspengate.replicas import Replica
 from aspengate.streams import (
+    ChangedReplica,
+    ChangedReplicas,
+    RecordedOrigin,
     StreamKey,
     StreamOrigin,
     StreamOrigins,
@@ -63,6 +73,7 @@
         self.peers = peers
         self.origins = StreamOrigins(clock)
         self.versions = VersionHistory(clock)
+        self.changed_replicas = ChangedReplicas(clock)
         self.queries = StreamQueries(peers.send)
 
     def handle_replicas(self, replicas: Iterable[Replica]) -> None:
@@ -71,6 +82,7 @@
         Call it before requests are sent to the replicas.
         """
         changes = self.versions.update(replicas)
+        self.changed_replicas.record(changes.replicas)
         since_ms = self.clock.monotonic_ms() - _RECORD_LAG_MS
         for replica in changes.replicas:
             self.origins.mark_uncertain(replica.identity, replica.version, since_ms)
@@ -139,11 +151,18 @@
     def handle_query(self, query: StreamQuery) -> StreamReply:
         """Return what this router knows of a stream, and of the versions of its service."""
         key = StreamKey(query.account, query.request_id)
-        origin = self.origins.find(key)
-        begun = None if origin is None else _begun_stream(key, origin, 0.0)
+        recorded = self.origins.find_recorded(key)
+        begun = None
+        if recorded is not None:
+            age_ms = self.clock.monotonic_ms() - recorded.recorded_ms
+            begun = _begun_stream(key, recorded.origin, 0.0, age_ms)
         listed = self.versions.listed_versions(query.service, query.within_ms)
         is_complete = listed.is_complete and self.peers.has_current_list()
-        return StreamReply(query.number, begun, sorted(listed.versions), is_complete)
+        changed = [
+            VersionChange(each.replica, each.version, round(each.age_ms))
+            for each in self.changed_replicas.of_service(query.service, query.within_ms)
+        ]
+        return StreamReply(query.number, begun, sorted(listed.versions), is_complete, changed)
 
     def gauges(self) -> dict[str, float]:
         """Return the number of streams that this router remembers."""
@@ -172,27 +191,53 @@
     def _find(self, exchange: Exchange) -> StreamOrigin | None:
         """Return the origin of the stream that a request takes up, None if it is not known."""
         key, service = _key_of(exchange), exchange.known_service.name
-        known = self.origins.find(key)
+        known = self.origins.find_recorded(key)
         window_ms = _window_ms(exchange.known_route)
         listed = self.versions.listed_versions(service, window_ms)
         is_certain = listed.is_complete and self.peers.has_current_list()
         is_single = is_certain and listed.is_single
         if known is not None and is_single:
-            return known
+            return known.origin
         asked = self.peers.holders(key) if is_single else self.peers.all_asked(key)
         # While several versions are listed, another router may know of one that is uncertain.
         replies = self.queries.ask(key, service, window_ms, asked, needs_all=not is_single)
-        begun = [_origin_of(reply.origin) for reply in replies if reply.origin is not None]
+        begun = [self._recorded_of(each.origin) for each in replies if each.origin is not None]
         if known is not None:
             begun.insert(0, known)
         if begun:
-            is_agreed = len({each.version for each in begun}) == 1
-            return begun[0] if is_agreed else replace(begun[0], version=None)
+            changed = self.changed_replicas.of_service(service, window_ms)
+            changed += [_change_of(each) for reply in replies for each in reply.changed]
+            return self._agreed_origin(begun, changed)
         versions = listed.versions.union(*(reply.versions for reply in replies))
         if len(versions) > 1 or not (is_certain or any(reply.is_complete for reply in replies)):
             return None
         return next((StreamOrigin(service, version, "") for version in versions), None)
 
+    def _recorded_of(self, begun: BegunStream) -> RecordedOrigin:
+        """Return the origin of a stream that another router has reported."""
+        now = self.clock.monotonic_ms()
+        return RecordedOrigin(_origin_of(begun), now - begun.age_ms, now)
+
+    def _agreed_origin(
+        self, begun: Sequence[RecordedOrigin], changed: Iterable[ChangedReplica]
+    ) -> StreamOrigin:
+        """Return the origin of a stream that routers know, without a version if it is uncertain.
+
+        It is uncertain if they disagree, or if the replica has changed its version since, or so
+        shortly before that the router which began the stream may not have had the new record.
+        """
+        origin = begun[0].origin
+        now = self.clock.monotonic_ms()
+        age_ms = now - max(each.recorded_ms for each in begun)
+        has_changed = any(
+            each.replica == origin.replica
+            and each.version != origin.version
+            and age_ms <= each.age_ms + _RECORD_LAG_MS
+            for each in changed
+        )
+        is_agreed = len({each.origin.version for each in begun}) == 1
+        return origin if is_agreed and not has_changed else replace(origin, version=None)
+
 
 def _key_of(exchange: Exchange) -> StreamKey:
     """Return the key of the stream that a request begins or takes up."""
@@ -219,7 +264,19 @@
     return StreamOrigin(begun.service, begun.version, begun.replica)
 
 
-def _begun_stream(key: StreamKey, origin: StreamOrigin, keep_ms: float) -> BegunStream:
+def _change_of(change: VersionChange) -> ChangedReplica:
+    return ChangedReplica(change.replica, change.version, change.age_ms)
+
+
+def _begun_stream(
+    key: StreamKey, origin: StreamOrigin, keep_ms: float, age_ms: float = 0.0
+) -> BegunStream:
     return BegunStream(
-        key.account, key.request_id, origin.service, origin.version, origin.replica, round(keep_ms)
+        key.account,
+        key.request_id,
+        origin.service,
+        origin.version,
+        origin.replica,
+        round(keep_ms),
+        round(age_ms),
     )
--- a/src/aspengate/peers/__init__.py
+++ b/src/aspengate/peers/__init__.py
@@ -36,6 +36,7 @@
     StreamNotice,
     StreamQuery,
     StreamReply,
+    VersionChange,
     changed_items,
 )
 from aspengate.peers._notices import (
@@ -90,6 +91,7 @@
     "StreamNotice",
     "StreamQuery",
     "StreamReply",
+    "VersionChange",
     "changed_items",
     "merge_crashes",
     "merge_halted_rollouts",
--- a/src/aspengate/peers/_messages.py
+++ b/src/aspengate/peers/_messages.py
@@ -241,7 +241,7 @@
     """A stream of an account that a replica of a service began with the request ``request_id``.
 
     ``version`` is the replica's version, None if it is uncertain. The stream may be taken up again
-    for ``keep_ms``.
+    for ``keep_ms``. It was recorded ``age_ms`` ago.
     """
 
     account: str
@@ -250,6 +250,15 @@
     version: str | None
     replica: str
     keep_ms: int = 0
+    age_ms: int = 0
+
+
+class VersionChange(msgspec.Struct, frozen=True, array_like=True):
+    """A replica whose record has had another version under the same id since ``age_ms`` ago."""
+
+    replica: str
+    version: str
+    age_ms: int
 
 
 class StreamNotice(msgspec.Struct, frozen=True, tag="streams"):
@@ -271,13 +280,15 @@
 class StreamReply(msgspec.Struct, frozen=True, tag="stream-reply"):
     """The reply to the stream query ``number``; ``origin`` is None if the stream is not known.
 
-    ``is_complete`` is whether ``versions`` are certainly all that the service had.
+    ``is_complete`` is whether ``versions`` are certainly all that the service had, and ``changed``
+    are the replicas of the service that have changed theirs.
     """
 
     number: int
     origin: BegunStream | None = None
     versions: list[str] = []
     is_complete: bool = False
+    changed: list[VersionChange] = []
 
 
 class CeilingNotice(msgspec.Struct, frozen=True, tag="ceilings"):
--- a/src/aspengate/streams/_origins.py
+++ b/src/aspengate/streams/_origins.py
@@ -52,10 +52,15 @@
 
     def find(self, key: StreamKey) -> StreamOrigin | None:
         """Return a stream's origin, None if it is not known."""
+        found = self.find_recorded(key)
+        return None if found is None else found.origin
+
+    def find_recorded(self, key: StreamKey) -> RecordedOrigin | None:
+        """Return a stream's origin with its times, None if it is not known."""
         now = self.clock.monotonic_ms()
         with self._lock:
             found = self._recorded.get(key)
-        return found.origin if found is not None and found.until_ms >= now else None
+        return found if found is not None and found.until_ms >= now else None
 
     def of_service(self, service: str) -> dict[StreamKey, RecordedOrigin]:
         """Return the streams that began at a service and are still kept."""
