Let one router try several suspects of a request while the store is away

A request with two suspects needed a router that is first for both, which seldom exists, so that it was refused until the store came back. The first suspect decides now.

--- a/src/aspengate/gateway/_crash_guard.py
+++ b/src/aspengate/gateway/_crash_guard.py
@@ -264,7 +264,7 @@
         until the store is available again.
         """
         fingerprints = {subject.fingerprint for subject in suspects}
-        if self._reaches_store() or not all(map(self._is_first, fingerprints)):
+        if self._reaches_store() or not self._is_first(suspects[0].fingerprint):
             return False
         with self._lock:
             if (
