Send a restarted router the suspects with the most crashes first

A router that has just started gets 100 pairs of a suspect and a crash, the latest. As each lost request now counts for its segments too, the segment that crashed three replicas was not among them once 50 other requests had been lost later, and the router sent on. The new scenario failed before.

--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -56,3 +56,8 @@
     Given a gateway before six engine replicas that a prompt segment crashes
     When streams with it have crashed three of them, and the others refuse ten more streams with it
     Then at most three of these reach a replica
+
+  Scenario: A router that starts receives the segment with the most crashes
+    Given 4 routers that share the records of a store
+    When a segment was on three crashed replicas, and then 200 other requests are lost with one
+    Then a notice of recent crashes names the segment's three crashes
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -608,6 +608,24 @@
     assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
 
 
+@when("a segment was on three crashed replicas, and then 200 other requests are lost with one")
+def many_lost(context):
+    simulation = context.simulation = CrashSimulation(context.count, 1)
+    crash_with_segment(simulation, 3)
+    simulation.ended.add("i-last")
+    for number in range(200):
+        subjects = crash_subjects(f"b{number:031x}", [f"other-{number}"])
+        simulation.routers[0].guard.record_lost(subjects, "i-last", "i-last", None)
+
+
+@then("a notice of recent crashes names the segment's three crashes")
+def recent_segment_crashes(context):
+    (segment, _) = segment_request(context.simulation)
+    notice = context.simulation.routers[0].guard.recent_crashes()
+    runs = {each.run for each in notice.lost if each.content == segment.fingerprint}
+    assert len(runs) == 3 and runs <= set(notice.ended), notice
+
+
 @when("a segment was on three crashed replicas, and an answer without output is recorded")
 def answer_without_output(context):
     simulation = context.simulation = CrashSimulation(context.count, 1)
--- a/src/aspengate/crashes/_suspects.py
+++ b/src/aspengate/crashes/_suspects.py
@@ -1,5 +1,6 @@
 """Tracks which requests may have crashed replicas, as observed by one router and its peers."""
 
+import itertools
 import threading
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
@@ -125,16 +126,19 @@
                 suspect.lost_at.clear()
 
     def recent_crashes(self, limit: int) -> tuple[list[tuple[str, str]], list[str]]:
-        """Return the latest ``limit`` pairs of fingerprint and crashed run, and these runs."""
-        found: list[tuple[str, str]] = []
+        """Return up to ``limit`` pairs of fingerprint and crashed run, and these runs.
+
+        Those with the most crashes come first, then the latest: with each replica many requests and
+        segments are lost that did not crash it.
+        """
         with self._lock:
-            for fingerprint, suspect in reversed(self._suspects.items()):
-                found += [
-                    (fingerprint, run) for run in suspect.lost_at if self._is_crash(suspect, run)
-                ]
-                if len(found) >= limit:
-                    break
-        return found[:limit], sorted({run for _, run in found[:limit]})
+            crashes = [
+                [(fingerprint, run) for run in suspect.lost_at if self._is_crash(suspect, run)]
+                for fingerprint, suspect in reversed(self._suspects.items())
+            ]
+        crashes.sort(key=len, reverse=True)
+        found = list(itertools.islice(itertools.chain.from_iterable(crashes), limit))
+        return found, sorted({run for _, run in found})
 
     def _is_crash(self, suspect: _Suspect, run: str) -> bool:
         """Return whether a run terminated when it lost a request; call with the lock held."""
