Trace requests that were refused for a segment to its trials and crashes

aspengate explain and losses joined crashes to a request by its content alone, so that a request refused for a segment showed none. The new scenario failed before.

--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -61,3 +61,8 @@
     Given 4 routers that share the records of a store
     When a segment was on three crashed replicas, and then 200 other requests are lost with one
     Then a notice of recent crashes names the segment's three crashes
+
+  Scenario: The trace of a refused request names the segment and the crashes that led to the refusal
+    Given a gateway before six engine replicas that a prompt segment crashes
+    When streams with it have crashed four of them, and another one is requested
+    Then its trace names the segment, and its cause the crashed replicas
--- a/features/steps/crashing_segments_steps.py
+++ b/features/steps/crashing_segments_steps.py
@@ -1,12 +1,15 @@
 """Steps on prompt segments that crash replicas."""
 
 import itertools
+import json
 import threading
 import time
 
 from behave import given, then, when
 from platform_standins.fleet import eventually
 
+from aspengate.explanation import read_lines, trace_request
+from aspengate.losses import describe_end
 from gateway_world import start_gateways
 
 SEGMENT = "dead"
@@ -175,15 +178,46 @@
         assert eventually(lambda: len(router.find_all("replica.listed")) > replicas)  # noqa: B023
 
 
-@when("streams with it have crashed three of them, and the others refuse ten more streams with it")
-def refused_trials(context):
+def crash_replicas(context, count):
+    """Stream until so many replicas have crashed, which are not replaced."""
     fleet = context.segments
     fleet.closing.set()
-    prompt = CRASHING_PROMPTS["in the middle"]
-    while len(fleet.crash_times) < MIN_CRASHES:
+    while len(fleet.crash_times) < count:
         alive = [each for each in context.fleet.of("engine") if not each.has_ended]
-        fleet.stream(prompt)
+        fleet.stream(CRASHING_PROMPTS["in the middle"])
         assert any(each.has_ended for each in alive)
+
+
+@when("streams with it have crashed four of them, and another one is requested")
+def one_more(context):
+    crash_replicas(context, MIN_CRASHES + 1)
+
+    def is_refused():
+        context.segments.stream(CRASHING_PROMPTS["in the middle"])
+        return context.router.find("request.ended", outcome="quarantined")
+
+    # The outcome of the trial is recorded 100 ms after the last crash.
+    context.refused = eventually(is_refused, 10.0)
+
+
+@then("its trace names the segment, and its cause the crashed replicas")
+def trace_names_segment(context):
+    refused = context.refused
+    log = read_lines("router-1", [json.dumps(line) for line in context.router.lines])
+    trace = "\n".join(trace_request(refused["request_id"], log).lines())
+    assert "crash.tried" in trace and f"segment={SEGMENT}" in trace, trace
+    cause = describe_end(refused["request_id"], log)
+    assert "ended under segment" in cause, cause
+    for replica in context.fleet.of("engine"):
+        detected = f"{replica.identity} " in cause and "detected by router-1" in cause
+        assert detected == replica.has_ended, cause
+
+
+@when("streams with it have crashed three of them, and the others refuse ten more streams with it")
+def refused_trials(context):
+    fleet = context.segments
+    crash_replicas(context, MIN_CRASHES)
+    prompt = CRASHING_PROMPTS["in the middle"]
     for replica in context.fleet.of("engine"):
         replica.crash_on_segment = ""
         replica.behaviour = "refuse"
--- a/src/aspengate/explanation/_trace.py
+++ b/src/aspengate/explanation/_trace.py
@@ -65,7 +65,8 @@
     The trace includes the state changes at the same router from 10 s before the request arrived
     until it ended that could affect it: of the store, the configuration, the request's account,
     a rollout of its service, and the replicas that it was sent to. It also includes, at any earlier
-    time and at any router, the crashes and trials of requests with the same fingerprint.
+    time and at any router, the crashes and trials of requests with the same fingerprint, and the
+    trials of segments of its prompt.
     """
     listed = list(lines)
     ends = tuple(line for line in listed if line.fields.get("request_id") == request_id)
@@ -78,12 +79,17 @@
 
 
 def _is_crash_of_same_request(line: LogLine, end: LogLine) -> bool:
-    """Return whether ``line`` reports an earlier crash or trial with the same request fingerprint.
+    """Return whether ``line`` reports an earlier crash or trial that concerns the same request.
 
-    Lines of any router and at any earlier time count.
+    It concerns the request's fingerprint or a segment of its prompt. Lines of any router and at any
+    earlier time count.
     """
+    if line.time_s > end.time_s:
+        return False
+    if line.change.startswith("crash.") and "segment" in line.fields:
+        return line.fields["segment"] in (end.fields.get("segments") or ())
     content = end.fields.get("content")
-    if not content or line.fields.get("content") != content or line.time_s > end.time_s:
+    if not content or line.fields.get("content") != content:
         return False
     return line.change == "replica.ended" or line.change.startswith("crash.")
 
--- a/src/aspengate/losses/_cause.py
+++ b/src/aspengate/losses/_cause.py
@@ -1,5 +1,6 @@
 """Describes in one sentence why a request ended as it did."""
 
+import re
 from collections.abc import Callable, Iterable
 
 from aspengate.explanation import LogLine
@@ -85,14 +86,18 @@
 
 
 def _describe_crashes(end: LogLine, lines: list[LogLine]) -> str:
-    """Return which replicas the request crashed, when, and which router detected each crash."""
+    """Return which replicas the request crashed, when, and which router detected each crash.
+
+    If it was refused for a segment of its prompt, these are the replicas that the reason names.
+    """
     content = end.fields.get("content")
+    named = set(re.split(r"[\s,:]+", str(end.fields.get("reason"))))
     crashes = [
         f"{line.fields.get('replica')} {end.time_s - line.time_s:.1f} s before, detected "
         f"by {line.machine}"
         for line in lines
-        if line.change == "replica.ended" and line.fields.get("content") == content
-        if line.time_s <= end.time_s
+        if line.change == "replica.ended" and line.time_s <= end.time_s
+        if line.fields.get("content") == content or line.fields.get("replica") in named
     ]
     detected = "; ".join(crashes) if crashes else "no router of these logs detected which"
     return f"{end.fields.get('reason')} ({detected})"
