Try a request again that tells apart the segments of a crashed trial

A sound request was refused for a minute if one of its segments had been on trial together with the one that crashes replicas, and no request with it had been answered lately: the outcome of such a trial condemned both.

The record now says which segments were on the last trial together. A request that lacks one of them tells them apart, and is tried at once, within the three trials before the pause of ten minutes.

--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -42,6 +42,11 @@
     When a segment's trial crashed a replica, and no request with it is answered
     Then requests with it are refused until one router runs a trial after a minute
 
+  Scenario: Segments that were tried together are told apart by a request with one of them
+    Given 4 routers that share the records of a store
+    When two segments of a request were on three crashed replicas, and a trial of both crashed one
+    Then a request with one of them is tried, and its answer clears that one only
+
   Scenario: An answer without output does not clear a segment
     Given 4 routers that share the records of a store
     When a segment was on three crashed replicas, and an answer without output is recorded
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -268,7 +268,7 @@
     """Simulates streams of different content with one segment that crashes every replica.
 
     Sound streams share the first segment; most of them are answered. ``refused`` counts those that
-    a router refused, of ``sound``.
+    a router refused, of ``sound``. The last segment of the others occurs in no sound stream.
     """
 
     crashes = 5
@@ -280,7 +280,8 @@
         self.stream_sound()
 
     def subjects(self):
-        return crash_subjects(f"{self.numbers:032x}", ["first", "crashing"])
+        rare = f"rare-{self.numbers % 3}"
+        return crash_subjects(f"{self.numbers:032x}", ["first", "crashing", rare])
 
     def stream_sound(self):
         """Have some routers answer a sound stream, unless they refuse it."""
@@ -608,6 +609,38 @@
     assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
 
 
+@when("two segments of a request were on three crashed replicas, and a trial of both crashed one")
+def joint_trial(context):
+    simulation = context.simulation = CrashSimulation(context.count, 1)
+    context.both = lambda: crash_subjects(f"{simulation.numbers:032x}", ["one", "other"])
+    for number in range(3):
+        simulation.ended.add(f"i-{number}")
+        simulation.numbers += 1
+        router = simulation.routers[0]
+        router.guard.record_lost(context.both(), f"i-{number}", f"i-{number}", None)
+        simulation.advance(200)
+    simulation.numbers += 1
+    found = verdicts(simulation, context.both)
+    assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
+    run_trial(simulation, crashes=True)
+    assert verdicts(simulation, context.both) == {ErrorKind.QUARANTINED: context.count}
+
+
+@then("a request with one of them is tried, and its answer clears that one only")
+def told_apart(context):
+    simulation = context.simulation
+    one = crash_subjects("c" * 32, ["one"])
+    found = verdicts(simulation, lambda: one)
+    assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
+    simulation.trial.sent = True
+    simulation.trial_router.guard.record_answered(one, simulation.trial, has_output=True)
+    simulation.trial_router.guard.end_trial(simulation.trial)
+    simulation.advance(100)
+    assert verdicts(simulation, lambda: one) == {"sent": context.count}
+    found = verdicts(simulation, context.both)
+    assert found == {ErrorKind.QUARANTINED: context.count}, found
+
+
 @when("a segment was on three crashed replicas, and then 200 other requests are lost with one")
 def many_lost(context):
     simulation = context.simulation = CrashSimulation(context.count, 1)
--- a/src/aspengate/crashes/_record.py
+++ b/src/aspengate/crashes/_record.py
@@ -23,7 +23,8 @@
     ``ends`` are the runs of replicas that it may have crashed. ``tries`` counts its
     trials, and ``ended`` those that crashed their replica. ``trying`` is the session of the router
     that is running a trial, and empty if there is none. No trial starts before ``next_try_ms``, in
-    wall-clock milliseconds.
+    wall-clock milliseconds. ``together`` are the fingerprints of the other segments that were on
+    the same trial, so that its outcome does not tell which of them crashed the replica.
     """
 
     ends: tuple[str, ...] = ()
@@ -32,10 +33,12 @@
     trying: str = ""
     next_try_ms: int = 0
     segment: str = ""
+    together: tuple[str, ...] = ()
 
     def begin_trial(
         self,
         subject: CrashSubject,
+        together: tuple[str, ...],
         session: str,
         crashed_runs: Collection[str],
         now_ms: int,
@@ -49,6 +52,7 @@
             trying=session,
             next_try_ms=now_ms + int(policy.trial_timeout_ms),
             segment=subject.segment[:_MAX_SEGMENT_CHARS],
+            together=together,
         )
 
     def cancel_trial(self, now_ms: int, policy: CrashPolicy) -> "CrashRecord":
@@ -77,6 +81,7 @@
 
 def decide_verdict(
     subject: CrashSubject,
+    present: Collection[str],
     crashed_runs: Collection[str],
     record: CrashRecord | None,
     now_ms: int,
@@ -84,6 +89,7 @@
 ) -> Verdict:
     """Return whether and how a request with a subject may be sent.
 
+    ``present`` are the fingerprints of all subjects of the request.
     ``crashed_runs`` are the runs of replicas that the subject may have crashed, as this router has
     observed or received from others; ``record`` is its stored record, if any; ``now_ms`` is
     wall-clock time.
@@ -97,7 +103,11 @@
     pause_ms = record.next_try_ms - now_ms
     if pause_ms <= 0:
         return Verdict.TRY
-    return Verdict.WAIT if record.trying or pause_ms <= policy.short_pause_ms else Verdict.REFUSE
+    if record.trying or pause_ms <= policy.short_pause_ms:
+        return Verdict.WAIT
+    # A request without one of the segments of the last trial tells them apart.
+    is_distinct = any(each not in present for each in record.together)
+    return Verdict.TRY if is_distinct and record.tries < policy.quick_trials else Verdict.REFUSE
 
 
 def encode_record(record: CrashRecord) -> bytes:
--- a/src/aspengate/gateway/_crash_guard.py
+++ b/src/aspengate/gateway/_crash_guard.py
@@ -114,7 +114,8 @@
         """Return the subjects of a request that need a trial; raises as ``admit``."""
         if trial is not None and not trial.sent:
             return ()
-        verdicts = {subject: self._verdict(subject) for subject in subjects}
+        present = {subject.fingerprint for subject in subjects}
+        verdicts = {subject: self._verdict(subject, present) for subject in subjects}
         for refused in (Verdict.REFUSE, Verdict.WAIT):
             for subject, verdict in verdicts.items():
                 if verdict is refused:
@@ -124,8 +125,8 @@
             raise self._refusal(suspects[0], Verdict.WAIT)
         return suspects
 
-    def _verdict(self, subject: CrashSubject) -> Verdict:
-        """Return the verdict on requests with a subject.
+    def _verdict(self, subject: CrashSubject, present: Collection[str]) -> Verdict:
+        """Return the verdict on a request with a subject, among the fingerprints ``present``.
 
         A recent complete answer clears a segment. One trial in the whole fleet, while all other
         requests wait, would hold up each request of a route whose first segment is suspect.
@@ -134,6 +135,7 @@
             return Verdict.SEND
         return decide_verdict(
             subject,
+            present,
             self.suspects.crashed_runs(subject.fingerprint),
             self.records.get(subject.fingerprint),
             self._clock.now_ms(),
--- a/src/aspengate/gateway/_crash_records.py
+++ b/src/aspengate/gateway/_crash_records.py
@@ -174,11 +174,14 @@
         """
         now = self._clock.now_ms()
         begun = {}
+        segments = [subject.fingerprint for subject in subjects if subject.segment]
         for subject in subjects:
+            others = tuple(each for each in segments if each != subject.fingerprint)
+            together = others if subject.segment else ()
             cached = self._records.get(subject.fingerprint) or _ABSENT
             runs = self._crashed_runs(subject.fingerprint)
             record = (cached.record or CrashRecord()).begin_trial(
-                subject, self.session, runs, now, self._policy
+                subject, together, self.session, runs, now, self._policy
             )
             begun[subject.fingerprint] = replace(cached, record=record)
         try:
