Add a failing test for a caller who gets another's segment refused

A caller whose streams name another caller's segment, each with one of several own segments that crash replicas, gets the other's segment refused by all routers, for ten minutes after the second trial and for good after the third, as long as no router has answered a request with it within 30 s.

Cause: a trial remembers only the other suspects as what it can't be told apart from, and the crashing segment of the moment is none yet; each such trial counts against the segment that comes again. What was learned: to remember all other segments of the request is not enough. If joint trials don't count, a segment that crashes replicas beside ever new ones has no bound; it needs one trial on its own within the three. Seen: quarantined at 4 of 4 routers.

--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -47,6 +47,12 @@
     When two segments of a request were on three crashed replicas, and a trial of both crashed one
     Then a request with one of them is tried, and its answer clears that one only
 
+  # A caller names a segment of another one together with several that crash replicas.
+  Scenario: A caller with several crashing segments does not get another caller's segment refused
+    Given 4 routers that share the records of a store
+    When a caller's streams name another's segment, each with one of several that crash replicas
+    Then a request with the other caller's segment alone is sent or tried
+
   Scenario: An answer without output does not clear a segment
     Given 4 routers that share the records of a store
     When a segment was on three crashed replicas, and an answer without output is recorded
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -641,6 +641,36 @@
     assert found == {ErrorKind.QUARANTINED: context.count}, found
 
 
+@when("a caller's streams name another's segment, each with one of several that crash replicas")
+def several_crashing_segments(context):
+    """Send such streams for some seconds; each that a router admits crashes its replica."""
+    simulation = context.simulation = CrashSimulation(context.count, 1)
+    for number in range(40):
+        simulation.numbers += 1
+        subjects = crash_subjects(f"{simulation.numbers:032x}", [f"crashing-{number % 4}", "other"])
+        router = simulation.routers[number % context.count]
+        router.load_records()
+        try:
+            trial = router.guard.admit(subjects, None)
+        except AspengateError:
+            simulation.advance(250)
+            continue
+        if trial is not None:
+            trial.sent = True
+        run = f"i-{simulation.numbers}"
+        simulation.ended.add(run)
+        router.guard.record_lost(subjects, run, run, trial)
+        if trial is not None:
+            router.guard.end_trial(trial)
+        simulation.advance(250)
+
+
+@then("a request with the other caller's segment alone is sent or tried")
+def other_segment_admitted(context):
+    found = verdicts(context.simulation, lambda: crash_subjects("d" * 32, ["other"]))
+    assert found["sent"] + found["tried"] > 0, found
+
+
 @when("a segment was on three crashed replicas, and then 200 other requests are lost with one")
 def many_lost(context):
     simulation = context.simulation = CrashSimulation(context.count, 1)
