--- a/features/upgrades.feature
+++ b/features/upgrades.feature
@@ -16,6 +16,7 @@
       | f615bed |
       | 468d9e5 |
       | eee42fe |
+      | 643df23 |
 
   Scenario: The build that landed last reads what the current build writes
     Given the build that landed last, from the history
