Make the restarted replica of a test receive its request whatever it measured before

Cause: the step sent five requests and relied on one of them to reach the used replica. Beside it stands one without observations, which counts as equal; if the used replica's first eight responses were slow, the other one is the faster one after a single response and gets the rest, until the estimate has aged.

--- a/features/steps/gateway_answers_steps.py
+++ b/features/steps/gateway_answers_steps.py
@@ -9,6 +9,9 @@
 from aspengate.replicas import Replica, ReplicaRegistry
 from gateway_world import GENEROUS_RETRIES, TOKENS, in_background, start_gateways
 
+# Longer than a plain response takes on a loaded machine, and shorter than its timeout.
+SLOW_RESPONSE_S = 0.15
+
 
 @given("a gateway with one replica per service")
 def one_replica(context):
@@ -328,7 +331,9 @@
     for router in context.fleet.routers:
         assert eventually(lambda: router.find("domain.led"))  # noqa: B023
     use_replica(context, 8)
-    other = context.fleet.add_replica("portal")
+    # It is slower, so that it is tried at most once before the other one is used again.
+    other = context.fleet.add_replica("portal", work_s=SLOW_RESPONSE_S)
+    other.behaviour, other.slow_factor = "slow first", 1.0
     for router in context.fleet.routers:
         assert eventually(lambda: router.find("replica.listed", replica=other.identity))  # noqa: B023
 
@@ -345,7 +350,14 @@
     before = len(replica.requests)
     replica.identity = "i-another"
     first, second = context.fleet.routers
-    context.answers = [request_status(context) for _ in range(5)]
+    context.answers = []
+
+    def is_used_again():
+        context.answers.append(request_status(context))
+        return len(replica.requests) > before
+
+    assert eventually(is_used_again), len(context.answers)
+    context.answers += [request_status(context) for _ in range(5)]
     assert eventually(lambda: first.find("replica.replaced")), first.lines
     assert eventually(lambda: second.find("replica.replaced", told_by=first.name)), second.lines
     context.router = second
