Reserve the last trial of a segment for requests that tell it apart

Cause: a trial named as `together` only the suspects among the request's segments. A crashing segment that was not suspect yet was not among them, so the trial counted against the innocent one alone; and such trials could use up all three.

A trial now names all other segments of its request that the router does not know to be harmless. A request that lacks one of them is tried at once, as before, but the last of the three quick trials is for a request in which no other segment is unproven; and after two ends the last trial in all time is not for a request with another segment that was on a crashed replica. Three trials in all time remain the bound for a segment that does crash replicas.

--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -53,6 +53,16 @@
     When a caller's streams name another's segment, each with one of several that crash replicas
     Then a request with the other caller's segment alone is sent or tried
 
+  Scenario: A caller whose streams each have a new crashing segment does not get another's refused
+    Given 4 routers that share the records of a store
+    When a caller's streams name another's segment, each with a new one that crashes replicas
+    Then a request with the other caller's segment alone is sent or tried
+
+  Scenario: A segment that never occurs alone is tried again after ten minutes
+    Given 4 routers that share the records of a store
+    When a caller's streams name another's segment, each with one of several that crash replicas
+    Then after ten minutes a request with it and a segment that was on no crashed replica is tried
+
   Scenario: An answer without output does not clear a segment
     Given 4 routers that share the records of a store
     When a segment was on three crashed replicas, and an answer without output is recorded
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -268,7 +268,8 @@
     """Simulates streams of different content with one segment that crashes every replica.
 
     Sound streams share the first segment; most of them are answered. ``refused`` counts those that
-    a router refused, of ``sound``. The last segment of the others occurs in no sound stream.
+    a router refused, of ``sound``. The last segment of the others occurs in no sound stream; it is
+    one of ``rare``, and missing from some of them.
     """
 
     crashes = 5
@@ -277,11 +278,14 @@
         super().__init__(count, seed)
         self.sound = 0
         self.refused = 0
+        self.rare = self.source.choice([3, 1_000])
+        self.alone_probability = self.source.choice([0.0, 0.3])
         self.stream_sound()
 
     def subjects(self):
-        rare = f"rare-{self.numbers % 3}"
-        return crash_subjects(f"{self.numbers:032x}", ["first", "crashing", rare])
+        rare = [] if self.source.random() < self.alone_probability else [self.numbers % self.rare]
+        segments = ["first", "crashing", *(f"rare-{each}" for each in rare)]
+        return crash_subjects(f"{self.numbers:032x}", segments)
 
     def stream_sound(self):
         """Have some routers answer a sound stream, unless they refuse it."""
@@ -643,11 +647,21 @@
 
 @when("a caller's streams name another's segment, each with one of several that crash replicas")
 def several_crashing_segments(context):
-    """Send such streams for some seconds; each that a router admits crashes its replica."""
+    crash_beside_segment(context, kinds=4)
+
+
+@when("a caller's streams name another's segment, each with a new one that crashes replicas")
+def new_crashing_segments(context):
+    crash_beside_segment(context, kinds=40)
+
+
+def crash_beside_segment(context, kinds):
+    """Send streams for ten seconds; each that a router admits crashes its replica."""
     simulation = context.simulation = CrashSimulation(context.count, 1)
     for number in range(40):
         simulation.numbers += 1
-        subjects = crash_subjects(f"{simulation.numbers:032x}", [f"crashing-{number % 4}", "other"])
+        segments = [f"crashing-{number % kinds}", "other"]
+        subjects = crash_subjects(f"{simulation.numbers:032x}", segments)
         router = simulation.routers[number % context.count]
         router.load_records()
         try:
@@ -671,6 +685,14 @@
     assert found["sent"] + found["tried"] > 0, found
 
 
+@then("after ten minutes a request with it and a segment that was on no crashed replica is tried")
+def tried_after_ten_minutes(context):
+    simulation = context.simulation
+    simulation.advance(600_000)
+    found = verdicts(simulation, lambda: crash_subjects("d" * 32, ["other", "sound"]))
+    assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
+
+
 @when("a segment was on three crashed replicas, and then 200 other requests are lost with one")
 def many_lost(context):
     simulation = context.simulation = CrashSimulation(context.count, 1)
--- a/src/aspengate/crashes/__init__.py
+++ b/src/aspengate/crashes/__init__.py
@@ -16,7 +16,12 @@
     decode_record,
     encode_record,
 )
-from aspengate.crashes._subjects import CrashSubject, crash_subjects, is_segment_fingerprint
+from aspengate.crashes._subjects import (
+    CrashSubject,
+    RequestSubjects,
+    crash_subjects,
+    is_segment_fingerprint,
+)
 from aspengate.crashes._suspects import SuspectTracker, replica_of_run
 
 __all__ = [
@@ -25,6 +30,7 @@
     "CrashPolicy",
     "CrashRecord",
     "CrashSubject",
+    "RequestSubjects",
     "SuspectTracker",
     "Verdict",
     "crash_subjects",
--- a/src/aspengate/crashes/_record.py
+++ b/src/aspengate/crashes/_record.py
@@ -6,7 +6,7 @@
 from msgspec.structs import replace
 
 from aspengate.crashes._policy import CrashPolicy, Verdict
-from aspengate.crashes._subjects import CrashSubject, is_segment_fingerprint
+from aspengate.crashes._subjects import CrashSubject, RequestSubjects, is_segment_fingerprint
 from aspengate.store import decode_value
 
 RECORD_PREFIX = "aspengate/crashes/"
@@ -23,8 +23,9 @@
     ``ends`` are the runs of replicas that it may have crashed. ``tries`` counts its
     trials, and ``ended`` those that crashed their replica. ``trying`` is the session of the router
     that is running a trial, and empty if there is none. No trial starts before ``next_try_ms``, in
-    wall-clock milliseconds. ``together`` are the fingerprints of the other segments that were on
-    the same trial, so that its outcome does not tell which of them crashed the replica.
+    wall-clock milliseconds. ``together`` are the fingerprints of the other segments that the last
+    trial's request had and that were not known to be harmless, so that its outcome does not tell
+    which of them crashed the replica.
     """
 
     ends: tuple[str, ...] = ()
@@ -38,7 +39,7 @@
     def begin_trial(
         self,
         subject: CrashSubject,
-        together: tuple[str, ...],
+        together: Collection[str],
         session: str,
         crashed_runs: Collection[str],
         now_ms: int,
@@ -52,7 +53,7 @@
             trying=session,
             next_try_ms=now_ms + int(policy.trial_timeout_ms),
             segment=subject.segment[:_MAX_SEGMENT_CHARS],
-            together=together,
+            together=tuple(sorted(together)),
         )
 
     def cancel_trial(self, now_ms: int, policy: CrashPolicy) -> "CrashRecord":
@@ -81,7 +82,7 @@
 
 def decide_verdict(
     subject: CrashSubject,
-    present: Collection[str],
+    request: RequestSubjects,
     crashed_runs: Collection[str],
     record: CrashRecord | None,
     now_ms: int,
@@ -89,7 +90,6 @@
 ) -> Verdict:
     """Return whether and how a request with a subject may be sent.
 
-    ``present`` are the fingerprints of all subjects of the request.
     ``crashed_runs`` are the runs of replicas that the subject may have crashed, as this router has
     observed or received from others; ``record`` is its stored record, if any; ``now_ms`` is
     wall-clock time.
@@ -102,12 +102,37 @@
         return Verdict.REFUSE
     pause_ms = record.next_try_ms - now_ms
     if pause_ms <= 0:
-        return Verdict.TRY
+        may_try = _may_try_after_pause(subject, request, record, policy)
+        return Verdict.TRY if may_try else Verdict.REFUSE
     if record.trying or pause_ms <= policy.short_pause_ms:
         return Verdict.WAIT
-    # A request without one of the segments of the last trial tells them apart.
-    is_distinct = any(each not in present for each in record.together)
-    return Verdict.TRY if is_distinct and record.tries < policy.quick_trials else Verdict.REFUSE
+    may_try = _may_try_within_pause(subject, request, record, policy)
+    return Verdict.TRY if may_try else Verdict.REFUSE
+
+
+def _may_try_after_pause(
+    subject: CrashSubject, request: RequestSubjects, record: CrashRecord, policy: CrashPolicy
+) -> bool:
+    """Return whether a request may be the next trial, which is the last one if it crashes too.
+
+    The last one is reserved for a request without other segments that were on crashed replicas.
+    """
+    is_last = record.ended >= policy.max_crashed_trials - 1
+    return not (is_last and request.beside(subject) & request.crashed)
+
+
+def _may_try_within_pause(
+    subject: CrashSubject, request: RequestSubjects, record: CrashRecord, policy: CrashPolicy
+) -> bool:
+    """Return whether a request tells apart the segments that were on the last trial.
+
+    The last one of the quick trials is reserved for a request in which the segment is the only one
+    not known to be harmless.
+    """
+    if request.present.issuperset(record.together):
+        return False
+    trials = policy.quick_trials - bool(request.beside(subject))
+    return record.tries < trials
 
 
 def encode_record(record: CrashRecord) -> bytes:
--- a/src/aspengate/crashes/_subjects.py
+++ b/src/aspengate/crashes/_subjects.py
@@ -29,6 +29,23 @@
         }
 
 
+@dataclass(frozen=True)
+class RequestSubjects:
+    """The fingerprints of all subjects of a request, as far as a router knows them.
+
+    ``unanswered`` are its segments of which the router knows no recent complete answer, and
+    ``crashed`` the ones among them that were on crashed replicas.
+    """
+
+    present: frozenset[str]
+    unanswered: frozenset[str] = frozenset()
+    crashed: frozenset[str] = frozenset()
+
+    def beside(self, subject: CrashSubject) -> frozenset[str]:
+        """Return the other segments that may have crashed a replica instead of a segment."""
+        return self.unanswered - {subject.fingerprint} if subject.segment else frozenset()
+
+
 def crash_subjects(request: str, segments: Iterable[str]) -> tuple[CrashSubject, ...]:
     """Return the subjects of a request with a fingerprint, and with prompt segments by their ids.
 
--- a/src/aspengate/gateway/_crash_guard.py
+++ b/src/aspengate/gateway/_crash_guard.py
@@ -9,6 +9,7 @@
     AnsweredSegments,
     CrashPolicy,
     CrashSubject,
+    RequestSubjects,
     SuspectTracker,
     Verdict,
     decide_verdict,
@@ -105,7 +106,7 @@
         """
         suspects = self.check(subjects, trial)
         if suspects:
-            return self._begin_trial(suspects)
+            return self._begin_trial(suspects, self._describe(subjects))
         return trial if trial is not None and not trial.sent else None
 
     def check(
@@ -114,8 +115,8 @@
         """Return the subjects of a request that need a trial; raises as ``admit``."""
         if trial is not None and not trial.sent:
             return ()
-        present = {subject.fingerprint for subject in subjects}
-        verdicts = {subject: self._verdict(subject, present) for subject in subjects}
+        request = self._describe(subjects)
+        verdicts = {subject: self._verdict(subject, request) for subject in subjects}
         for refused in (Verdict.REFUSE, Verdict.WAIT):
             for subject, verdict in verdicts.items():
                 if verdict is refused:
@@ -125,17 +126,28 @@
             raise self._refusal(suspects[0], Verdict.WAIT)
         return suspects
 
-    def _verdict(self, subject: CrashSubject, present: Collection[str]) -> Verdict:
-        """Return the verdict on a request with a subject, among the fingerprints ``present``.
+    def _describe(self, subjects: tuple[CrashSubject, ...]) -> RequestSubjects:
+        """Return what this router knows of the subjects of a request."""
+        fingerprints = frozenset(subject.fingerprint for subject in subjects)
+        unanswered = frozenset(
+            subject.fingerprint
+            for subject in subjects
+            if subject.segment and not self.answered_segments.is_recent(subject.fingerprint)
+        )
+        crashed = frozenset(each for each in unanswered if self.suspects.crashed_runs(each))
+        return RequestSubjects(fingerprints, unanswered, crashed)
+
+    def _verdict(self, subject: CrashSubject, request: RequestSubjects) -> Verdict:
+        """Return the verdict on a request with a subject.
 
         A recent complete answer clears a segment. One trial in the whole fleet, while all other
         requests wait, would hold up each request of a route whose first segment is suspect.
         """
-        if subject.segment and self.answered_segments.is_recent(subject.fingerprint):
+        if subject.segment and subject.fingerprint not in request.unanswered:
             return Verdict.SEND
         return decide_verdict(
             subject,
-            present,
+            request,
             self.suspects.crashed_runs(subject.fingerprint),
             self.records.get(subject.fingerprint),
             self._clock.now_ms(),
@@ -238,9 +250,11 @@
             self._on_ended(run)
         return is_new
 
-    def _begin_trial(self, suspects: tuple[CrashSubject, ...]) -> CrashTrial:
+    def _begin_trial(
+        self, suspects: tuple[CrashSubject, ...], request: RequestSubjects
+    ) -> CrashTrial:
         try:
-            may_start = self.records.begin_trial(suspects)
+            may_start = self.records.begin_trial(suspects, request)
             recorded = True
         except AspengateError as error:
             for subject in suspects:
--- a/src/aspengate/gateway/_crash_records.py
+++ b/src/aspengate/gateway/_crash_records.py
@@ -11,6 +11,7 @@
     CrashPolicy,
     CrashRecord,
     CrashSubject,
+    RequestSubjects,
     decode_record,
     encode_record,
 )
@@ -166,22 +167,19 @@
                     fingerprint, RecordChange.REMOVE if is_removed else RecordChange.WRITE_AGAIN
                 )
 
-    def begin_trial(self, subjects: Collection[CrashSubject]) -> bool:
-        """Record the start of a trial of all subjects in one write.
+    def begin_trial(self, subjects: Collection[CrashSubject], request: RequestSubjects) -> bool:
+        """Record the start of a trial of some subjects of a request in one write.
 
         Returns False if another router changed one of the records first. Raises STORE_UNAVAILABLE
         or OUTCOME_UNKNOWN if the write is not confirmed.
         """
         now = self._clock.now_ms()
         begun = {}
-        segments = [subject.fingerprint for subject in subjects if subject.segment]
         for subject in subjects:
-            others = tuple(each for each in segments if each != subject.fingerprint)
-            together = others if subject.segment else ()
             cached = self._records.get(subject.fingerprint) or _ABSENT
             runs = self._crashed_runs(subject.fingerprint)
             record = (cached.record or CrashRecord()).begin_trial(
-                subject, together, self.session, runs, now, self._policy
+                subject, request.beside(subject), self.session, runs, now, self._policy
             )
             begun[subject.fingerprint] = replace(cached, record=record)
         try:
