Check a request again that waited for a permit or a connection

What callers saw: replicas that a segment crashes lost further streams with it after the verdict, where the streams had been waiting for a permit of a replica with a rate limit.

Cause: a request was admitted once, before it waited, up to half of the time left until its objective for a permit and up to a second for a connection. What became known meanwhile did not count.

An attempt now has its request admitted again before its first byte, if that was longer ago than 10 ms.

--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -78,6 +78,11 @@
     When streams with it have crashed three of them, and the others refuse ten more streams with it
     Then at most three of these reach a replica
 
+  Scenario: Streams with a crashing segment that wait for a permit are checked again
+    Given a gateway before six engine replicas that a prompt segment crashes
+    When all replicas announce a rate limit, and streams with the segment wait for permits
+    Then one stream is sent as a trial after the third crash, and no other one
+
   Scenario: A router that starts receives the segment with the most crashes
     Given 4 routers that share the records of a store
     When a segment was on three crashed replicas, and then 200 other requests are lost with one
--- a/features/steps/crashing_segments_steps.py
+++ b/features/steps/crashing_segments_steps.py
@@ -20,9 +20,18 @@
 CALM_S = 2.0
 CRASHING_S = 12.0
 REPLACEMENT_S = 2.5
+DETECTED_S = 0.1
+# Sound streams arrive slightly faster than the limits of six replicas allow, so that permits are
+# used up and become ready one after the other.
+LIMIT = "2"
+LIMITED_S = 8.0
+LIMITED_INTERVAL_S = 0.09
+WAITING_S = 3.0
+WAITING_INTERVAL_S = 0.02
 STORE_AWAY_S = 3.0
 CRASHING_INTERVAL_S = 0.25
 SOUND_INTERVAL_S = 0.05
+SOUND_PROMPT = ["f1:300", "m1:200"]
 # The prompts of crashing streams by the place of the segment; the last segment is the stream's own.
 CRASHING_PROMPTS = {
     "first": [f"{SEGMENT}:300", "f1:300", "m1:200"],
@@ -233,6 +242,26 @@
     assert 1 <= context.reached <= MAX_LATE_ARRIVALS, context.reached
 
 
+@when("all replicas announce a rate limit, and streams with the segment wait for permits")
+def streams_wait(context):
+    fleet = context.segments
+    for replica in context.fleet.of("engine"):
+        replica.limit = LIMIT
+    until_s = time.monotonic() + LIMITED_S
+    fleet.repeat(lambda: fleet.stream(SOUND_PROMPT), LIMITED_INTERVAL_S, until_s)
+    until_s += WAITING_S
+    prompt = CRASHING_PROMPTS["in the middle"]
+    fleet.repeat(lambda: fleet.stream(prompt), WAITING_INTERVAL_S, until_s)
+
+
+@then("one stream is sent as a trial after the third crash, and no other one")
+def one_trial_only(context):
+    fleet = context.segments
+    assert eventually(lambda: context.router.find("crash.tried")), "no trial"
+    known_s = fleet.crash_times[MIN_CRASHES - 1] + DETECTED_S
+    assert sum(at_s > known_s for at_s in fleet.arrivals()) <= 1, (known_s, fleet.arrivals())
+
+
 @when(
     "sound streams share an account and segments with streams that have it {place}, and {failure}"
 )
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -87,6 +87,7 @@
     closes it, which makes the replica cancel the request. An attempt that is abandoned for a retry
     stays open until the retry has a response; ``await_late_response`` waits for its own one.
 
+    ``recheck_admission`` is called before the send and raises if the request may no longer be sent.
     ``replica_run`` identifies the replica's current process, ``replica`` is the replica as of its
     record before the send, and ``rollout`` is set once the request is sent to a replica of a
     rollout's cohort. ``has_output`` is set once the replica's output has been relayed: an event, or
@@ -102,6 +103,7 @@
         timeouts: AttemptTimeouts,
         permit: Permit,
         replica_run: str,
+        recheck_admission: Callable[[], None] = lambda: None,
     ) -> None:
         self.dependencies = dependencies
         self.exchange = exchange
@@ -111,6 +113,7 @@
         self.timeouts = timeouts
         self.permit = permit
         self.replica_run = replica_run
+        self.recheck_admission = recheck_admission
         self.replica = candidate.view.replica
         self.sent = False
         self.sent_ms = float("inf")
@@ -134,9 +137,11 @@
         """Send the request and return the response once its head has arrived.
 
         Raises RetryableAttemptError if the replica is not reached, no longer accepts requests, or
-        is abandoned by a timeout; otherwise UPSTREAM_FAILED, DEADLINE_EXCEEDED or CallerGoneError.
+        is abandoned by a timeout; otherwise UPSTREAM_FAILED, DEADLINE_EXCEEDED or CallerGoneError,
+        or the error of ``recheck_admission``.
         """
         connection = self._connect()
+        self.recheck_admission()
         head = self._head(last_event_id)
         self._check_availability()
         self.sent = True
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -23,6 +23,9 @@
 _SUCCESS = range(200, 300)
 _SERVER_ERROR = range(500, 600)
 _MAX_UNSENT_ATTEMPTS = 4
+# An admission by the crash guard is checked again before the send if it is older than this, in ms:
+# the wait for a permit or a connection may have taken seconds.
+_ADMISSION_VALID_MS = 10.0
 _REPLICA_FAILURES = frozenset({ErrorKind.UPSTREAM_FAILED, ErrorKind.DEADLINE_EXCEEDED})
 
 
@@ -67,6 +70,7 @@
         again twice a second crashed 20 replicas in 40 s.
         """
         progress.crash_trial = self.crashes.admit(exchange.crash_subjects, progress.crash_trial)
+        progress.crash_checked_ms = self.dependencies.clock.monotonic_ms()
 
     def _run_attempts(
         self, exchange: Exchange, caller: CallerConnection, progress: Progress
@@ -192,7 +196,21 @@
             exchange.known_route, candidate, self.dependencies.clock, may_retry
         )
         replica_run = self.crashes.current_run(candidate.view.incarnation)
-        attempt = Attempt(self.dependencies, exchange, candidate, timeouts, permit, replica_run)
+
+        def recheck_admission() -> None:
+            now = self.dependencies.clock.monotonic_ms()
+            if now - progress.crash_checked_ms > _ADMISSION_VALID_MS:
+                self._admit(exchange, progress)
+
+        attempt = Attempt(
+            self.dependencies,
+            exchange,
+            candidate,
+            timeouts,
+            permit,
+            replica_run,
+            recheck_admission,
+        )
         progress.all_attempts.append(attempt)
         return attempt
 
--- a/src/aspengate/gateway/_progress.py
+++ b/src/aspengate/gateway/_progress.py
@@ -20,13 +20,14 @@
     ``sent_attempts`` is how many of ``all_attempts`` were sent to a replica, without misdirected
     ones; ``unsent_attempts`` is how many were not sent. ``retry_decisions`` holds the decisions on
     its retries, and ``crash_trial`` the permission to send it although replicas crashed while they
-    ran it. ``started_ms`` is when the request was complete and its handling started,
-    ``admitted_ms`` when the filters admitted it, both in monotonic time. ``last_event_id`` is the
-    id of the last event that the caller received, ``events`` the number of events received, and
-    ``longest_gap_ms`` the longest pause between two of them. ``is_complete`` is set once a stream
-    has been relayed to its end. ``settled_tokens`` is the number of tokens charged to the account.
-    ``allowed_regions`` are the regions that the last attempt was restricted to, None if to none.
-    ``abandoned`` is the attempt that was abandoned for a retry which has no response yet.
+    ran it, last checked at ``crash_checked_ms``. ``started_ms`` is when the request was complete
+    and its handling started, ``admitted_ms`` when the filters admitted it, all in monotonic time.
+    ``last_event_id`` is the id of the last event that the caller received, ``events`` the number of
+    events received, and ``longest_gap_ms`` the longest pause between two of them. ``is_complete``
+    is set once a stream has been relayed to its end. ``settled_tokens`` is the number of tokens
+    charged to the account. ``allowed_regions`` are the regions that the last attempt was restricted
+    to, None if to none. ``abandoned`` is the attempt that was abandoned for a retry which has no
+    response yet.
     ``pin`` is the version that the stream is restricted to, None before its first event.
     """
 
@@ -38,6 +39,7 @@
     all_attempts: "list[Attempt]" = field(default_factory=list)
     retry_decisions: list[RetryDecision] = field(default_factory=list)
     crash_trial: "CrashTrial | None" = None
+    crash_checked_ms: float = 0.0
     status: int = 0
     last_event_id: str = ""
     events: int = 0
