Follow a segment with an empty id like any other

What callers saw: sound streams whose prompt names a segment with an empty id (":800") were refused after three crashes and a trial, although it had just been answered.

Cause: whether a subject is a segment was read from its fingerprint in one place and from its id, which may be empty, in the others: it was suspected like a segment, and cleared like a whole request.

The fingerprint decides everywhere now (`CrashSubject.is_segment`). Evidence: the new scenario failed before and passes.

--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -32,6 +32,11 @@
     When a segment was answered at every router, and six replicas with it terminate
     Then every router sends requests with it
 
+  Scenario: A segment with an empty id that was answered recently is not refused
+    Given 4 routers that share the records of a store
+    When a segment with an empty id was answered at every router, and six replicas with it terminate
+    Then every router sends requests with it
+
   Scenario: An answer at another router ends a wrong verdict on a segment
     Given 4 routers that share the records of a store
     When a segment's trial crashed a replica, and then a router answers a request with it
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -119,6 +119,7 @@
     crashes = CRASHES
 
     def __init__(self, count, seed):
+        self.segment = "shared"
         self.source = random.Random(seed)
         self.kill_probability = self.source.choice([0.1, 0.5, 0.9])
         self.calm_weight = self.source.choice([12, 60, 1_000])
@@ -546,7 +547,7 @@
 def segment_request(simulation):
     """Return the subjects of another request that has the segment."""
     simulation.numbers += 1
-    return crash_subjects(f"{simulation.numbers:032x}", ["shared"])
+    return crash_subjects(f"{simulation.numbers:032x}", [simulation.segment])
 
 
 def crash_with_segment(simulation, count):
@@ -570,7 +571,17 @@
 
 @when("a segment was answered at every router, and six replicas with it terminate")
 def answered_segment(context):
+    crash_answered_segment(context, "shared")
+
+
+@when("a segment with an empty id was answered at every router, and six replicas with it terminate")
+def answered_empty_id(context):
+    crash_answered_segment(context, "")
+
+
+def crash_answered_segment(context, segment):
     simulation = context.simulation = CrashSimulation(context.count, 1)
+    simulation.segment = segment
     for router in simulation.routers:
         answer_segment(simulation, router)
     crash_with_segment(simulation, 6)
--- a/src/aspengate/crashes/_record.py
+++ b/src/aspengate/crashes/_record.py
@@ -6,7 +6,7 @@
 from msgspec.structs import replace
 
 from aspengate.crashes._policy import CrashPolicy, Verdict
-from aspengate.crashes._subjects import CrashSubject, RequestSubjects, is_segment_fingerprint
+from aspengate.crashes._subjects import CrashSubject, RequestSubjects
 from aspengate.store import decode_value
 
 RECORD_PREFIX = "aspengate/crashes/"
@@ -95,8 +95,7 @@
     wall-clock time.
     """
     if record is None:
-        is_segment = is_segment_fingerprint(subject.fingerprint)
-        allowed = policy.suspect_segment_crashes if is_segment else policy.suspect_crashes
+        allowed = policy.suspect_segment_crashes if subject.is_segment else policy.suspect_crashes
         return Verdict.SEND if len(crashed_runs) < allowed else Verdict.TRY
     if record.ended >= policy.max_crashed_trials:
         return Verdict.REFUSE
--- a/src/aspengate/crashes/_subjects.py
+++ b/src/aspengate/crashes/_subjects.py
@@ -15,17 +15,23 @@
 class CrashSubject:
     """A property of requests that may crash replicas, identified by its fingerprint.
 
-    ``segment`` is the id of a prompt segment, and empty for the content of a whole request.
+    ``segment`` is the id of a prompt segment, which may be empty, and empty for the content of a
+    whole request.
     """
 
     fingerprint: str
     segment: str = ""
 
+    @property
+    def is_segment(self) -> bool:
+        """Whether the subject is a prompt segment and not the content of a whole request."""
+        return is_segment_fingerprint(self.fingerprint)
+
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that identify the subject."""
         return {
             "content": self.fingerprint,
-            **({"segment": self.segment} if self.segment else {}),
+            **({"segment": self.segment} if self.is_segment else {}),
         }
 
 
@@ -43,7 +49,7 @@
 
     def beside(self, subject: CrashSubject) -> frozenset[str]:
         """Return the other segments that may have crashed a replica instead of a segment."""
-        return self.unanswered - {subject.fingerprint} if subject.segment else frozenset()
+        return self.unanswered - {subject.fingerprint} if subject.is_segment else frozenset()
 
 
 def crash_subjects(request: str, segments: Iterable[str]) -> tuple[CrashSubject, ...]:
--- a/src/aspengate/gateway/_crash_guard.py
+++ b/src/aspengate/gateway/_crash_guard.py
@@ -132,7 +132,7 @@
         unanswered = frozenset(
             subject.fingerprint
             for subject in subjects
-            if subject.segment and not self.answered_segments.is_recent(subject.fingerprint)
+            if subject.is_segment and not self.answered_segments.is_recent(subject.fingerprint)
         )
         crashed = frozenset(each for each in unanswered if self.suspects.crashed_runs(each))
         return RequestSubjects(fingerprints, unanswered, crashed)
@@ -143,7 +143,7 @@
         A recent complete answer clears a segment. One trial in the whole fleet, while all other
         requests wait, would hold up each request of a route whose first segment is suspect.
         """
-        if subject.segment and subject.fingerprint not in request.unanswered:
+        if subject.is_segment and subject.fingerprint not in request.unanswered:
             return Verdict.SEND
         return decide_verdict(
             subject,
@@ -206,9 +206,9 @@
         The answer clears its segments only if a replica has generated output (``has_output``).
         """
         for subject in subjects:
-            if subject.segment and not has_output:
+            if subject.is_segment and not has_output:
                 continue
-            if subject.segment:
+            if subject.is_segment:
                 self.answered_segments.record(subject.fingerprint)
             if trial is not None:
                 trial.cleared.add(subject.fingerprint)
@@ -295,7 +295,7 @@
         record = self.records.get(subject.fingerprint)
         crashed_runs = self.suspects.crashed_runs(subject.fingerprint)
         runs = crashed_runs.union(record.ends if record else ())
-        name = f"segment {subject.segment[:_MAX_SEGMENT_CHARS]}" if subject.segment else "it"
+        name = f"segment {subject.segment[:_MAX_SEGMENT_CHARS]}" if subject.is_segment else "it"
         if verdict is Verdict.REFUSE:
             self._counters.count("crashes.refused")
             message = f"{len(runs)} replicas ended under {name}: {', '.join(sorted(runs))}"
--- a/src/aspengate/gateway/_crash_trial.py
+++ b/src/aspengate/gateway/_crash_trial.py
@@ -21,7 +21,7 @@
     @property
     def has_segments(self) -> bool:
         """Whether a prompt segment is on trial."""
-        return any(subject.segment for subject in self.subjects)
+        return any(subject.is_segment for subject in self.subjects)
 
     @property
     def remaining(self) -> list[str]:
