Pause for ten minutes after three trials whose routers died

What callers saw: a request or segment whose trial killed its router along with the replica was tried again every 20 s, without end: 35 sends in 700 s in the new scenario, of three allowed in ten minutes.

Cause: the pause follows from the outcome that a router records. Where it died in the trial, the record only said that the trial expires after 20 s, and an expired one allowed the next, however many there had been; the design said such a trial counts as made.

An expired trial is now read as one without an outcome that ended when it began: three are followed by the long pause.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -86,6 +86,11 @@
       | 2       |
       | 6       |
 
+  Scenario: A request whose router dies in each of three trials is refused for ten minutes
+    Given 4 routers that share the records of a store
+    When a request was on two crashed replicas, and the router of each of its trials is killed
+    Then it gets three trials in a minute and is then refused for ten minutes
+
   Scenario: A request with inconclusive trials gets three of them before a long pause
     Given 4 routers that share the records of a store
     When a request was on two crashed replicas, and its caller disconnects during each trial
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -454,12 +454,29 @@
     context.trials = trial_seconds(record_crashes(context, 2), 610_000, crashes=False)
 
 
+@when("a request was on two crashed replicas, and the router of each of its trials is killed")
+def killed_in_trials(context):
+    simulation = record_crashes(context, 2)
+    context.trials = []
+    for second in range(700):
+        if verdicts(simulation)["tried"]:
+            context.trials.append(second)
+            simulation.trial_router.begin()
+        simulation.advance(1_000)
+
+
 @then("it gets three trials and is then refused for ten minutes")
 def three_trials(context):
     assert len(context.trials) == 4, context.trials
     assert context.trials[2] < 10 and context.trials[3] >= 600, context.trials
 
 
+@then("it gets three trials in a minute and is then refused for ten minutes")
+def three_trials_in_a_minute(context):
+    assert len(context.trials) == 4, context.trials
+    assert context.trials[2] < 60 and context.trials[3] >= context.trials[2] + 600, context.trials
+
+
 @when(
     "a request was on two crashed replicas, its caller disconnects during two trials, "
     "and the third one crashes a replica"
--- a/src/aspengate/crashes/_record.py
+++ b/src/aspengate/crashes/_record.py
@@ -75,6 +75,12 @@
             next_try_ms=now_ms + int(pause_ms),
         )
 
+    def end_lost_trial(self, policy: CrashPolicy) -> "CrashRecord":
+        """Return the record after a trial whose router reports no outcome: it is inconclusive."""
+        begun_ms = self.next_try_ms - int(policy.trial_timeout_ms)
+        pause_ms = policy.pause_after(self.tries, self.ended, has_ended=False)
+        return replace(self, trying="", next_try_ms=begun_ms + int(pause_ms))
+
 
 def _merge_runs(one: Collection[str], other: Collection[str]) -> tuple[str, ...]:
     return tuple(sorted({*one, *other}))[:_MAX_CRASHED_RUNS]
@@ -97,6 +103,8 @@
     if record is None:
         allowed = policy.suspect_segment_crashes if subject.is_segment else policy.suspect_crashes
         return Verdict.SEND if len(crashed_runs) < allowed else Verdict.TRY
+    if record.trying and record.next_try_ms <= now_ms:
+        record = record.end_lost_trial(policy)
     if record.ended >= policy.max_crashed_trials:
         return Verdict.REFUSE
     pause_ms = record.next_try_ms - now_ms
