End the trial of a router that has started again

Cause: only the end of its 20 s ended the trial of a router that could not report an outcome.

A router whose current session is another one no longer runs the trials of its earlier sessions: they count as over, without an outcome, and as made. At most three in ten minutes remain. Evidence: the new scenario failed before and passes (the next trial after 1 s).

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -91,6 +91,11 @@
     When a request was on two crashed replicas, and the router of each of its trials is killed
     Then it gets three trials in a minute and is then refused for ten minutes
 
+  Scenario: A trial of a router that has restarted does not delay the next one
+    Given 4 routers that share the records of a store
+    When a request was on two crashed replicas, and the router of its trial is killed and restarted
+    Then another router runs a trial after a second
+
   Scenario: A request with inconclusive trials gets three of them before a long pause
     Given 4 routers that share the records of a store
     When a request was on two crashed replicas, and its caller disconnects during each trial
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -96,8 +96,11 @@
             reaches_store=lambda: not self.link.cut,
             is_first=lambda content: self is self.simulation.routers[0],
             has_ended=lambda address: address in self.simulation.ended,
+            is_superseded=lambda session: (
+                session not in {each.session for each in self.simulation.routers}
+            ),
         )
-        self.guard.records.session = f"{self.name}.{self.runs}"
+        self.session = self.guard.records.session = f"{self.name}.{self.runs}"
 
     def is_in_sync(self):
         return (
@@ -471,6 +474,21 @@
     assert context.trials[2] < 10 and context.trials[3] >= 600, context.trials
 
 
+@when("a request was on two crashed replicas, and the router of its trial is killed and restarted")
+def restarted_in_trial(context):
+    simulation = record_crashes(context, 2)
+    assert verdicts(simulation)["tried"] == 1
+    simulation.trial_router.begin()
+    assert verdicts(simulation) == {ErrorKind.SUSPECTED: context.count}
+
+
+@then("another router runs a trial after a second")
+def trial_after_restart(context):
+    simulation = context.simulation
+    simulation.advance(1_000)
+    assert verdicts(simulation) == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}
+
+
 @then("it gets three trials in a minute and is then refused for ten minutes")
 def three_trials_in_a_minute(context):
     assert len(context.trials) == 4, context.trials
--- a/src/aspengate/gateway/_crash_guard.py
+++ b/src/aspengate/gateway/_crash_guard.py
@@ -8,6 +8,7 @@
 from aspengate.crashes import (
     AnsweredSegments,
     CrashPolicy,
+    CrashRecord,
     CrashSubject,
     RequestSubjects,
     SuspectTracker,
@@ -41,6 +42,7 @@
     router, and ``has_ended`` whether the process at an address has terminated. ``is_first``
     returns whether this router is the one that may run a trial of a subject while the store is
     unavailable, and ``rewrites_lost`` whether it writes a record again that the store has lost.
+    ``is_superseded`` returns whether the router of a session has started again since.
     ``docs/design/crashes.md`` explains why the limit holds across all routers.
     """
 
@@ -58,6 +60,7 @@
             each, _PROBE_TIMEOUT_MS
         ),
         rewrites_lost: Callable[[str], bool] = lambda _: True,
+        is_superseded: Callable[[str], bool] = lambda _: False,
     ) -> None:
         self.policy = CrashPolicy()
         self.suspects = SuspectTracker(clock)
@@ -79,6 +82,7 @@
         self._reaches_store = reaches_store
         self._has_ended = has_ended
         self._is_first = is_first
+        self._is_superseded = is_superseded
         # Fingerprints of trials that were started without a record.
         self._unrecorded_trials: set[str] = set()
         self._lock = threading.Lock()
@@ -149,11 +153,18 @@
             subject,
             request,
             self.suspects.crashed_runs(subject.fingerprint),
-            self.records.get(subject.fingerprint),
+            self._current_record(subject.fingerprint),
             self._clock.now_ms(),
             self.policy,
         )
 
+    def _current_record(self, fingerprint: str) -> CrashRecord | None:
+        """Return a subject's record; a trial of a router that has started again counts as over."""
+        record = self.records.get(fingerprint)
+        if record is not None and record.trying and self._is_superseded(record.trying):
+            return record.end_lost_trial(self.policy)
+        return record
+
     def end_trial(self, trial: CrashTrial) -> None:
         """Record the outcome of a trial for the subjects that it has not cleared."""
         if not trial.recorded:
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -131,6 +131,7 @@
             reaches_store=lambda: self.peering.reaches_store,
             is_first=lambda content: self.peering.members.is_first(content),
             rewrites_lost=self._rewrites_lost,
+            is_superseded=lambda session: self.peering.members.is_superseded(session),
         )
         self.mirrors = StoreMirrors(
             deployment,
