Test that a request with two suspects is tried while the store is away

The scenario fails without its change (four of four routers refuse the request) and passes with it. The router that ranks first in the simulation now depends on the subject, as it does in the fleet.

--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -52,6 +52,11 @@
     When two segments of a request were on three crashed replicas, and a trial of both crashed one
     Then a request with one of them is tried, and its answer clears that one only
 
+  Scenario: A request with two suspect segments is tried while no router reaches the store
+    Given 4 routers that share the records of a store
+    When two segments of a request were on three crashed replicas, and no router reaches the store
+    Then one router runs one trial of both
+
   # A caller names a segment of another one together with several that crash replicas.
   Scenario: A caller with several crashing segments does not get another caller's segment refused
     Given 4 routers that share the records of a store
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from zlib import crc32
 
 import msgspec
 from behave import given, then, when
@@ -94,7 +95,9 @@
             broadcast=lambda notice: self.simulation.broadcast(self, notice),
             on_ended=lambda run: None,
             reaches_store=lambda: not self.link.cut,
-            is_first=lambda content: self is self.simulation.routers[0],
+            is_first=lambda content: (
+                self is self.simulation.routers[crc32(content.encode()) % self.simulation.count]
+            ),
             has_ended=lambda address: address in self.simulation.ended,
             is_superseded=lambda session: (
                 session not in {each.session for each in self.simulation.routers}
@@ -122,6 +125,7 @@
     crashes = CRASHES
 
     def __init__(self, count, seed):
+        self.count = count
         self.segment = "shared"
         self.source = random.Random(seed)
         self.kill_probability = self.source.choice([0.1, 0.5, 0.9])
@@ -659,8 +663,7 @@
     assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
 
 
-@when("two segments of a request were on three crashed replicas, and a trial of both crashed one")
-def joint_trial(context):
+def crash_with_two_segments(context):
     simulation = context.simulation = CrashSimulation(context.count, 1)
     context.both = lambda: crash_subjects(f"{simulation.numbers:032x}", ["one", "other"])
     for number in range(3):
@@ -670,6 +673,26 @@
         router.guard.record_lost(context.both(), f"i-{number}", f"i-{number}", None)
         simulation.advance(200)
     simulation.numbers += 1
+    return simulation
+
+
+@when("two segments of a request were on three crashed replicas, and no router reaches the store")
+def two_segments_without_store(context):
+    simulation = crash_with_two_segments(context)
+    for router in simulation.routers:
+        router.link.cut = True
+
+
+@then("one router runs one trial of both")
+def trial_of_both(context):
+    found = verdicts(context.simulation, context.both)
+    assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
+    assert len(context.simulation.trial.subjects) == 2
+
+
+@when("two segments of a request were on three crashed replicas, and a trial of both crashed one")
+def joint_trial(context):
+    simulation = crash_with_two_segments(context)
     found = verdicts(simulation, context.both)
     assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
     run_trial(simulation, crashes=True)
