Limit notices of crashes by their size

What callers could see: after many crashes at once, routers did not learn of them, so that a request or segment reached more replicas than allowed.

Cause: a message took 400 entries of each of its three lists, taken for 60 bytes each. The fingerprint of a segment alone has 40. With ids of 40 characters a full message has 68,732 bytes, more than UDP takes; the send fails, and socket errors of sends are ignored, for all three copies.

Messages are cut at 32 KB by the length of their entries.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -134,3 +134,8 @@
     Given 4 routers that share the records of a store
     When a request was on two crashed replicas, and its record is unreadable
     Then one router runs a trial, and the record can be read again
+
+  Scenario: Notices of many crashes fit into datagrams
+    Given 400 segments that were on crashed replicas with ids of 40 characters
+    When a router reports them all at once, the replicas, and that the segments are cleared
+    Then another router receives every entry
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import given as given_any
 from hypothesis import settings
 from hypothesis import strategies as st
+from platform_standins.fleet import eventually
 
 from aspengate.clock import ManualClock
 from aspengate.crashes import (
@@ -21,6 +22,7 @@
 )
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._crash_guard import CrashGuard
+from aspengate.peers import CrashNotice, DatagramPort, LostRun, merge_crashes
 from aspengate.store import ConditionFailedError, MirrorState, StoreItem
 from aspengate.telemetry import NullCounters
 
@@ -851,3 +853,38 @@
             assert isinstance(record, CrashRecord)
 
     check()
+
+
+@given("{count:d} segments that were on crashed replicas with ids of {length:d} characters")
+def many_segments(context, count, length):
+    context.runs = [f"{number:0{length}d}" for number in range(count)]
+    subjects = [crash_subjects(CONTENT, [f"segment {number}"])[0] for number in range(count)]
+    context.fingerprints = [subject.fingerprint for subject in subjects]
+
+
+@when("a router reports them all at once, the replicas, and that the segments are cleared")
+def report_all(context):
+    context.received = []
+    sender, receiver = (
+        DatagramPort(
+            "127.0.0.1:0", NullCounters(), lambda notice, _: context.received.append(notice)
+        )
+        for _ in range(2)
+    )
+    for port in (sender, receiver):
+        context.cleanup.callback(port.close)
+        port.start()
+    lost = list(map(LostRun, context.fingerprints, context.runs))
+    for message in merge_crashes([CrashNotice(lost, context.runs, context.fingerprints)]):
+        sender.send(message, receiver.address)
+    context.lost = lost
+
+
+@then("another router receives every entry")
+def all_received(context):
+    def received(field):
+        return Counter(each for notice in context.received for each in getattr(notice, field))
+
+    assert eventually(lambda: received("cleared") == Counter(context.fingerprints), 10.0)
+    assert received("ended") == Counter(context.runs)
+    assert received("lost") == Counter(context.lost)
--- a/src/aspengate/peers/_notices.py
+++ b/src/aspengate/peers/_notices.py
@@ -18,9 +18,13 @@
 # Delays in ms after which a notice is sent. The first copy is sent at once, since this router may
 # crash as well: its peers then have the notice within some ms. The others replace lost datagrams.
 _SEND_DELAYS_MS = (0.0, 300.0, 1_000.0)
-# Maximum number of entries per list of a message: with about 60 bytes each, it fits into a datagram
+# Maximum number of entries of other messages: with about 60 bytes each, it fits into a datagram
 # of 64 KB.
 _MAX_ENTRIES = 400
+# Maximum size of a notice of crashes, whose entries differ in length, and what the encoding adds to
+# the characters of an entry, in bytes.
+_MAX_NOTICE_BYTES = 32 * 1024
+_ENTRY_OVERHEAD_BYTES = 8
 
 _Notice = TypeVar("_Notice", CrashNotice, LimitNotice, RolloutNotice)
 
@@ -94,22 +98,20 @@
 
 def merge_crashes(notices: Iterable[CrashNotice]) -> list[CrashNotice]:
     """Return messages that contain each entry of the notices once."""
-    lost: dict[LostRun, None] = {}
-    ended: dict[str, None] = {}
-    cleared: dict[str, None] = {}
+    entries: dict[tuple[str, str | LostRun], int] = {}
     for notice in notices:
-        lost.update(dict.fromkeys(notice.lost))
-        ended.update(dict.fromkeys(notice.ended))
-        cleared.update(dict.fromkeys(notice.cleared))
-    longest = max(len(lost), len(ended), len(cleared))
-    return [
-        CrashNotice(
-            list(lost)[first : first + _MAX_ENTRIES],
-            list(ended)[first : first + _MAX_ENTRIES],
-            list(cleared)[first : first + _MAX_ENTRIES],
-        )
-        for first in range(0, longest, _MAX_ENTRIES)
-    ]
+        entries.update((("lost", each), len(each.content) + len(each.run)) for each in notice.lost)
+        entries.update((("ended", each), len(each)) for each in notice.ended)
+        entries.update((("cleared", each), len(each)) for each in notice.cleared)
+    messages: list[CrashNotice] = []
+    size = _MAX_NOTICE_BYTES
+    for (name, entry), length in entries.items():
+        size += length + _ENTRY_OVERHEAD_BYTES
+        if size > _MAX_NOTICE_BYTES:
+            messages.append(CrashNotice([], [], []))
+            size = length + _ENTRY_OVERHEAD_BYTES
+        getattr(messages[-1], name).append(entry)
+    return messages
 
 
 def merge_limits(notices: Iterable[LimitNotice]) -> list[LimitNotice]:
