Add a crashing prompt segment to the soak

With `--crashing` one caller's streams name such a segment beside one that all others share; checked are the number of crashes, against what the design allows for each fault, and that every router answers sound streams in the end.

A run of 20 s is part of the tests. Schedules of the other runs are unchanged.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -13,6 +13,11 @@
       | 2    | 4       |
       | 3    | 4       |
 
+  Scenario: A short run in which a prompt segment crashes replicas violates no invariant
+    When the schedule of seed 8 is run for 20 seconds on 4 gateways before replicas that a segment crashes
+    Then no invariant is violated, and all gateways serve at the end
+    And the segment has crashed replicas
+
   Scenario: A short run in which the store is restored from copies violates no invariant
     When the schedule of seed 1 is run for 25 seconds on 4 gateways whose store is restored from copies
     Then no invariant is violated, and all gateways serve at the end
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -19,6 +19,9 @@
     parser.add_argument("--prepaid", type=int, default=2_000_000, help="tokens")
     parser.add_argument("--earlier", help="commit of the build to upgrade from and roll back to")
     parser.add_argument("--restored", action="store_true", help="restore the store from copies")
+    parser.add_argument(
+        "--crashing", action="store_true", help="a prompt segment crashes engine replicas"
+    )
     parser.add_argument("--logs", type=Path, help="folder for the logs of failed runs")
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
@@ -29,7 +32,12 @@
     for seed in range(int(first), int(last or first) + 1):
         size = (options.routers, options.callers, options.prepaid)
         soak = SoakRun(
-            seed, options.seconds, *size, earlier=earlier, restored=options.restored
+            seed,
+            options.seconds,
+            *size,
+            earlier=earlier,
+            restored=options.restored,
+            crashing=options.crashing,
         ).run()
         violations = find_violations(soak)
         if not soak.figures["recovered"]:
--- a/features/soak/invariants.py
+++ b/features/soak/invariants.py
@@ -4,6 +4,8 @@
 
 from platform_standins import repeated, worst_window
 
+from soak.crashing import excess_crashes
+
 # Status codes that state that the request did not run.
 REFUSALS = (408, 421, 429, 503)
 EVENT_TOKENS = 3
@@ -27,6 +29,7 @@
         *unsent_requests(soak),
         *requests_to_leaving(soak),
         *requests_in_backoff(soak),
+        *(excess_crashes(soak) if soak.crashing else ()),
     ]
 
 
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -28,6 +28,10 @@
     "come back": 6,
     "evacuate": 2,
 }
+# Runs with a crashing prompt segment need the store to be reachable for most of the time.
+CRASHING_FAULT_WEIGHTS = {
+    kind: weight for kind, weight in FAULT_WEIGHTS.items() if kind not in ("replicas", "storm")
+}
 STORE_FAULTS = ("busy", "reset", "silent", "mute", "slow", "lose")
 REPLICA_FAULTS = ("refuse", "fail", "lose", "stall", "mute", "surplus", "break off")
 # Time without faults at the start of a run.
@@ -74,6 +78,11 @@
     return draw_plan(seed, seconds, routers, RESTORE_FAULT_WEIGHTS)
 
 
+def draw_crashing(seed, seconds, routers):
+    """Return the faults of a run in which a prompt segment crashes engine replicas."""
+    return draw_plan(seed, seconds, routers, CRASHING_FAULT_WEIGHTS)
+
+
 def draw_plan(seed, seconds, routers, weights=None):
     """Return the faults of a run, sorted by start time. Faults may overlap and come in series."""
     weights = weights or FAULT_WEIGHTS
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -12,7 +12,14 @@
 from platform_standins.builds import ROOT
 from platform_standins.fleet import eventually
 
-from soak.plan import draw_plan, draw_restored, draw_upgrade
+from soak.crashing import (
+    ENGINES,
+    SOUND_PROMPT,
+    SOUND_TIMEOUT_S,
+    CrashingCaller,
+    serves_sound_streams,
+)
+from soak.plan import draw_crashing, draw_plan, draw_restored, draw_upgrade
 
 CALLER_JOIN_TIMEOUT_S = 20.0
 RECOVERY_TIMEOUT_S = 60.0
@@ -76,7 +83,8 @@
 
     With ``earlier``, the folder of another build, all routers start with that build, are replaced
     by the current one in turn, and are rolled back. With ``restored`` the store is repeatedly
-    replaced by an earlier copy of itself.
+    replaced by an earlier copy of itself. With ``crashing`` one caller's prompts have a segment
+    that crashes engine replicas.
     """
 
     def __init__(
@@ -89,6 +97,7 @@
         earlier=None,
         *,
         restored=False,
+        crashing=False,
     ):
         self.seed, self.seconds = seed, seconds
         self.router_count, self.caller_count = routers, callers
@@ -99,7 +108,9 @@
         self.prepaid = prepaid
         self.earlier = earlier
         self.builds = [earlier or ROOT] * routers
-        draw = draw_upgrade if earlier else draw_restored if restored else draw_plan
+        self.crashing = CrashingCaller(self) if crashing else None
+        draw = draw_crashing if crashing else draw_restored if restored else draw_plan
+        draw = draw_upgrade if earlier else draw
         self.restoring = False
         self.plan = draw(seed, seconds, routers)
         self.stopped_spans = []
@@ -120,6 +131,8 @@
                 threading.Thread(target=self._run_caller, args=(number,), daemon=True)
                 for number in range(self.caller_count)
             ]
+            if self.crashing:
+                callers.append(threading.Thread(target=self.crashing.run, daemon=True))
             for thread in callers:
                 thread.start()
             self._inject_faults()
@@ -144,7 +157,8 @@
     def _start(self):
         self.fleet.operator.change(allow_second_replica)
         self.fleet.operator.set_prepaid("board", self.prepaid)
-        for service, count in (("portal", 3), ("engine", 3)):
+        engines = ENGINES if self.crashing else 3
+        for service, count in (("portal", 3), ("engine", engines)):
             for _ in range(count):
                 self.add_replica(service)
         # With an even seed, the settings list only peer addresses of instances that are gone.
@@ -160,7 +174,15 @@
         """Start a replica. In upgrade runs its record holds its start time."""
         if self.earlier:
             fields["born"] = int(time.time() * 1_000)
-        return self.fleet.add_replica(service, events=self.stream_events, work_s=0.005, **fields)
+        fields = {"events": self.stream_events, "work_s": 0.005, **fields}
+        replica = self.fleet.add_replica(service, **fields)
+        if self.crashing and service == "engine":
+            self.crashing.arm(replica)
+        return replica
+
+    def has_ended(self, wait_s):
+        """Wait for the end of the run at most ``wait_s``; return whether it has ended."""
+        return self._ended.wait(wait_s)
 
     def healthy_replicas(self, service):
         """Return a service's replicas that have neither ended nor reported that they leave."""
@@ -223,7 +245,12 @@
             routers = list(self.fleet.routers)
             return all(each.is_ready() and is_current(each) for each in routers)
 
-        return bool(eventually(all_serve, RECOVERY_TIMEOUT_S))
+        if not eventually(all_serve, RECOVERY_TIMEOUT_S):
+            return False
+        return not self.crashing or all(
+            eventually(lambda: serves_sound_streams(self, router), SOUND_TIMEOUT_S)  # noqa: B023
+            for router in list(self.fleet.routers)
+        )
 
     def _resume_all(self):
         for router in list(self._stopped_routers.values()):
@@ -251,7 +278,14 @@
 
     def _send_call(self, connection, rng):
         """Send a random request and record its response; return whether the connection stays."""
-        method, prefix, service = rng.choice(REQUEST_KINDS)
+        _, response = self.send_request(connection, *rng.choice(REQUEST_KINDS))
+        return response.whole and response.header("Connection") != "close"
+
+    def send_request(self, connection, method, prefix, service, shared=None):
+        """Send a request and record its response; return the record and the response.
+
+        ``shared`` are the tokens of the shared segments of its prompt, by their ids.
+        """
         request_id = f"{next(_numbers):016x}"
         path = f"{prefix}/{request_id}"
         call = Call(request_id, path, service, time.monotonic(), prefix == "/status")
@@ -259,17 +293,26 @@
         self.calls.append(call)
         tokens = TOKENS if service == "engine" else None
         body = b"x" if method == "POST" else b""
-        segments = ""
-        if tokens and self.earlier:
-            shared = int(request_id, 16) % SHARED_SEGMENTS
-            segments = f"{shared:x}:{tokens[0] - 1},{request_id}:1"
-        connection.send(method, path, body=body, tokens=tokens, parts=segments, identity=request_id)
+        shared = self._shared_segments(request_id) if shared is None else shared
+        parts = ""
+        if tokens and shared:
+            own = {request_id: tokens[0] - sum(shared.values())}
+            parts = ",".join(f"{each}:{count}" for each, count in {**shared, **own}.items())
+        connection.send(method, path, body=body, tokens=tokens, parts=parts, identity=request_id)
         response = connection.read()
         call.is_complete, call.body = response.whole, response.body
         call.event_ids = response.event_ids
         call.status, call.ended_s = response.status, time.monotonic()
         call.leaving = bool(response.header("Server-Leaving"))
-        return response.whole and response.header("Connection") != "close"
+        return call, response
+
+    def _shared_segments(self, request_id):
+        """Return the tokens of the shared segments of a caller's prompt, by their ids."""
+        if self.crashing:
+            return SOUND_PROMPT
+        if self.earlier:
+            return {f"{int(request_id, 16) % SHARED_SEGMENTS:x}": TOKENS[0] - 1}
+        return {}
 
 
 def allow_second_replica(configuration):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -26,6 +26,19 @@
     context.soak = SoakRun(seed, seconds, routers, prepaid=300_000, restored=True).run()
 
 
+@when(
+    "the schedule of seed {seed:d} is run for {seconds:d} seconds on {routers:d} gateways "
+    "before replicas that a segment crashes"
+)
+def run_with_crashing_segment(context, seed, seconds, routers):
+    context.soak = SoakRun(seed, seconds, routers, crashing=True).run()
+
+
+@then("the segment has crashed replicas")
+def check_crashed(context):
+    assert context.soak.figures["crashes"], context.soak.figures
+
+
 @then("the store was restored from a copy")
 def check_store_restored(context):
     assert context.soak.fleet.store.era > 1, context.soak.plan
