Add a failing test for a cancelled trial that ends an earlier pause

Found on the last reading: a trial that is not sent replaces the pause of ten minutes after two crashes by one of a second, so that a request with a new segment beside another caller's gets the last trial.

--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -73,6 +73,12 @@
     When a caller's streams name another's segment, each with one of several that crash replicas
     Then after ten minutes a request with it and a segment that was on no crashed replica is tried
 
+  Scenario: A trial that was not sent does not end the pause before it
+    Given 4 routers that share the records of a store
+    When a caller's streams name another's segment, each with one of several that crash replicas
+    And a trial of the other caller's segment alone is not sent
+    Then a request with that segment and a new one is refused
+
   Scenario: An answer without output does not clear a segment
     Given 4 routers that share the records of a store
     When a segment was on three crashed replicas, and an answer without output is recorded
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -756,6 +756,22 @@
     assert found["sent"] + found["tried"] > 0, found
 
 
+@when("a trial of the other caller's segment alone is not sent")
+def trial_not_sent(context):
+    simulation = context.simulation
+    found = verdicts(simulation, lambda: crash_subjects("d" * 32, ["other"]))
+    assert found["tried"] == 1, found
+    simulation.trial_router.guard.end_trial(simulation.trial)
+    simulation.advance(100)
+    simulation.advance(2_000)
+
+
+@then("a request with that segment and a new one is refused")
+def refused_beside_new(context):
+    found = verdicts(context.simulation, lambda: crash_subjects("e" * 32, ["other", "new"]))
+    assert found == {ErrorKind.QUARANTINED: context.count}, found
+
+
 @then("after ten minutes a request with it and a segment that was on no crashed replica is tried")
 def tried_after_ten_minutes(context):
     simulation = context.simulation
