--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -237,6 +237,8 @@
                 "PATH": os.environ["PATH"],
                 "PYTHONPATH": str(ROOT / "target" / "deps"),
                 "ASPENGATE_BOOT": str(self.path),
+                # The pages name this variable without its value: the most sparing one.
+                "MALLOC_ARENA_MAX": "1",
             },
             stdout=self.log,
             stderr=self.log,
@@ -300,14 +302,14 @@
             while (line := self.reader.readline().strip()) != b"":
                 name, _, value = line.decode("latin-1").partition(":")
                 headers[name.lower()] = value.strip()
-            return status, headers, self._body(headers)
+            return status, headers, self.read_body(headers)
         except OSError:
             return 0, {}, None
         finally:
             with contextlib.suppress(OSError):
                 self.socket.close()
 
-    def _body(self, headers):
+    def read_body(self, headers):
         if headers.get("transfer-encoding") == "chunked":
             body = b""
             while True:
