--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -6,6 +6,7 @@
 
 import base64
 import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -58,6 +59,11 @@
 """
 
 
+def end_with_parent():
+    """Have the system end this new process if the one that started it ends in whatever way."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class Store:
     """The platform's metadata store, on a loopback address."""
 
@@ -242,6 +248,7 @@
             },
             stdout=self.log,
             stderr=self.log,
+            preexec_fn=end_with_parent,
         )
 
     def is_ready(self):
