Add a soak of planned work under callers that keep their connections

The soak so far counts no request that ends without an answer. This one stops, reloads and reconfigures gateways in overlapping series while callers in processes of their own keep their connections, and reports each request that a replica received, or that ended more than 200 ms after its last byte, without an answer.

--- /dev/null
+++ b/features/soak/planned.py
@@ -0,0 +1,299 @@
+"""Planned work on gateways under callers that keep their connections.
+
+python -m soak.planned --seeds 1-50 --seconds 24 --callers 20
+"""
+
+import argparse
+import contextlib
+import dataclasses
+import json
+import random
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+
+from platform_standins import Fleet
+from platform_standins.fleet import eventually
+from platform_standins.operator import HOST, KEY, route
+
+from soak.callers import CallRecord
+
+FEATURES = Path(__file__).resolve().parent.parent
+# Limit of the time that a planned stop may take, and of the time in which a request that was read
+# and not passed on may end without an answer.
+GRACE_S = 8.0
+LOSS_SLACK_S = 0.2
+# Requests that were sent this late after SIGTERM are refused, so that their replica cannot still
+# be at work when the grace period ends.
+LATE_S = 3.0
+LAST_PART = 5 / 6
+ROUTE_TIMEOUT_S = 5.0
+WEIGHTS = {"terminate": 4, "hang up": 3, "change": 3, "terminate twice": 1, "all at once": 1}
+
+
+@dataclasses.dataclass(frozen=True)
+class PlannedWork:
+    """One action of the operator, ``start_s`` after the start of the run, on one router."""
+
+    start_s: float
+    kind: str
+    router: int
+
+    def describe(self):
+        return f"{self.start_s:6.2f} s  {self.kind} router {self.router}"
+
+
+def draw_planned(seed, seconds, routers):
+    """Return the planned work of a run, by start time; it comes in series and overlaps."""
+    rng = random.Random(f"planned/{seed}")
+    work = []
+    start_s = 2.0
+    while start_s < seconds - 2.0:
+        kind = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+        router = rng.randrange(routers)
+        if kind == "all at once":
+            work += [PlannedWork(start_s, each, router) for each in ("change", "hang up")]
+            work.append(PlannedWork(start_s + rng.uniform(0.0, 0.002), "terminate", router))
+        elif kind == "terminate twice":
+            gaps = (0.0, 0.5, 2.0)
+            work += [PlannedWork(start_s + gap_s, "terminate", router) for gap_s in gaps]
+        else:
+            work.append(PlannedWork(start_s, kind, router))
+        start_s += rng.uniform(0.1, 2.5)
+    return sorted(work, key=lambda each: each.start_s)
+
+
+class PlannedRun:
+    """Runs planned work against gateways and records all requests.
+
+    ``routers`` are all processes that were started, ``stopping`` those that got a SIGTERM.
+    ``stops`` holds, for each one that has ended, the times of its SIGTERM and its end and its exit
+    code, which is None if it had to be killed at the end of the grace period.
+    """
+
+    def __init__(self, seed, seconds, routers=4, callers=20, *, work_s=0.02, max_pause_s=0.12):
+        self.seed, self.seconds = seed, seconds
+        self.router_count, self.caller_count = routers, callers
+        self.work_s, self.max_pause_s = work_s, max_pause_s
+        self.plan = draw_planned(seed, seconds, routers)
+        self.calls, self.stops, self.figures = [], [], {}
+        self.routers, self.stopping = [], []
+        self._ended = threading.Event()
+
+    def run(self):
+        with contextlib.ExitStack() as cleanup:
+            self.fleet = Fleet(cleanup)
+            self._start()
+            self.started_s = time.monotonic()
+            ends_s = self.started_s + self.seconds
+            processes = [self._start_callers(number, ends_s) for number in range(self.router_count)]
+            for process, _ in processes:
+                cleanup.callback(process.kill)
+            self._do_planned_work()
+            time.sleep(max(0.0, ends_s - time.monotonic()))
+            self._ended.set()
+            for process, records in processes:
+                process.wait(30)
+                lines = records.read_text(encoding="utf-8").splitlines()
+                self.calls += [CallRecord(**json.loads(line)) for line in lines]
+        self._count()
+        return self
+
+    def _start(self):
+        self.fleet.operator.change(_allow_second_replica)
+        self.fleet.operator.set_prepaid("board", 500_000_000)
+        for service in ("portal", "engine"):
+            for _ in range(3):
+                self.fleet.add_replica(service, work_s=self.work_s, pause_s=0.02)
+        for _ in range(self.router_count):
+            self.fleet.add_router(ready=False, stop_s=GRACE_S)
+        assert eventually(lambda: all(each.is_ready() for each in self.fleet.routers))
+        self.addresses = [each.address for each in self.fleet.routers]
+        self.routers = list(self.fleet.routers)
+
+    def _start_callers(self, number, ends_s):
+        folder = Path(self.fleet.folder)
+        plan, records = folder / f"callers-{number}.json", folder / f"calls-{number}.jsonl"
+        fields = {
+            "addresses": self.addresses,
+            "first": number,
+            "callers": self.caller_count,
+            "seed": self.seed,
+            "ends_s": ends_s,
+            "max_pause_s": self.max_pause_s,
+            "deadline_ms": 4_000,
+            "host": HOST,
+            "key": KEY,
+        }
+        plan.write_text(json.dumps(fields), encoding="utf-8")
+        command = [sys.executable, "-m", "soak.callers", str(plan), str(records)]
+        return subprocess.Popen(command, cwd=FEATURES), records
+
+    def _do_planned_work(self):
+        for work in self.plan:
+            time.sleep(max(0.0, self.started_s + work.start_s - time.monotonic()))
+            ACTIONS[work.kind](self, work.router)
+
+    def follow_stop(self, router):
+        """Record a stop that begins now, and restart the router once its process has ended."""
+        asked_s = time.monotonic()
+
+        def wait():
+            try:
+                code = router.process.wait(GRACE_S)
+            except subprocess.TimeoutExpired:
+                router.kill()
+                code = None
+            self.stops.append((router, asked_s, time.monotonic(), code))
+            if not self._ended.is_set():
+                with contextlib.suppress(ValueError, AssertionError):
+                    again = self.fleet.start_again(router, ready=False, same_port=True)
+                    self.routers.append(again)
+
+        threading.Thread(target=wait, daemon=True).start()
+
+    def _count(self):
+        received = Counter()
+        for replica in self.fleet.replicas:
+            received.update(each.identity for each in list(replica.requests))
+        self.received = received
+        self.figures["calls"] = len(self.calls)
+        self.figures["answered"] = sum(
+            call.is_complete and call.status == 200 for call in self.calls
+        )
+        self.figures["refused"] = sum(
+            call.is_complete and call.status == 503 for call in self.calls
+        )
+        self.figures["unanswered"] = sum(not call.is_complete for call in self.calls)
+        self.figures["stops"] = len(self.stops)
+        self.figures["slowest stop"] = round(
+            max((e - a for _, a, e, _ in self.stops), default=0), 1
+        )
+        self.figures["killed"] = sum(code is None for *_, code in self.stops)
+        self.figures["exit codes"] = sorted({code for *_, code in self.stops if code})
+
+
+def _allow_second_replica(configuration):
+    for each in configuration["routes"]:
+        if each["pathPrefix"] == "/status/":
+            each["maxAttempts"] = 2
+
+
+ACTIONS = {}
+
+
+def action(kind):
+    """Register the decorated function as the action of a kind of planned work."""
+
+    def register(function):
+        ACTIONS[kind] = function
+        return function
+
+    return register
+
+
+@action("terminate")
+def terminate(run, number):
+    router = run.fleet.routers[number]
+    router.terminate()
+    if not any(each is router for each in run.stopping):
+        run.stopping.append(router)
+        run.follow_stop(router)
+
+
+@action("hang up")
+def hang_up(run, number):
+    router = run.fleet.routers[number]
+    if not router.has_ended:
+        router.process.send_signal(signal.SIGHUP)
+
+
+@action("change")
+def change(run, number):
+    version = run.fleet.operator.configuration["configVersion"]
+    run.fleet.operator.add_route(route(f"/added{version}/", "portal"))
+
+
+def find_lost(run):
+    """Return a line for each request that ended without an answer although it had been accepted.
+
+    A request counts if a replica received it, or if it ended later than ``LOSS_SLACK_S`` after its
+    last byte. One that reached the timeout of its route does not count, nor one whose router was
+    being stopped while its replica was still at work late in the grace period.
+    """
+    for call in run.calls:
+        if call.is_complete:
+            continue
+        waited_s = call.ended_s - call.sent_s
+        is_passed_on = bool(run.received[call.request_id])
+        if not is_passed_on and waited_s <= LOSS_SLACK_S:
+            continue
+        if waited_s >= 4.0 or _is_cut_at_deadline(run, call):
+            continue
+        since = call.ended_s - run.started_s
+        kind = call.path.split("/")[1]
+        sent = "passed on" if is_passed_on else "not passed on"
+        yield (
+            f"lost: {call.request_id} {kind} at {call.address}, ended at {since:.3f} s, "
+            f"{waited_s * 1000:.0f} ms after its last byte, {call.status} {sent}, "
+            f"{_stop_of(run, call)}, {call.error}"
+        )
+
+
+def _stops_of(run, call):
+    return [
+        (asked_s, ended_s)
+        for router, asked_s, ended_s, _ in run.stops
+        if router.address == call.address and asked_s <= call.ended_s <= ended_s + 1.0
+    ]
+
+
+def _is_cut_at_deadline(run, call):
+    return any(
+        call.sent_s <= asked_s + LATE_S and call.ended_s >= asked_s + GRACE_S * LAST_PART
+        for asked_s, _ in _stops_of(run, call)
+    )
+
+
+def _stop_of(run, call):
+    stops = _stops_of(run, call)
+    return f"{call.ended_s - stops[0][0]:.3f} s after its SIGTERM" if stops else "no stop"
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="soak.planned")
+    parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
+    parser.add_argument("--seconds", type=float, default=24.0)
+    parser.add_argument("--routers", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=20, help="for each router")
+    parser.add_argument("--work", type=float, default=0.02, help="seconds")
+    parser.add_argument("--logs", type=Path)
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        run = PlannedRun(
+            seed, options.seconds, options.routers, options.callers, work_s=options.work
+        ).run()
+        lost = list(find_lost(run))
+        failed += bool(lost)
+        print(seed, "BROKEN" if lost else "kept", json.dumps(run.figures), flush=True)
+        for line in lost[:8]:
+            print("   ", line, flush=True)
+        if lost and options.logs:
+            folder = options.logs / str(seed)
+            folder.mkdir(parents=True, exist_ok=True)
+            text = "\n".join([*(each.describe() for each in run.plan), *lost])
+            (folder / "plan.txt").write_text(text, encoding="utf-8")
+            for number, router in enumerate(run.routers):
+                text = "\n".join(json.dumps(line) for line in router.lines)
+                (folder / f"{number}-{router.name}.log").write_text(text, encoding="utf-8")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
