Count and log the connections that a gateway closes over a request

A caller whose connection was reset left no trace: a request that was not read has no line, and a close by the gateway looked like one by the caller. Counters by reason, a line for each connection closed with unread bytes or a request in progress, and both sums in gateway.stopped.

--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -11,6 +11,7 @@
 from aspengate.gateway._allowed_regions import AllowedRegions
 from aspengate.gateway._application import ADMISSION, GatewayApplication
 from aspengate.gateway._attempt import AttemptDependencies
+from aspengate.gateway._close_log import CloseLog
 from aspengate.gateway._crash_guard import CrashGuard
 from aspengate.gateway._dispatcher import Dispatcher
 from aspengate.gateway._peer_services import GatewayPeerServices
@@ -154,6 +155,7 @@
         )
         self.log = RequestLog(clock, counters, settings.log_lines_per_second)
         self.application = self._make_application()
+        self.close_log = CloseLog(counters)
         self.server = self._make_server()
         self.ready_server = WsgiServer(
             ReadyApplication(self._is_ready),
@@ -256,7 +258,13 @@
             self.clock.sleep_ms(_DRAIN_POLL_MS)
         finished = self.server.is_idle
         self.close()
-        log_change("gateway.stopped", name=self.settings.name, finished=finished)
+        log_change(
+            "gateway.stopped",
+            name=self.settings.name,
+            finished=finished,
+            requests_cut=self.close_log.cut,
+            closed_unread=self.close_log.unread,
+        )
         return finished
 
     def close(self) -> None:
@@ -446,6 +454,7 @@
             max_connections=(self.settings.descriptors - _RESERVED_DESCRIPTORS) // 2,
             max_header_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
+            on_close=self.close_log,
         )
 
     def _make_application(self) -> GatewayApplication:
--- a/src/aspengate/serving/__init__.py
+++ b/src/aspengate/serving/__init__.py
@@ -1,11 +1,14 @@
 """HTTP servers based on waitress: for WSGI applications, and for relaying requests and streams."""
 
+from aspengate.serving._close_report import CloseReason, ConnectionReport
 from aspengate.serving._relay_server import RelayHandler, RelayServer
 from aspengate.serving._relay_task import CallerConnection, ReceivedRequest
 from aspengate.serving._server import StartResponse, WsgiApplication, WsgiEnvironment, WsgiServer
 
 __all__ = [
     "CallerConnection",
+    "CloseReason",
+    "ConnectionReport",
     "ReceivedRequest",
     "RelayHandler",
     "RelayServer",
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -12,10 +12,12 @@
 from waitress.server import TcpWSGIServer
 
 from aspengate.clock import SystemClock
+from aspengate.serving._close_report import CloseReason, ConnectionReport, has_unread_data
 from aspengate.serving._relay_task import CallerConnection, RelayTask
 from aspengate.serving._request_parser import StrictRequestParser
 
 RelayHandler = Callable[[CallerConnection], None]
+CloseObserver = Callable[[ConnectionReport], None]
 
 _LISTEN_BACKLOG = 1_024
 _LOOP_TIMEOUT_S = 0.5
@@ -27,7 +29,10 @@
 
 
 class RelayChannel(HTTPChannel):  # type: ignore[misc]
-    """A caller's connection; ``last_used_ms`` is the monotonic time of its last activity."""
+    """A caller's connection; ``last_used_ms`` is the monotonic time of its last activity.
+
+    ``close_reason`` is set once the server decides to close the connection by itself.
+    """
 
     task_class = RelayTask
     parser_class = StrictRequestParser
@@ -35,6 +40,7 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.last_used_ms = _CLOCK.monotonic_ms()
+        self.close_reason: CloseReason | None = None
 
     def received(self, data: bytes) -> bool:
         """Handle data from the caller."""
@@ -51,6 +57,17 @@
         """Whether no request is in progress or partly read, and all responses are written."""
         return not self.requests and self.request is None and not self.total_outbufs_len
 
+    def close_for(self, reason: CloseReason) -> None:
+        """Have the server's thread close the connection."""
+        self.close_reason = reason
+        self.will_close = True
+
+    def handle_close(self) -> None:
+        """Close the connection."""
+        if self.close_reason is not None:
+            self.server.report_close(self, self.close_reason)
+        super().handle_close()
+
 
 class _PoolDispatcher:
     """Runs waitress tasks on a thread pool that starts threads on demand."""
@@ -72,6 +89,7 @@
 
     ``idle_timeout_ms`` and ``header_timeout_ms`` may be changed while it runs. While ``leaving``
     is set, every response closes its connection, so that callers reconnect elsewhere.
+    ``on_close`` gets a report on each connection that the server closes by itself.
     """
 
     channel_class = RelayChannel
@@ -85,9 +103,11 @@
         max_connections: int,
         max_header_bytes: int,
         max_body_bytes: int,
+        on_close: CloseObserver = lambda _report: None,
     ) -> None:
         logging.getLogger("waitress").setLevel(logging.CRITICAL)
         self.handler = handler
+        self.on_close = on_close
         self.leaving = False
         self.idle_timeout_ms = 15_000.0
         self.header_timeout_ms = 3_000.0
@@ -138,6 +158,7 @@
         self._thread.join(timeout=1.0)
         self.task_dispatcher.shutdown()
         for channel in list(self.active_channels.values()):
+            self.report_close(channel, CloseReason.STOPPED)
             with contextlib.suppress(OSError):
                 channel.socket.close()
         with contextlib.suppress(OSError):
@@ -147,9 +168,21 @@
         """Close the idle connections."""
         for channel in list(self.active_channels.values()):
             if channel.is_idle:
-                channel.will_close = True
+                channel.close_for(CloseReason.LEAVING)
         self.pull_trigger()
 
+    def report_close(self, channel: RelayChannel, reason: CloseReason) -> None:
+        """Report the state of a connection that is about to be closed."""
+        self.on_close(
+            ConnectionReport(
+                reason,
+                caller=f"{channel.addr[0]}:{channel.addr[1]}",
+                requests=len(channel.requests),
+                is_unread=has_unread_data(channel.socket),
+                idle_ms=_CLOCK.monotonic_ms() - channel.last_used_ms,
+            )
+        )
+
     def readable(self) -> bool:
         """Return whether to accept connections.
 
@@ -167,13 +200,13 @@
         if surplus > 0:
             idle = sorted((each for each in channels if each.is_idle), key=_last_used_ms)
             for channel in idle[:surplus]:
-                channel.will_close = True
+                channel.close_for(CloseReason.SURPLUS)
         for channel in channels:
             if channel.requests:
                 continue
             timeout_ms = self.idle_timeout_ms if channel.request is None else self.header_timeout_ms
             if now - channel.last_used_ms > timeout_ms:
-                channel.will_close = True
+                channel.close_for(CloseReason.TIMED_OUT)
 
     def _serve(self) -> None:
         while not self._closing.is_set():
