Move the wait for requests in progress from the gateway to the relay server

The end of a planned stop looks for requests in progress and then closes all connections. That look belongs to the thread that reads requests; as a first step it moves into the server unchanged. stop() may now be called twice. No change of behaviour; gateway_stops.feature as before.

--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -61,7 +61,6 @@
 # The maximum of idle connections to replicas: at 1 to 2 KB each, 4 MB of a memory of 128 MB.
 _MAX_IDLE_CONNECTIONS = 2_048
 _RESERVED_DESCRIPTORS = 200
-_DRAIN_POLL_MS = 50.0
 # Interval in s at which deferrable documents are written together. It suffices to refill a reserve
 # of ten seconds of demand, and limits the router that draws for all to one call per interval.
 _TICK_INTERVAL_S = 1.0
@@ -254,9 +253,7 @@
         self._sleep_until(plan.refuse_ms)
         self.refusing = True
         log_change("gateway.refusing", name=self.settings.name)
-        while not self.server.is_idle and self.clock.monotonic_ms() < plan.deadline_ms:
-            self.clock.sleep_ms(_DRAIN_POLL_MS)
-        finished = self.server.is_idle
+        finished = self.server.drain(plan.deadline_ms)
         self.close()
         log_change(
             "gateway.stopped",
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -22,6 +22,7 @@
 _LISTEN_BACKLOG = 1_024
 _LOOP_TIMEOUT_S = 0.5
 _IDLE_CHECK_MS = 500.0
+_DRAIN_POLL_MS = 50.0
 _BUFFER_BYTES = 1024 * 1024
 _NEVER = float("inf")
 
@@ -151,8 +152,21 @@
         """Start serving."""
         self._thread.start()
 
+    def drain(self, deadline_ms: float) -> bool:
+        """Wait until no request is in progress, then stop; return whether all were answered.
+
+        ``deadline_ms`` is a monotonic time, after which the remaining requests are cut off.
+        """
+        while not self.is_idle and _CLOCK.monotonic_ms() < deadline_ms:
+            _CLOCK.sleep_ms(_DRAIN_POLL_MS)
+        finished = self.is_idle
+        self.stop()
+        return finished
+
     def stop(self) -> None:
         """Stop serving and close all connections, also those with a request in progress."""
+        if self._closing.is_set():
+            return
         self._closing.set()
         self.pull_trigger()
         self._thread.join(timeout=1.0)
