--- /dev/null
+++ b/features/caller_connections.feature
@@ -0,0 +1,15 @@
+Feature: A router closes no connection over a request that has arrived
+
+  Scenario Outline: A request that was not read yet is answered when <event>
+    Given a relay server with a kept connection
+    When its reading thread is busy, a request arrives on that connection, and <event>
+    Then the request is answered completely
+
+    Examples:
+      | event                       |
+      | idle connections are closed |
+
+  Scenario: A request that is just being read is answered when idle connections are closed
+    Given a relay server with a kept connection
+    When idle connections are closed while a request on that connection is being read
+    Then the request is answered completely
--- /dev/null
+++ b/features/steps/caller_connections_steps.py
@@ -0,0 +1,131 @@
+"""Steps on connections of callers that a relay server closes."""
+
+import threading
+import time
+
+from behave import given, then, when
+from platform_standins import Caller
+from platform_standins.fleet import eventually
+
+from aspengate.clock import SystemClock
+from aspengate.serving import RelayServer
+from aspengate.serving._request_parser import StrictRequestParser
+from gateway_world import in_background
+
+# Longer than a server waits between two checks for stale connections.
+BUSY_S = 0.8
+SHORT_IDLE_TIMEOUT_MS = 100.0
+DRAIN_S = 5.0
+# Longer than the reading thread takes to close a connection.
+WORK_S = 0.1
+
+
+class HoldingClock:
+    """A clock that blocks the thread that reads it while ``hold`` is set.
+
+    The reading thread reads it at the first bytes of each request, so it can be made busy.
+    """
+
+    def __init__(self):
+        self.clock = SystemClock()
+        self.free = threading.Event()
+        self.free.set()
+        self.is_held = threading.Event()
+
+    def monotonic_ms(self):
+        if not self.free.is_set():
+            self.is_held.set()
+            self.free.wait(10)
+        return self.clock.monotonic_ms()
+
+
+def respond_with_target(caller):
+    time.sleep(WORK_S)
+    caller.respond(200, "OK", [], caller.request.target.encode())
+
+
+@given("a relay server with a kept connection")
+def relay_server(context):
+    context.clock = HoldingClock()
+    before = StrictRequestParser.clock
+    context.cleanup.callback(setattr, StrictRequestParser, "clock", before)
+    StrictRequestParser.clock = context.clock
+    context.server = RelayServer(
+        respond_with_target,
+        "127.0.0.1:0",
+        threads=4,
+        max_connections=100,
+        max_header_bytes=16_384,
+        max_body_bytes=65_536,
+    )
+    context.server.start()
+    context.cleanup.callback(context.server.stop)
+    context.cleanup.callback(context.clock.free.set)
+    context.caller = Caller(context.server.address)
+    assert context.caller.request("GET", "/first").body == b"/first"
+    assert eventually(lambda: context.server.is_idle)
+
+
+def make_reading_thread_busy(context):
+    context.clock.free.clear()
+    Caller(context.server.address).send("GET", "/other")
+    assert context.clock.is_held.wait(5)
+
+
+def close_idle(context):
+    context.server.close_idle()
+
+
+def lower_connection_limit(context):
+    context.server.max_connections = 1
+
+
+def lower_idle_timeout(context):
+    context.server.idle_timeout_ms = SHORT_IDLE_TIMEOUT_MS
+
+
+def end_server(context):
+    deadline_ms = context.clock.clock.monotonic_ms() + DRAIN_S * 1_000
+    context.ending = in_background(lambda: context.server.drain(deadline_ms))
+
+
+EVENTS = {
+    "idle connections are closed": close_idle,
+    "there are too many connections": lower_connection_limit,
+    "the idle timeout passes": lower_idle_timeout,
+    "the server ends when none is in progress": end_server,
+}
+
+
+@when("its reading thread is busy, a request arrives on that connection, and {event}")
+def request_while_busy(context, event):
+    make_reading_thread_busy(context)
+    context.caller.send("GET", "/second")
+    EVENTS[event](context)
+    time.sleep(BUSY_S)
+    context.clock.free.set()
+
+
+@when("idle connections are closed while a request on that connection is being read")
+def close_while_reading(context):
+    context.clock.free.clear()
+    context.caller.send("GET", "/second")
+    assert context.clock.is_held.wait(5)
+    context.server.close_idle()
+    context.clock.free.set()
+
+
+@when("its reading thread is busy, a request arrives on a new connection, and the server ends")
+def new_connection_while_busy(context):
+    make_reading_thread_busy(context)
+    context.caller = Caller(context.server.address)
+    context.caller.send("GET", "/second")
+    end_server(context)
+    time.sleep(BUSY_S)
+    context.clock.free.set()
+
+
+@then("the request is answered completely")
+def answered(context):
+    answer = context.caller.read()
+    assert answer.status == 200 and answer.whole and answer.body == b"/second", answer.body
