Decide on the reading thread which connections are idle, and look for unread data

Callers saw kept connections reset 0.2 to 3 s after a complete request, without a response; no replica had received it. Whether a connection is idle was judged by what had been read: a request in the receive buffer did not count. And a stop judged it on another thread than the one that reads, so that a request read between the judgement and the close was passed on and its connection closed.

The reading thread now takes all these decisions between two turns of its loop, and closes a connection in the same step in which it finds nothing unread; only it adds requests.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -6,8 +6,10 @@
     Then the request is answered completely
 
     Examples:
-      | event                       |
-      | idle connections are closed |
+      | event                          |
+      | idle connections are closed    |
+      | there are too many connections |
+      | the idle timeout passes        |
 
   Scenario: A request that is just being read is answered when idle connections are closed
     Given a relay server with a kept connection
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -30,10 +30,7 @@
 
 
 class RelayChannel(HTTPChannel):  # type: ignore[misc]
-    """A caller's connection; ``last_used_ms`` is the monotonic time of its last activity.
-
-    ``close_reason`` is set once the server decides to close the connection by itself.
-    """
+    """A caller's connection; ``last_used_ms`` is the monotonic time of its last activity."""
 
     task_class = RelayTask
     parser_class = StrictRequestParser
@@ -41,7 +38,6 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.last_used_ms = _CLOCK.monotonic_ms()
-        self.close_reason: CloseReason | None = None
 
     def received(self, data: bytes) -> bool:
         """Handle data from the caller."""
@@ -58,16 +54,16 @@
         """Whether no request is in progress or partly read, and all responses are written."""
         return not self.requests and self.request is None and not self.total_outbufs_len
 
-    def close_for(self, reason: CloseReason) -> None:
-        """Have the server's thread close the connection."""
-        self.close_reason = reason
-        self.will_close = True
+    def close_unless_unread(self, reason: CloseReason) -> bool:
+        """Close the connection unless data has arrived that is read next; return whether it did.
 
-    def handle_close(self) -> None:
-        """Close the connection."""
-        if self.close_reason is not None:
-            self.server.report_close(self, self.close_reason)
-        super().handle_close()
+        Only the reading thread may call it: otherwise a request could be read in between.
+        """
+        if self.readable() and has_unread_data(self.socket):
+            return False
+        self.server.report_close(self, reason)
+        self.handle_close()
+        return True
 
 
 class _PoolDispatcher:
@@ -115,6 +111,7 @@
         self.max_connections = max_connections
         self._last_check_ms = 0.0
         self._closing = threading.Event()
+        self._must_close_idle = threading.Event()
         adjustments = Adjustments(
             listen=listen,
             backlog=_LISTEN_BACKLOG,
@@ -179,10 +176,8 @@
             self.close()
 
     def close_idle(self) -> None:
-        """Close the idle connections."""
-        for channel in list(self.active_channels.values()):
-            if channel.is_idle:
-                channel.close_for(CloseReason.LEAVING)
+        """Have the reading thread close the connections that are idle."""
+        self._must_close_idle.set()
         self.pull_trigger()
 
     def report_close(self, channel: RelayChannel, reason: CloseReason) -> None:
@@ -197,33 +192,40 @@
             )
         )
 
-    def readable(self) -> bool:
-        """Return whether to accept connections.
-
-        waitress calls it in each turn of its loop, so that it also closes stale connections.
-        """
+    def _close_connections(self) -> None:
+        """Close connections that are idle or stale; the reading thread calls it in each turn."""
+        if self._must_close_idle.is_set():
+            self._must_close_idle.clear()
+            self._close_idle()
         now = _CLOCK.monotonic_ms()
         if now - self._last_check_ms >= _IDLE_CHECK_MS:
             self._last_check_ms = now
             self._close_stale(now)
-        return bool(super().readable())
+
+    def _close_idle(self) -> None:
+        for channel in list(self.active_channels.values()):
+            if channel.is_idle:
+                channel.close_unless_unread(CloseReason.LEAVING)
 
     def _close_stale(self, now: float) -> None:
         channels = list(self.active_channels.values())
         surplus = len(channels) - self.max_connections
         if surplus > 0:
             idle = sorted((each for each in channels if each.is_idle), key=_last_used_ms)
-            for channel in idle[:surplus]:
-                channel.close_for(CloseReason.SURPLUS)
+            for channel in idle:
+                surplus -= channel.close_unless_unread(CloseReason.SURPLUS)
+                if not surplus:
+                    break
         for channel in channels:
-            if channel.requests:
+            if channel.requests or not channel.connected:
                 continue
             timeout_ms = self.idle_timeout_ms if channel.request is None else self.header_timeout_ms
             if now - channel.last_used_ms > timeout_ms:
-                channel.close_for(CloseReason.TIMED_OUT)
+                channel.close_unless_unread(CloseReason.TIMED_OUT)
 
     def _serve(self) -> None:
         while not self._closing.is_set():
+            self._close_connections()
             try:
                 self.asyncore.loop(timeout=_LOOP_TIMEOUT_S, map=self._map, use_poll=True, count=1)
             except OSError:
