--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -10,8 +10,14 @@
       | idle connections are closed    |
       | there are too many connections |
       | the idle timeout passes        |
+      | the server is drained          |
 
   Scenario: A request that is just being read is answered when idle connections are closed
     Given a relay server with a kept connection
     When idle connections are closed while a request on that connection is being read
     Then the request is answered completely
+
+  Scenario: A request on a connection that was not accepted yet is answered when the server is drained
+    Given a relay server with a kept connection
+    When its reading thread is busy, a request arrives on a new connection, and the server is drained
+    Then the request is answered completely
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -84,16 +84,16 @@
     context.server.idle_timeout_ms = SHORT_IDLE_TIMEOUT_MS
 
 
-def end_server(context):
+def drain_server(context):
     deadline_ms = context.clock.clock.monotonic_ms() + DRAIN_S * 1_000
-    context.ending = in_background(lambda: context.server.drain(deadline_ms))
+    context.draining = in_background(lambda: context.server.drain(deadline_ms))
 
 
 EVENTS = {
     "idle connections are closed": close_idle,
     "there are too many connections": lower_connection_limit,
     "the idle timeout passes": lower_idle_timeout,
-    "the server ends when none is in progress": end_server,
+    "the server is drained": drain_server,
 }
 
 
@@ -115,12 +115,14 @@
     context.clock.free.set()
 
 
-@when("its reading thread is busy, a request arrives on a new connection, and the server ends")
+@when(
+    "its reading thread is busy, a request arrives on a new connection, and the server is drained"
+)
 def new_connection_while_busy(context):
     make_reading_thread_busy(context)
     context.caller = Caller(context.server.address)
     context.caller.send("GET", "/second")
-    end_server(context)
+    drain_server(context)
     time.sleep(BUSY_S)
     context.clock.free.set()
 
