Drain the relay server on its reading thread, the listen queue included

Callers whose request arrived at the end of a planned stop saw their connection reset: the stop looked whether a request was in progress, as far as read, then closed everything. Requests in receive buffers and connections in the listen queue did not count, nor did one that was read right after the look.

The reading thread now ends the drain itself: it accepts what waits until the requests that were in progress at the start have ended, closes the listening socket after a last look at its queue, and is done once no connection is left, each closed only if nothing is unread on it. Requests meanwhile get their refusal.

--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -22,7 +22,6 @@
 _LISTEN_BACKLOG = 1_024
 _LOOP_TIMEOUT_S = 0.5
 _IDLE_CHECK_MS = 500.0
-_DRAIN_POLL_MS = 50.0
 _BUFFER_BYTES = 1024 * 1024
 _NEVER = float("inf")
 
@@ -112,6 +111,11 @@
         self._last_check_ms = 0.0
         self._closing = threading.Event()
         self._must_close_idle = threading.Event()
+        self._must_drain = threading.Event()
+        self._drained = threading.Event()
+        self._is_listening = True
+        # The connections that a drain waits for before it stops to accept, None before its start.
+        self._awaited: set[RelayChannel] | None = None
         adjustments = Adjustments(
             listen=listen,
             backlog=_LISTEN_BACKLOG,
@@ -150,13 +154,15 @@
         self._thread.start()
 
     def drain(self, deadline_ms: float) -> bool:
-        """Wait until no request is in progress, then stop; return whether all were answered.
+        """Answer all requests that have arrived, then stop; return whether all were answered.
 
+        New connections are accepted until the requests in progress at the call have ended.
         ``deadline_ms`` is a monotonic time, after which the remaining requests are cut off.
         """
-        while not self.is_idle and _CLOCK.monotonic_ms() < deadline_ms:
-            _CLOCK.sleep_ms(_DRAIN_POLL_MS)
-        finished = self.is_idle
+        self.leaving = True
+        self._must_drain.set()
+        self.pull_trigger()
+        finished = self._drained.wait(max(0.0, deadline_ms - _CLOCK.monotonic_ms()) / 1_000)
         self.stop()
         return finished
 
@@ -197,11 +203,38 @@
         if self._must_close_idle.is_set():
             self._must_close_idle.clear()
             self._close_idle()
+        if self._must_drain.is_set():
+            self._advance_drain()
         now = _CLOCK.monotonic_ms()
         if now - self._last_check_ms >= _IDLE_CHECK_MS:
             self._last_check_ms = now
             self._close_stale(now)
 
+    def _advance_drain(self) -> None:
+        """Close the listening socket once it is not needed, and end when no connection is left.
+
+        Closing it would reset the connections that wait to be accepted.
+        """
+        if self._is_listening:
+            self._accept_waiting()
+            channels = set(self.active_channels.values())
+            if self._awaited is None:
+                self._awaited = {each for each in channels if not each.is_idle}
+            self._awaited = {each for each in self._awaited & channels if not each.is_idle}
+            if not self._awaited:
+                self._is_listening = False
+                self.asyncore.dispatcher.close(self)
+        self._close_idle()
+        if not self._is_listening and not self.active_channels:
+            self._drained.set()
+
+    def _accept_waiting(self) -> None:
+        """Accept all connections in the listen queue."""
+        accepted = -1
+        while accepted != len(self.active_channels):
+            accepted = len(self.active_channels)
+            self.handle_accept()
+
     def _close_idle(self) -> None:
         for channel in list(self.active_channels.values()):
             if channel.is_idle:
