--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -22,6 +22,12 @@
     Then the stream's response is complete, and the connection remains usable
     And the new settings are in effect
 
+  Scenario: A gateway stops although SIGTERM follows directly on SIGHUP
+    Given a gateway with replicas of both services
+    When SIGHUP is received in quick succession under load, and SIGTERM during a stream
+    Then the stream's response is complete, with every event
+    And the gateway exits with code 0 within its grace period
+
   Scenario: Invalid settings leave the previous ones in effect
     Given a gateway with replicas of both services
     When its settings file becomes invalid and SIGHUP is received
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,13 +1,22 @@
 """Steps on planned shutdowns and on changed settings of a gateway."""
 
+import random
 import signal
+import time
 
 from behave import given, then, when
 from platform_standins import Caller
 from platform_standins.fleet import eventually
+from platform_standins.load import SteadyLoad
 
 from gateway_world import TOKENS, in_background, start_gateways
 
+SIGNAL_PAIRS = 200
+LOAD_PER_S = 200
+MAX_SIGNAL_PAUSE_S = 0.000_15
+# Longer than a gateway takes to reload its settings and to wait for the next signal.
+RELOAD_S = 0.01
+
 
 @given("a gateway with replicas of both services")
 def gateway_with_replicas(context):
@@ -117,6 +126,40 @@
     assert reloaded["changed"] == ["retry_slack"] and not reloaded["at_next_start"], reloaded
 
 
+@when("SIGHUP is received in quick succession under load, and SIGTERM during a stream")
+def signals_in_succession(context):
+    # Under load, the main thread takes longer to wake up for the first signal of a pair.
+    load = SteadyLoad([context.router], LOAD_PER_S).start()
+    rng = random.Random(1)
+    for _ in range(SIGNAL_PAIRS):
+        context.router.process.send_signal(signal.SIGHUP)
+        wait_busily(rng.uniform(0.0, MAX_SIGNAL_PAUSE_S))
+        context.router.process.send_signal(signal.SIGHUP)
+        time.sleep(RELOAD_S)
+    load.stop()
+    caller = context.router.call()
+    running = in_background(lambda: caller.request("POST", "/score/1", body=b"x", tokens=TOKENS))
+    engine = context.fleet.of("engine")[0]
+    assert eventually(lambda: engine.runs)
+    context.router.terminate()
+    context.terminated_s = time.monotonic()
+    context.answer = running()
+
+
+def wait_busily(seconds):
+    """Wait for less time than a sleep takes at least."""
+    until_s = time.monotonic() + seconds
+    while time.monotonic() < until_s:
+        pass
+
+
+@then("the gateway exits with code 0 within its grace period")
+def exits_within_grace(context):
+    grace_s = context.router.bounds["stop_s"]
+    remaining_s = context.terminated_s + grace_s - time.monotonic()
+    assert context.router.process.wait(max(0.0, remaining_s)) == 0
+
+
 @when("its settings file becomes invalid and SIGHUP is received")
 def invalid_settings(context):
     change_settings(context, retry_slack="many")
