Receive signals by waiting for them instead of by handlers

A gateway that got two signals within some microseconds (SIGHUP and SIGTERM of overlapping planned work) may have ignored every later one: no planned stop, still ready, and killed at the end of its grace period with all requests in progress.

Cause: the handler set the event that the main thread waits for. It runs between two instructions of that thread, also while the thread holds the event's lock, and waited for the lock for good. A signal could also be handled by another thread while the main one went to sleep for 5 s.

The signals are now blocked in all threads and taken by sigtimedwait on the main thread: no code runs in a handler, and a pending signal is never missed.

--- a/src/aspengate/cli/_daemons.py
+++ b/src/aspengate/cli/_daemons.py
@@ -1,9 +1,6 @@
 """The subcommands that run one process of the fleet or one stand-in, or check its settings."""
 
-import signal
 import sys
-import threading
-from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
@@ -13,11 +10,14 @@
 from aspengate.clock import SystemClock
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.settings import load_settings, read_sections
+from aspengate.signals import SignalWaiter
 from aspengate.telemetry import Counters, NullCounters, StatsdCounters, log_to_stream
 
 _SettingsFile = Annotated[Path, cappa.Arg(long="--settings", help="INI file of this process")]
 _DRAIN_TIMEOUT_MS = 600_000.0
 _STAND_IN_THREADS = 128
+# Interval at which a process looks whether it has to end without a signal.
+_END_POLL_S = 0.2
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
@@ -34,6 +34,7 @@
         from aspengate.router import Router as RouterProcess
         from aspengate.router import RouterSettings
 
+        signals = SignalWaiter()
         settings = load_settings(RouterSettings, self.settings)
         router = RouterProcess(
             settings,
@@ -42,7 +43,7 @@
             SystemClock(),
             _counters(settings.statsd, "aspengate.router"),
         )
-        _run_until_stopped(router)
+        _run_until_stopped(router, signals)
 
 
 @cappa.command(description="Run the gateway of a shared platform.")
@@ -72,6 +73,7 @@
         from aspengate.agent import Agent as AgentProcess
         from aspengate.agent import AgentSettings
 
+        signals = SignalWaiter()
         settings = load_settings(AgentSettings, self.settings)
         agent = AgentProcess(
             settings,
@@ -79,7 +81,7 @@
             SystemClock(),
             _counters(settings.statsd, "aspengate.agent"),
         )
-        _run_until_stopped(agent)
+        _run_until_stopped(agent, signals)
 
 
 @cappa.command(name="stand-in", description="Run a stand-in of the platform, for manual tests.")
@@ -95,12 +97,14 @@
         from aspengate.serving import WsgiServer
         from aspengate.standins import StandInSettings, make_stand_in
 
+        signals = SignalWaiter()
         settings = load_settings(StandInSettings, self.settings)
         application = make_stand_in(self.kind, settings)
         server = WsgiServer(application, settings.listen, _STAND_IN_THREADS, _MAX_BODY_BYTES)
         server.start()
         sys.stderr.write(f"{self.kind} at {server.address}\n")
-        _wait_until_stopped()
+        while not signals.stop:
+            signals.wait(_END_POLL_S)
         server.close()
 
 
@@ -138,18 +142,10 @@
     return StatsdCounters(host, int(port), prefix)
 
 
-def _run_until_stopped(process: Any) -> None:
+def _run_until_stopped(process: Any, signals: SignalWaiter) -> None:
     log_to_stream(sys.stderr)
     process.start()
-    _wait_until_stopped(lambda: bool(getattr(process, "fenced", False)))
+    while not signals.stop and not getattr(process, "fenced", False):
+        signals.wait(_END_POLL_S)
     if not process.leave(_DRAIN_TIMEOUT_MS):
         raise AspengateError(ErrorKind.INTERNAL, "stopped before all requests were finished")
-
-
-def _wait_until_stopped(has_ended: Callable[[], bool] = lambda: False) -> None:
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    while not stop.wait(0.2):
-        if has_ended():
-            return
--- a/src/aspengate/deployed.py
+++ b/src/aspengate/deployed.py
@@ -1,9 +1,7 @@
 """Runs a gateway on the users' platform, for the deploy file and ``aspengate gateway``."""
 
 import re
-import signal
 import sys
-import threading
 from pathlib import Path
 
 from aspengate.clock import SystemClock
@@ -12,6 +10,7 @@
 from aspengate.platform import PlatformDeployment
 from aspengate.serving import WsgiServer
 from aspengate.settings import load_settings
+from aspengate.signals import SignalWaiter
 from aspengate.telemetry import BackgroundLog, log_change
 from aspengate.telemetry._metrics import MetricsApplication, PrometheusCounters
 
@@ -40,8 +39,8 @@
 
     Raises AspengateError of kind BAD_REQUEST if the settings are invalid at the start.
     """
+    signals = SignalWaiter(reloads=True)
     settings = load_settings(GatewaySettings, settings_file)
-    signals = _Signals()
     log = BackgroundLog(sys.stdout)
     log.start()
     clock = SystemClock()
@@ -63,31 +62,6 @@
     log.close()
 
 
-class _Signals:
-    """Handles the stop and reload signals of this process."""
-
-    def __init__(self) -> None:
-        self.stop = False
-        self._hung_up = False
-        self._wake = threading.Event()
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, self._handle)
-
-    def wait(self, seconds: float) -> bool:
-        """Wait up to ``seconds`` for a signal; return whether SIGHUP was received."""
-        self._wake.wait(seconds)
-        self._wake.clear()
-        hung_up, self._hung_up = self._hung_up, False
-        return hung_up
-
-    def _handle(self, number: int, _: object) -> None:
-        if number == signal.SIGHUP:
-            self._hung_up = True
-        else:
-            self.stop = True
-        self._wake.set()
-
-
 def _modified_ns(settings_file: Path) -> int:
     """Return the modification time of the settings file; 0 if it can't be read."""
     try:
