--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -11,6 +11,11 @@
     When a request arrives on a new connection late in a shutdown
     Then it receives a complete response 503 with a Retry-After, and no replica received it
 
+  Scenario: A request that waits for a thread is refused when its gateway is shut down
+    Given a gateway with 2 threads and replicas that take longer than a shutdown
+    When a request waits for a thread until late in a shutdown
+    Then it receives a complete response 503 with a Retry-After, and no replica received it
+
   Scenario: A gateway that is shut down settles the exact token use
     Given a gateway with replicas of both services
     When some streams are answered and the gateway is shut down
--- a/features/platform_standins/fleet.py
+++ b/features/platform_standins/fleet.py
@@ -43,6 +43,9 @@
 [log]
 log_lines_per_second = 100000
 
+[limits]
+{limits}
+
 [bounds]
 {bounds}
 """
@@ -61,7 +64,7 @@
 class RouterProcess:
     """A router process; ``lines`` are its log lines, ``build`` is the folder of its program.
 
-    ``regions`` is its setting of that name, and ``domain`` its failure domain.
+    ``regions`` and ``threads`` are its settings of these names, and ``domain`` its failure domain.
 
     With ``unread`` its output is not read after the start.
     """
@@ -80,8 +83,10 @@
         build=ROOT,
         domain="hall-1",
         regions="",
+        threads=None,
         **bounds,
     ):
+        self.threads = threads
         self.build = build
         self.domain = domain
         self.regions = regions
@@ -125,6 +130,7 @@
             peer_port=peer_port,
             seeds=seeds,
             store=self.endpoint.address,
+            limits=f"threads = {self.threads}" if self.threads else "",
             bounds=bounds,
         )
         self.path.write_text(text, encoding="utf-8")
@@ -244,6 +250,7 @@
             build=build or router.build,
             domain=router.domain,
             regions=router.regions,
+            threads=router.threads,
             **router.bounds,
         )
         self.cleanup.callback(again.kill)
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -28,6 +28,24 @@
     start_gateways(context, fields={"events": 1_000, "pause_s": 0.05}, stop_s=4)
 
 
+@given("a gateway with 2 threads and replicas that take longer than a shutdown")
+def gateway_with_few_threads(context):
+    start_gateways(context, fields={"events": 1_000, "pause_s": 0.05}, stop_s=4, threads=2)
+
+
+@when("a request waits for a thread until late in a shutdown")
+def wait_for_thread(context):
+    callers = [context.router.call() for _ in range(3)]
+    fields = {"body": b"x", "tokens": TOKENS, "deadline_ms": 60_000}
+    for number, caller in enumerate(callers[:2]):
+        caller.send("POST", f"/score/{number}", **fields)
+    engine = context.fleet.of("engine")[0]
+    assert eventually(lambda: len(engine.runs) == 2)
+    context.late_id = callers[2].send("POST", "/score/2", **fields)
+    context.router.terminate()
+    context.answer = callers[2].read()
+
+
 @when("SIGTERM is received during a stream")
 def terminate_during_stream(context):
     caller = context.router.call()
