Refuse the requests that wait for a thread when a gateway is shut down

Callers whose request had been read while all threads were taken by long streams got no answer: the end of the shutdown cancelled it, seconds later, although a refusal was due at once.

Cause: from its refusal phase on a gateway refuses requests on the threads that run the streams in progress.

--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import logging
 import threading
+from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -22,6 +23,8 @@
 _LISTEN_BACKLOG = 1_024
 _LOOP_TIMEOUT_S = 0.5
 _IDLE_CHECK_MS = 500.0
+# Threads that handle the requests which wait or arrive during a drain.
+_DRAIN_THREADS = 8
 _BUFFER_BYTES = 1024 * 1024
 _NEVER = float("inf")
 
@@ -69,15 +72,31 @@
     """Runs waitress tasks on a thread pool that starts threads on demand."""
 
     def __init__(self, threads: int) -> None:
-        self._pool = ThreadPoolExecutor(threads, thread_name_prefix="request")
+        self._waiting: deque[Any] = deque()
+        self._pools = [ThreadPoolExecutor(threads, thread_name_prefix="request")]
 
     def add_task(self, task: Any) -> None:
         """Queue a task for the next free thread."""
-        self._pool.submit(task.service)
+        self._waiting.append(task)
+        self._pools[-1].submit(self._run_next)
+
+    def add_threads(self, threads: int) -> None:
+        """Run the waiting tasks and all later ones on further threads."""
+        self._pools.append(ThreadPoolExecutor(threads, thread_name_prefix="refusal"))
+        for _ in range(len(self._waiting)):
+            self._pools[-1].submit(self._run_next)
 
     def shutdown(self, *_: Any, **__: Any) -> None:
         """Cancel the tasks that have not started."""
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        for pool in self._pools:
+            pool.shutdown(wait=False, cancel_futures=True)
+
+    def _run_next(self) -> None:
+        try:
+            task = self._waiting.popleft()
+        except IndexError:  # A thread of another pool took it.
+            return
+        task.service()
 
 
 class RelayServer(TcpWSGIServer):  # type: ignore[misc]
@@ -156,10 +175,12 @@
     def drain(self, deadline_ms: float) -> bool:
         """Answer all requests that have arrived, then stop; return whether all were answered.
 
+        Requests that wait for a thread get further ones, as the handler refuses them at once.
         New connections are accepted until the requests in progress at the call have ended.
         ``deadline_ms`` is a monotonic time, after which the remaining requests are cut off.
         """
         self.leaving = True
+        self.task_dispatcher.add_threads(_DRAIN_THREADS)
         self._must_drain.set()
         self.pull_trigger()
         finished = self._drained.wait(max(0.0, deadline_ms - _CLOCK.monotonic_ms()) / 1_000)
