Continue to read callers' requests after an exception on the reading thread

An unexpected exception on the thread that accepts connections and reads requests ended it without a line: every later request was lost, while the gateway still said that it was ready. None was seen; found by reading.

Evidence: the new scenario raises one there; it failed before, as the next request got no response.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -21,3 +21,8 @@
     Given a relay server with a kept connection
     When its reading thread is busy, a request arrives on a new connection, and the server is drained
     Then the request is answered completely
+
+  Scenario: Requests are still read after an exception on the reading thread
+    Given a relay server with a kept connection
+    When an exception is raised on its reading thread, and then a request arrives
+    Then the request is answered completely
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -127,6 +127,22 @@
     context.clock.free.set()
 
 
+@when("an exception is raised on its reading thread, and then a request arrives")
+def exception_on_reading_thread(context):
+    raised = threading.Event()
+
+    def fail(_report):
+        raised.set()
+        raise ValueError("raised by a test")
+
+    context.server.on_close = fail
+    context.server.close_idle()
+    assert raised.wait(5)
+    context.server.on_close = lambda _report: None
+    context.caller = Caller(context.server.address, 5.0)
+    context.caller.send("GET", "/second")
+
+
 @then("the request is answered completely")
 def answered(context):
     answer = context.caller.read()
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -452,6 +452,7 @@
             max_header_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
             on_close=self.close_log,
+            counters=self.counters,
         )
 
     def _make_application(self) -> GatewayApplication:
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -16,6 +16,7 @@
 from aspengate.serving._close_report import CloseReason, ConnectionReport, has_unread_data
 from aspengate.serving._relay_task import CallerConnection, RelayTask
 from aspengate.serving._request_parser import StrictRequestParser
+from aspengate.telemetry import Counters, NullCounters, supervised_thread
 
 RelayHandler = Callable[[CallerConnection], None]
 CloseObserver = Callable[[ConnectionReport], None]
@@ -104,7 +105,8 @@
 
     ``idle_timeout_ms`` and ``header_timeout_ms`` may be changed while it runs. While ``leaving``
     is set, every response closes its connection, so that callers reconnect elsewhere.
-    ``on_close`` gets a report on each connection that the server closes by itself.
+    ``on_close`` gets a report on each connection that the server closes by itself. ``counters``
+    count exceptions on the reading thread, which continues after them.
     """
 
     channel_class = RelayChannel
@@ -119,6 +121,7 @@
         max_header_bytes: int,
         max_body_bytes: int,
         on_close: CloseObserver = lambda _report: None,
+        counters: Counters | None = None,
     ) -> None:
         logging.getLogger("waitress").setLevel(logging.CRITICAL)
         self.handler = handler
@@ -151,7 +154,7 @@
         )
         super().__init__(handler, map={}, dispatcher=_PoolDispatcher(threads), adj=adjustments)
         self.next_channel_cleanup = _NEVER
-        self._thread = threading.Thread(target=self._serve, daemon=True, name="callers")
+        self._thread = supervised_thread(self._serve, "callers", counters or NullCounters())
 
     @property
     def address(self) -> str:
@@ -280,11 +283,7 @@
     def _serve(self) -> None:
         while not self._closing.is_set():
             self._close_connections()
-            try:
-                self.asyncore.loop(timeout=_LOOP_TIMEOUT_S, map=self._map, use_poll=True, count=1)
-            except OSError:
-                if self._closing.is_set():
-                    return
+            self.asyncore.loop(timeout=_LOOP_TIMEOUT_S, map=self._map, use_poll=True, count=1)
 
 
 def _last_used_ms(channel: RelayChannel) -> float:
