Give up a replica that sends without end at the request's deadline

Callers of a replica that sends bytes without end (a body, chunks, interim responses, an event without an end) got no end of their request: it went on for as long as the replica sent, as did the connection to it.

Cause: a wait for data looked at the deadline only if no data was ready, and interim responses were skipped without limit.

Data that is ready is still read for 100 ms after the deadline, since a response that arrived in time while the process was suspended is to be delivered; then the request ends. More than 100 interim responses are an invalid response.

--- /dev/null
+++ b/features/endless_answers.feature
@@ -0,0 +1,20 @@
+Feature: Bytes without end from a replica are bounded in time and memory
+
+  Scenario Outline: A request whose replica sends <bytes> without end is given up in time
+    Given a gateway with a replica that sends <bytes> without end
+    When a <kind> with a deadline of 2 s is sent to it
+    Then the request ends at most half a second after its deadline, without a complete success
+    And the replica's connections are closed, and the gateway's memory has grown by less than 32 MB
+
+    Examples:
+      | bytes                       | kind    |
+      | header lines                | receipt |
+      | a line without an end       | receipt |
+      | interim responses           | receipt |
+      | an unframed body            | receipt |
+      | an unframed body            | status  |
+      | chunks                      | receipt |
+      | a chunk extension           | receipt |
+      | responses to other requests | receipt |
+      | an event without an end     | stream  |
+      | an unframed event           | stream  |
--- /dev/null
+++ b/features/steps/endless_answers_steps.py
@@ -0,0 +1,80 @@
+"""Steps on replicas that send bytes without end."""
+
+import time
+
+from behave import given, then, when
+from platform_standins.endless import ENDLESS
+from platform_standins.fleet import eventually
+
+from gateway_world import TOKENS, start_gateways
+
+DEADLINE_S = 2.0
+LATE_S = 0.5
+MAX_GROWTH_BYTES = 32 * 1024 * 1024
+REQUESTS = {
+    "receipt": ("GET", "/receipt/1", {}),
+    "status": ("POST", "/status/1", {"body": b"x"}),
+    "stream": ("POST", "/score/1", {"body": b"x", "tokens": TOKENS}),
+}
+
+
+def resident_bytes(router):
+    """Return the largest resident memory of a process so far."""
+    with open(f"/proc/{router.process.pid}/status", encoding="ascii") as status:
+        sizes = dict(line.split(":") for line in status)
+    return int(sizes["VmHWM"].split()[0]) * 1024
+
+
+@given("a gateway with a replica that sends {name} without end")
+def gateway_with_endless_replica(context, name):
+    assert name in ENDLESS, name
+    start_gateways(context)
+    for replica in context.fleet.replicas:
+        replica.behaviour = f"endless: {name}"
+    context.before_bytes = resident_bytes(context.router)
+
+
+def read_until_closed(caller, until_s):
+    """Read until the router ends the response or the connection; return the head, as far as sent.
+
+    Raises TimeoutError at ``until_s``.
+    """
+    received, tail = b"", b""
+    while time.monotonic() < until_s:
+        caller.socket.settimeout(max(0.001, until_s - time.monotonic()))
+        data = caller.socket.recv(65_536)
+        received = received or data
+        tail = (tail + data)[-16:]
+        if not data or tail.endswith(b"0\r\n\r\n") or b"Content-Length" in received:
+            return received, tail
+    raise TimeoutError
+
+
+@when("a {kind} with a deadline of 2 s is sent to it")
+def send_request(context, kind):
+    method, path, fields = REQUESTS[kind]
+    caller = context.router.call()
+    caller.send(method, path, deadline_ms=int(DEADLINE_S * 1_000), **fields)
+    context.succeeded, context.timed_out = False, False
+    try:
+        received, tail = read_until_closed(caller, time.monotonic() + DEADLINE_S + LATE_S)
+        is_success = received.startswith(b"HTTP/1.1 2")
+        context.succeeded = is_success and tail.endswith(b"0\r\n\r\n")
+    except TimeoutError:
+        context.timed_out = True
+    except OSError:
+        pass
+    caller.close()
+
+
+@then("the request ends at most half a second after its deadline, without a complete success")
+def ended_in_time(context):
+    assert not context.timed_out
+    assert not context.succeeded
+
+
+@then("the replica's connections are closed, and the gateway's memory has grown by less than 32 MB")
+def closed_and_bounded(context):
+    assert eventually(lambda: not any(r.open_connections for r in context.fleet.replicas), 2.0)
+    growth = resident_bytes(context.router) - context.before_bytes
+    assert growth < MAX_GROWTH_BYTES, growth
--- a/src/aspengate/connections/_connection.py
+++ b/src/aspengate/connections/_connection.py
@@ -13,6 +13,8 @@
 
 _RECEIVE_BYTES = 64 * 1024
 _SEND_BYTES = 64 * 1024
+# A peer may send interim responses (1xx) without end.
+_MAX_INTERIM_RESPONSES = 100
 
 
 @dataclass(frozen=True)
@@ -105,12 +107,16 @@
 
         Raises UPSTREAM_FAILED for an invalid response or if the connection ends.
         """
+        interim_responses = 0
         while True:
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
                 raise self._broken(error) from error
             if isinstance(event, h11.InformationalResponse):
+                interim_responses += 1
+                if interim_responses > _MAX_INTERIM_RESPONSES:
+                    raise self._broken("too many interim responses")
                 continue
             if event is not h11.NEED_DATA:
                 return self._check_event(event)
--- a/src/aspengate/connections/_waiter.py
+++ b/src/aspengate/connections/_waiter.py
@@ -11,6 +11,10 @@
 # noticed 60 s late without this bound; with it the delay is at most 1 s.
 _MAX_POLL_MS = 1_000.0
 
+# For how long after the deadline data that is ready is still read. A response that arrived in time
+# while the process was suspended is thus delivered; a peer that sends without end is cut off.
+_LATE_READ_MS = 100.0
+
 _GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -32,6 +36,7 @@
         self.clock = clock
         self.deadline_ms = deadline_ms
         self._caller = caller
+        self._late_since_ms: float | None = None
 
     @property
     def remaining_ms(self) -> float:
@@ -41,7 +46,8 @@
     def wait_readable(self, waited: socket.socket, until_ms: float | None = None) -> bool:
         """Wait until a socket is readable; return False if ``until_ms`` passes first.
 
-        Raises CallerGoneError, or AspengateError of kind DEADLINE_EXCEEDED.
+        Raises CallerGoneError, or AspengateError of kind DEADLINE_EXCEEDED, the latter soon after
+        the deadline also if the socket is readable each time.
         """
         return bool(self._wait(waited, select.POLLIN, until_ms))
 
@@ -85,10 +91,17 @@
         flags = ready.pop(descriptor, 0)
         if ready:
             raise CallerGoneError
-        if not flags and self.remaining_ms <= 0:
+        if self.remaining_ms <= 0 and (not flags or self._is_too_late()):
             raise _deadline_exceeded()
         return flags
 
+    def _is_too_late(self) -> bool:
+        """Return whether data that is ready after the deadline is no longer read."""
+        now = self.clock.monotonic_ms()
+        if self._late_since_ms is None:
+            self._late_since_ms = now
+        return now - self._late_since_ms > _LATE_READ_MS
+
     def _poll(self, poller: select.poll, end_ms: float) -> dict[int, int]:
         """Return the poll flags of ready sockets by descriptor; empty if ``end_ms`` passes."""
         while True:
