Take the time from the clock package while waiting for signals

The wait read the system's clock by itself, which a scenario of suspensions.feature forbids; it has failed since the wait was added. suspensions and gateway_stops pass.

--- a/src/aspengate/signals/_waiter.py
+++ b/src/aspengate/signals/_waiter.py
@@ -1,7 +1,8 @@
 """Waits for the signals that stop or reload a process."""
 
 import signal
-import time
+
+from aspengate.clock import Clock, SystemClock
 
 _STOP = frozenset({signal.SIGTERM, signal.SIGINT})
 
@@ -17,8 +18,9 @@
     SIGTERM from then on. ``stop`` is set once SIGTERM or SIGINT was received.
     """
 
-    def __init__(self, *, reloads: bool = False) -> None:
+    def __init__(self, *, reloads: bool = False, clock: Clock | None = None) -> None:
         self.stop = False
+        self._clock = clock or SystemClock()
         self._awaited = _STOP | {signal.SIGHUP} if reloads else _STOP
         signal.pthread_sigmask(signal.SIG_BLOCK, self._awaited)
 
@@ -29,10 +31,10 @@
         one to reload.
         """
         hung_up = False
-        until_s = time.monotonic() + seconds
+        until_ms = self._clock.monotonic_ms() + seconds * 1_000
         while not self.stop:
-            timeout_s = 0.0 if hung_up else max(0.0, until_s - time.monotonic())
-            received = signal.sigtimedwait(self._awaited, timeout_s)
+            timeout_ms = 0.0 if hung_up else max(0.0, until_ms - self._clock.monotonic_ms())
+            received = signal.sigtimedwait(self._awaited, timeout_ms / 1_000)
             if received is None:
                 break
             self.stop = received.si_signo in _STOP
