Bound an event of a stream, and split long data in linear time

A replica that sends an event without an end made the gateway collect it for as long as the request may take, and search all of it again with each piece; thousands of events in one piece were copied once for each of them, and relayed whatever the time.

An event of more than 1 MiB is a broken response, the search continues where it ended, and each event checks the deadline.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -18,3 +18,14 @@
       | responses to other requests | receipt |
       | an event without an end     | stream  |
       | an unframed event           | stream  |
+      | comments                    | stream  |
+
+  Scenario Outline: An event without an end is given up long before the deadline
+    Given a gateway with a replica that sends <bytes> without end
+    When a stream with a deadline of 20 s is sent to it
+    Then the request ends within 3 s, and the gateway's memory has grown by less than 32 MB
+
+    Examples:
+      | bytes                   |
+      | an event without an end |
+      | an unframed event       |
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -8,7 +8,6 @@
 
 from gateway_world import TOKENS, start_gateways
 
-DEADLINE_S = 2.0
 LATE_S = 0.5
 MAX_GROWTH_BYTES = 32 * 1024 * 1024
 REQUESTS = {
@@ -50,20 +49,22 @@
     raise TimeoutError
 
 
-@when("a {kind} with a deadline of 2 s is sent to it")
-def send_request(context, kind):
+@when("a {kind} with a deadline of {deadline_s:d} s is sent to it")
+def send_request(context, kind, deadline_s):
     method, path, fields = REQUESTS[kind]
     caller = context.router.call()
-    caller.send(method, path, deadline_ms=int(DEADLINE_S * 1_000), **fields)
+    caller.send(method, path, deadline_ms=deadline_s * 1_000, **fields)
+    begun_s = time.monotonic()
     context.succeeded, context.timed_out = False, False
     try:
-        received, tail = read_until_closed(caller, time.monotonic() + DEADLINE_S + LATE_S)
+        received, tail = read_until_closed(caller, begun_s + deadline_s + LATE_S)
         is_success = received.startswith(b"HTTP/1.1 2")
         context.succeeded = is_success and tail.endswith(b"0\r\n\r\n")
     except TimeoutError:
         context.timed_out = True
     except OSError:
         pass
+    context.lasted_s = time.monotonic() - begun_s
     caller.close()
 
 
@@ -76,5 +77,17 @@
 @then("the replica's connections are closed, and the gateway's memory has grown by less than 32 MB")
 def closed_and_bounded(context):
     assert eventually(lambda: not any(r.open_connections for r in context.fleet.replicas), 2.0)
+    check_memory(context)
+
+
+@then(
+    "the request ends within {seconds:d} s, and the gateway's memory has grown by less than 32 MB"
+)
+def ended_soon(context, seconds):
+    assert not context.timed_out and context.lasted_s <= seconds, context.lasted_s
+    check_memory(context)
+
+
+def check_memory(context):
     growth = resident_bytes(context.router) - context.before_bytes
     assert growth < MAX_GROWTH_BYTES, growth
--- a/src/aspengate/connections/_waiter.py
+++ b/src/aspengate/connections/_waiter.py
@@ -56,6 +56,15 @@
         flags = self._wait(waited, select.POLLIN | select.POLLOUT, None)
         return bool(flags & select.POLLOUT), bool(flags & ~select.POLLOUT)
 
+    def check_deadline(self) -> None:
+        """Raise DEADLINE_EXCEEDED if even data that is ready is too late."""
+        if self.remaining_ms > 0:
+            return
+        if self._late_since_ms is None:
+            self._late_since_ms = self.clock.monotonic_ms()
+        if self.clock.monotonic_ms() - self._late_since_ms > _LATE_READ_MS:
+            raise _deadline_exceeded()
+
     def check_caller(self) -> None:
         """Raise CallerGoneError if the caller has disconnected."""
         if self._caller is None:
@@ -91,17 +100,11 @@
         flags = ready.pop(descriptor, 0)
         if ready:
             raise CallerGoneError
-        if self.remaining_ms <= 0 and (not flags or self._is_too_late()):
+        if not flags and self.remaining_ms <= 0:
             raise _deadline_exceeded()
+        self.check_deadline()
         return flags
 
-    def _is_too_late(self) -> bool:
-        """Return whether data that is ready after the deadline is no longer read."""
-        now = self.clock.monotonic_ms()
-        if self._late_since_ms is None:
-            self._late_since_ms = now
-        return now - self._late_since_ms > _LATE_READ_MS
-
     def _poll(self, poller: select.poll, end_ms: float) -> dict[int, int]:
         """Return the poll flags of ready sockets by descriptor; empty if ``end_ms`` passes."""
         while True:
--- a/src/aspengate/gateway/_events.py
+++ b/src/aspengate/gateway/_events.py
@@ -1,8 +1,10 @@
 """Splits the body of an event stream (server-sent events) into complete events."""
 
+import re
 from dataclasses import dataclass
 
-_EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+_EVENT_END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
+_MAX_END_BYTES = 4
 _ID_FIELD = b"id:"
 
 
@@ -25,20 +27,17 @@
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that ``data`` completes."""
-        self.remainder += data
+        scanned = max(0, len(self.remainder) - _MAX_END_BYTES + 1)
+        received = self.remainder + data
         events = []
-        while (end := _end_of_event(self.remainder)) > 0:
-            events.append(_parse_event(self.remainder[:end]))
-            self.remainder = self.remainder[end:]
+        start = 0
+        for end in _EVENT_END.finditer(received, scanned):
+            events.append(_parse_event(received[start : end.end()]))
+            start = end.end()
+        self.remainder = received[start:]
         return events
 
 
-def _end_of_event(data: bytes) -> int:
-    """Return the offset of the first event's end, or 0 if no event is complete."""
-    ends = [at + len(mark) for mark in _EVENT_TERMINATORS if (at := data.find(mark)) >= 0]
-    return min(ends, default=0)
-
-
 def _parse_event(data: bytes) -> StreamEvent:
     event_id = ""
     for line in data.splitlines():
--- a/src/aspengate/gateway/_relay.py
+++ b/src/aspengate/gateway/_relay.py
@@ -11,6 +11,7 @@
 from aspengate.telemetry import Counters
 
 _MAX_BUFFERED_BYTES = 256 * 1024
+_MAX_EVENT_BYTES = 1024 * 1024
 # Time limit of the connection attempt, in ms, that shows whether a replica has terminated.
 _PROBE_TIMEOUT_MS = 100.0
 
@@ -67,6 +68,8 @@
                 attempt.record_activity()
                 for event in splitter.feed(data):
                     self._relay_event(event, attempt, answer, caller, progress)
+                if len(splitter.remainder) > _MAX_EVENT_BYTES:
+                    raise BrokenResponseError("an event is too long", answer.connection.address)
             if splitter.remainder:
                 raise BrokenResponseError("ends within an event", answer.connection.address)
             if not answer.is_framed:
@@ -98,6 +101,8 @@
         caller: CallerConnection,
         progress: Progress,
     ) -> None:
+        # One piece of data may hold thousands of events.
+        attempt.exchange.waiter.check_deadline()
         if _is_duplicate(event, progress):
             self.counters.count("gateway.events_repeated")
             return
