Answer requests in progress before a planned stop cuts them off

A caller whose request was still at a replica at the end of its gateway's planned stop saw the connection end without an answer, and could not tell whether the request had run.

Cause: the stop closed all connections at its deadline, and nothing ended the requests before. Evidence: the new scenario failed before (the connection was closed); 504 after it.

Streams that have started keep the rest of the time. gateway_stops and suspensions pass.

--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -46,6 +46,29 @@
     context.answer = callers[2].read()
 
 
+@given("a gateway with a replica that does not answer, and a shutdown of 4 s")
+def gateway_with_mute_replica(context):
+    start_gateways(context, stop_s=4)
+    context.fleet.of("portal")[0].behaviour = "mute"
+
+
+@when("SIGTERM is received during a request that may run only once")
+def terminate_during_request(context):
+    caller = context.router.call()
+    caller.send("POST", "/status/1", body=b"x", deadline_ms=60_000)
+    portal = context.fleet.of("portal")[0]
+    assert eventually(lambda: portal.runs)
+    context.router.terminate()
+    context.answer = caller.read()
+
+
+@then("the request receives a failure, complete, before the gateway exits")
+def receives_failure(context):
+    # It may have run, so that a 503, which says that it has not, would be false.
+    assert context.answer.status in (502, 504) and context.answer.whole, context.answer.status
+    assert context.router.process.wait(4) == 0
+
+
 @when("SIGTERM is received during a stream")
 def terminate_during_stream(context):
     caller = context.router.call()
--- a/src/aspengate/connections/_waiter.py
+++ b/src/aspengate/connections/_waiter.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+from collections.abc import Callable
 
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError, ErrorKind
@@ -29,12 +30,20 @@
     """Waits on sockets for one request.
 
     ``caller`` is the caller's socket, which is only watched, never read. ``deadline_ms`` is in
-    the clock's monotonic time; after it every wait raises DEADLINE_EXCEEDED.
+    the clock's monotonic time; after it every wait raises DEADLINE_EXCEEDED. ``latest_ms`` returns
+    an earlier end of all waits, in the same time, which a planned stop of the process may set.
     """
 
-    def __init__(self, clock: Clock, caller: socket.socket | None, deadline_ms: float) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        caller: socket.socket | None,
+        deadline_ms: float,
+        latest_ms: Callable[[], float] = lambda: float("inf"),
+    ) -> None:
         self.clock = clock
         self.deadline_ms = deadline_ms
+        self.latest_ms = latest_ms
         self._caller = caller
         self._late_since_ms: float | None = None
 
@@ -43,6 +52,14 @@
         """The time until the deadline, in milliseconds; negative after it."""
         return self.deadline_ms - self.clock.monotonic_ms()
 
+    @property
+    def _end_ms(self) -> float:
+        return min(self.deadline_ms, self.latest_ms())
+
+    @property
+    def _is_over(self) -> bool:
+        return self.clock.monotonic_ms() >= self._end_ms
+
     def wait_readable(self, waited: socket.socket, until_ms: float | None = None) -> bool:
         """Wait until a socket is readable; return False if ``until_ms`` passes first.
 
@@ -58,7 +75,7 @@
 
     def check_deadline(self) -> None:
         """Raise DEADLINE_EXCEEDED if even data that is ready is too late."""
-        if self.remaining_ms > 0:
+        if not self._is_over:
             return
         if self._late_since_ms is None:
             self._late_since_ms = self.clock.monotonic_ms()
@@ -81,10 +98,11 @@
         poller = select.poll()
         if not self._watch_caller(poller):
             raise CallerGoneError
-        remaining = min(until_ms, self.deadline_ms) - self.clock.monotonic_ms()
+        end_ms = self._end_ms
+        remaining = min(until_ms, end_ms) - self.clock.monotonic_ms()
         if poller.poll(max(0.0, remaining)):
             raise CallerGoneError
-        if until_ms > self.deadline_ms:
+        if until_ms > end_ms:
             raise _deadline_exceeded()
 
     def _wait(self, waited: socket.socket, events: int, until_ms: float | None) -> int:
@@ -95,20 +113,19 @@
         poller.register(descriptor, events)
         if not self._watch_caller(poller):
             raise CallerGoneError
-        end_ms = self.deadline_ms if until_ms is None else min(until_ms, self.deadline_ms)
-        ready = self._poll(poller, end_ms)
+        ready = self._poll(poller, float("inf") if until_ms is None else until_ms)
         flags = ready.pop(descriptor, 0)
         if ready:
             raise CallerGoneError
-        if not flags and self.remaining_ms <= 0:
+        if not flags and self._is_over:
             raise _deadline_exceeded()
         self.check_deadline()
         return flags
 
-    def _poll(self, poller: select.poll, end_ms: float) -> dict[int, int]:
-        """Return the poll flags of ready sockets by descriptor; empty if ``end_ms`` passes."""
+    def _poll(self, poller: select.poll, until_ms: float) -> dict[int, int]:
+        """Return the poll flags of ready sockets by descriptor; empty if the time passes."""
         while True:
-            remaining = end_ms - self.clock.monotonic_ms()
+            remaining = min(until_ms, self._end_ms) - self.clock.monotonic_ms()
             ready = dict(poller.poll(max(0.0, min(remaining, _MAX_POLL_MS))))
             if ready or remaining <= _MAX_POLL_MS:
                 return ready
--- a/src/aspengate/gateway/_application.py
+++ b/src/aspengate/gateway/_application.py
@@ -27,6 +27,7 @@
     """The request handler of a relay server.
 
     ``last_request_ms`` is the monotonic time in ms at which handling of the latest request started.
+    Requests whose response has not started by ``answer_by_ms``, in the same time, get a failure.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         self.log = log
         self.is_refusing = is_refusing
         self.last_request_ms = float("-inf")
+        self.answer_by_ms = float("inf")
 
     def __call__(self, caller: CallerConnection) -> None:
         """Handle one request; raises CallerGoneError if the caller has disconnected."""
@@ -130,9 +132,12 @@
         deadline = request.deadline_ms
         if deadline is None:
             deadline = request.received_ms + _DEFAULT_DEADLINE_MS
-        waiter = Waiter(self.application.clock, self.caller.socket, deadline)
+        waiter = Waiter(self.application.clock, self.caller.socket, deadline, self._latest_ms)
         return Exchange(request, self.application.holder.current, waiter)
 
+    def _latest_ms(self) -> float:
+        return float("inf") if self.caller.started else self.application.answer_by_ms
+
     def _send_error(self, error: AspengateError) -> None:
         if self.caller.started:
             self.caller.abort()
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -242,10 +242,11 @@
 
         First the gateway reports that it is not ready, while it still serves requests. Then it
         closes idle connections and refuses new requests. Requests in progress get the remaining
-        time of the planned stop.
+        time of the planned stop; near its end, those without a response get a failure.
         """
         plan = StopPlan.of(self.settings.stop_s * 1_000, self.clock.monotonic_ms())
         self.leaving = True
+        self.application.answer_by_ms = plan.answer_ms
         self.server.leaving = True
         log_change("gateway.leaving", name=self.settings.name)
         self._sleep_until(plan.close_idle_ms)
