Keep signals pending while a gateway imports its program

SIGHUP at a gateway that still starts ended it: the signals were blocked only after the imports, which take a good part of a second, and the default action of SIGHUP ends a process.

The program creates the signal waiter first; what arrives meanwhile is handled once the gateway has started.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -47,3 +47,7 @@
     Given a gateway with replicas of both services
     When its settings file changes without a signal
     Then the new settings are in effect
+
+  Scenario: SIGHUP during the start does not end the process
+    When SIGHUP is received while the program of a gateway is still being imported
+    Then the program reaches the start of the gateway
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -2,10 +2,15 @@
 
 import random
 import signal
+import subprocess
+import sys
+import tempfile
 import time
+from pathlib import Path
 
 from behave import given, then, when
 from platform_standins import Caller
+from platform_standins.builds import ROOT
 from platform_standins.fleet import eventually
 from platform_standins.load import SteadyLoad
 
@@ -217,3 +222,44 @@
 @when("its settings file changes without a signal")
 def changes_without_signal(context):
     change_settings(context, retry_slack=77)
+
+
+# Takes the place of the module that assembles the gateway.
+HUNG_UP_MODULE = """\
+import os
+import signal
+
+SETTINGS_VARIABLE = "PATH"
+os.kill(os.getpid(), signal.SIGHUP)
+
+
+def read_build(path):
+    return ""
+
+
+def run_gateway(*arguments):
+    print("started")
+"""
+
+
+@when("SIGHUP is received while the program of a gateway is still being imported")
+def hang_up_during_import(context):
+    folder = Path(context.cleanup.enter_context(tempfile.TemporaryDirectory()))
+    source = ROOT / "src" / "aspengate"
+    package = folder / "src" / "aspengate"
+    package.mkdir(parents=True)
+    for path in source.iterdir():
+        (package / path.name).symlink_to(path)
+    (package / "deployed.py").unlink()
+    (package / "deployed.py").write_text(HUNG_UP_MODULE, encoding="utf-8")
+    (folder / "deploy").mkdir()
+    program = folder / "deploy" / "start.py"
+    program.write_bytes((ROOT / "deploy" / "start.py").read_bytes())
+    context.program = subprocess.run(
+        [sys.executable, str(program)], capture_output=True, text=True, timeout=30
+    )
+
+
+@then("the program reaches the start of the gateway")
+def program_starts(context):
+    assert context.program.stdout == "started\n", context.program
--- a/src/aspengate/cli/_daemons.py
+++ b/src/aspengate/cli/_daemons.py
@@ -55,9 +55,10 @@
 
     def __call__(self) -> None:
         """Run the gateway."""
+        signals = SignalWaiter(reloads=True)
         from aspengate.deployed import run_gateway
 
-        run_gateway(self.settings)
+        run_gateway(self.settings, signals)
 
 
 @cappa.command(description="Run the agent beside an upstream.")
--- a/src/aspengate/deployed.py
+++ b/src/aspengate/deployed.py
@@ -31,15 +31,14 @@
     return name if _BUILD_PATTERN.fullmatch(name) else UNNAMED_BUILD
 
 
-def run_gateway(settings_file: Path, build: str = UNNAMED_BUILD) -> None:
-    """Run a gateway until SIGTERM or SIGINT, then finish the requests in progress.
+def run_gateway(settings_file: Path, signals: SignalWaiter, build: str = UNNAMED_BUILD) -> None:
+    """Run a gateway until a signal to stop, then finish the requests in progress.
 
     The settings are reloaded on SIGHUP and when their file changes. ``build`` is the name of the
     program's build, which is shown to operators and other routers.
 
     Raises AspengateError of kind BAD_REQUEST if the settings are invalid at the start.
     """
-    signals = SignalWaiter(reloads=True)
     settings = load_settings(GatewaySettings, settings_file)
     log = BackgroundLog(sys.stdout)
     log.start()
