Check before each send that the replica is still listed

By reading: the check just before the first byte did not notice that the replica's record had been removed since it was chosen, only that it had changed; opening a connection takes up to a second.

Evidence: the new scenario failed before. A view that is not the listed one of its replica now counts as unavailable, and the request goes to another replica without a retry. replica_statements, leaving_and_resting, lives, gateway_once and evacuation pass.

--- a/features/replica_statements.feature
+++ b/features/replica_statements.feature
@@ -87,6 +87,11 @@
     When another response reports that this replica is leaving before the first byte is sent
     Then the request goes to another replica without a second arrival, and its retry is returned
 
+  Scenario: A request is not sent to a chosen replica whose record is removed before the first byte
+    Given a gateway that has chosen a replica for a request and is still connecting to it
+    When the record of this replica is removed before the first byte is sent
+    Then the request is not sent, and the replica counts as no longer listed
+
   Scenario: A resumable stream is not resumed at a replica that is leaving
     Given a gateway with two replicas per service
     When one engine reports that it is leaving, and a stream breaks at the other one
--- a/features/steps/replica_statements_steps.py
+++ b/features/steps/replica_statements_steps.py
@@ -344,9 +344,19 @@
 
 @when("another response reports that this replica is leaving before the first byte is sent")
 def reports_leaving_before_send(context):
+    send_after_change(context, lambda fixture, view: fixture.registry.record_notice(view, LEAVING))
+
+
+@when("the record of this replica is removed before the first byte is sent")
+def removed_before_send(context):
+    send_after_change(context, lambda fixture, view: fixture.registry.update([]))
+
+
+def send_after_change(context, change):
+    """Send a request to a replica, whose state changes while the connection is opened."""
     fixture = RegistryFixture(["i-1"])
     view = fixture.view("i-1")
-    pool = SlowPool(lambda _: fixture.registry.record_notice(view, LEAVING))
+    pool = SlowPool(lambda _: change(fixture, view))
     parts = AttemptDependencies(_HeaderCodec(), pool, fixture.clock, _Chooser(), fixture.registry)
     settled = []
     attempt = Attempt(parts, _Exchange(), _Candidate(view), None, _Permit(settled), "i-1")
@@ -368,6 +378,13 @@
     assert context.availability is Availability.LEAVING
 
 
+@then("the request is not sent, and the replica counts as no longer listed")
+def not_sent_to_unlisted(context):
+    assert context.raised is not None and not context.raised.sent
+    assert not context.attempt.sent and not context.pool.sent and context.pool.closed == 1
+    assert context.availability is Availability.UNLISTED
+
+
 class _HeaderCodec:
     def replica_headers(self, request, **fields):
         return ()
--- a/src/aspengate/replicas/_availability.py
+++ b/src/aspengate/replicas/_availability.py
@@ -13,6 +13,7 @@
     The values appear in the reasons of refused requests.
     """
 
+    UNLISTED = "no longer listed"
     DRAINING = "drains by its record"
     LEAVING = "said that it leaves"
     EVACUATED = "in an evacuated failure domain"
--- a/src/aspengate/replicas/_registry.py
+++ b/src/aspengate/replicas/_registry.py
@@ -120,6 +120,8 @@
 
     def availability(self, view: ReplicaView) -> Availability:
         """Return whether an incarnation may receive a request now, or why not."""
+        if self._views.get(view.identity) is not view:
+            return Availability.UNLISTED
         return availability_of(view, self._evacuated, self.clock.monotonic_ms())
 
     def availability_counts(
