--- a/features/upgrades.feature
+++ b/features/upgrades.feature
@@ -17,6 +17,7 @@
       | 468d9e5 |
       | eee42fe |
       | 643df23 |
+      | 7d4449f |
 
   Scenario: The build that landed last reads what the current build writes
     Given the build that landed last, from the history
