Keep a request whose thread can't be started in the queue

By reading, and found by the review as well: if the system refused to start a thread for a request, the exception closed its connection, although the request was queued and a running thread passed it on later. The caller saw a closed connection for a request that ran.

The refusal is counted and logged; a running thread takes the request.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -26,3 +26,8 @@
     Given a relay server with a kept connection
     When an exception is raised on its reading thread, and then a request arrives
     Then the request is answered completely
+
+  Scenario: A request is answered although no further thread can be started
+    Given a relay server with a kept connection
+    When a request arrives while the only thread is busy and the system refuses to start another
+    Then the request is answered completely
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -1,7 +1,10 @@
 """Steps on connections of callers that a relay server closes."""
 
+import select
+import socket
 import threading
 import time
+from unittest import mock
 
 from behave import given, then, when
 from platform_standins import Caller
@@ -39,8 +42,15 @@
         return self.clock.monotonic_ms()
 
 
+# Requests with this target take until the event is set.
+HELD_TARGET = "/held"
+released = threading.Event()
+
+
 def respond_with_target(caller):
     time.sleep(WORK_S)
+    if caller.request.target == HELD_TARGET:
+        released.wait(10)
     caller.respond(200, "OK", [], caller.request.target.encode())
 
 
@@ -68,7 +78,8 @@
 
 def make_reading_thread_busy(context):
     context.clock.free.clear()
-    Caller(context.server.address).send("GET", "/other")
+    context.other = Caller(context.server.address)
+    context.other.send("GET", "/other")
     assert context.clock.is_held.wait(5)
 
 
@@ -127,6 +138,31 @@
     context.clock.free.set()
 
 
+def refuse_to_start(_thread):
+    raise RuntimeError("can't start new thread")
+
+
+@when("a request arrives while the only thread is busy and the system refuses to start another")
+def request_without_thread(context):
+    released.clear()
+    with mock.patch.object(threading.Thread, "start", refuse_to_start):
+        held = Caller(context.server.address)
+        held.send("GET", HELD_TARGET)
+        assert eventually(lambda: context.server.in_progress == 1, 5.0)
+        context.caller.send("GET", "/second")
+        assert eventually(lambda: context.server.in_progress == 2 or is_closed(context.caller), 5.0)
+    released.set()
+    held.close()
+
+
+def is_closed(caller):
+    readable, _, _ = select.select([caller.socket], [], [], 0)
+    try:
+        return bool(readable) and caller.socket.recv(1, socket.MSG_PEEK) == b""
+    except OSError:
+        return True
+
+
 @when("an exception is raised on its reading thread, and then a request arrives")
 def exception_on_reading_thread(context):
     raised = threading.Event()
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -16,7 +16,7 @@
 from aspengate.serving._close_report import CloseReason, ConnectionReport, has_unread_data
 from aspengate.serving._relay_task import CallerConnection, RelayTask
 from aspengate.serving._request_parser import StrictRequestParser
-from aspengate.telemetry import Counters, NullCounters, supervised_thread
+from aspengate.telemetry import Counters, NullCounters, log_change, supervised_thread
 
 RelayHandler = Callable[[CallerConnection], None]
 CloseObserver = Callable[[ConnectionReport], None]
@@ -72,26 +72,39 @@
 class _PoolDispatcher:
     """Runs waitress tasks on a thread pool that starts threads on demand."""
 
-    def __init__(self, threads: int) -> None:
+    def __init__(self, threads: int, counters: Counters) -> None:
+        self.counters = counters
         self._waiting: deque[Any] = deque()
+        self._is_shut_down = False
         self._pools = [ThreadPoolExecutor(threads, thread_name_prefix="request")]
 
     def add_task(self, task: Any) -> None:
         """Queue a task for the next free thread."""
         self._waiting.append(task)
-        self._pools[-1].submit(self._run_next)
+        self._submit()
 
     def add_threads(self, threads: int) -> None:
         """Run the waiting tasks and all later ones on further threads."""
         self._pools.append(ThreadPoolExecutor(threads, thread_name_prefix="refusal"))
         for _ in range(len(self._waiting)):
-            self._pools[-1].submit(self._run_next)
+            self._submit()
 
     def shutdown(self, *_: Any, **__: Any) -> None:
         """Cancel the tasks that have not started."""
+        self._is_shut_down = True
         for pool in self._pools:
             pool.shutdown(wait=False, cancel_futures=True)
 
+    def _submit(self) -> None:
+        try:
+            self._pools[-1].submit(self._run_next)
+        except RuntimeError as error:
+            if self._is_shut_down:
+                raise
+            # The system refuses to start a thread. The task is queued for those that run.
+            self.counters.count("threads.not_started")
+            log_change("thread.not_started", error=str(error))
+
     def _run_next(self) -> None:
         try:
             task = self._waiting.popleft()
@@ -106,7 +119,8 @@
     ``idle_timeout_ms`` and ``header_timeout_ms`` may be changed while it runs. While ``leaving``
     is set, every response closes its connection, so that callers reconnect elsewhere.
     ``on_close`` gets a report on each connection that the server closes by itself. ``counters``
-    count exceptions on the reading thread, which continues after them.
+    count exceptions on the reading thread, which continues after them, and threads that the system
+    refuses to start.
     """
 
     channel_class = RelayChannel
@@ -152,9 +166,11 @@
             outbuf_high_watermark=_BUFFER_BYTES * 4,
             ident="aspengate",
         )
-        super().__init__(handler, map={}, dispatcher=_PoolDispatcher(threads), adj=adjustments)
+        counters = counters or NullCounters()
+        dispatcher = _PoolDispatcher(threads, counters)
+        super().__init__(handler, map={}, dispatcher=dispatcher, adj=adjustments)
         self.next_channel_cleanup = _NEVER
-        self._thread = supervised_thread(self._serve, "callers", counters or NullCounters())
+        self._thread = supervised_thread(self._serve, "callers", counters)
 
     @property
     def address(self) -> str:
