Continue to accept callers' connections after an exception while accepting one

waitress closes the listening socket and the trigger of the reading thread if the method that accepts a connection raises: a gateway then refused every new connection while it was still ready, and its requests in progress could not wake the reading thread. None was seen; found by reading. The supervision of the thread does not cover it, as waitress handles the exception itself.

The exception is now logged and counted, and fails that connection alone. caller_connections passes.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -26,3 +26,8 @@
     Given a relay server with a kept connection
     When an exception is raised on its reading thread, and then a request arrives
     Then the request is answered completely
+
+  Scenario: Connections are still accepted after an exception while one was accepted
+    Given a relay server with a kept connection
+    When an exception is raised while a connection is accepted, and then a request arrives on a new one
+    Then the request is answered completely
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -143,6 +143,28 @@
     context.caller.send("GET", "/second")
 
 
+@when(
+    "an exception is raised while a connection is accepted, and then a request arrives on a new one"
+)
+def exception_while_accepting(context):
+    raised = threading.Event()
+    # The server calls it with the address of each accepted connection.
+    unchanged = context.server.fix_addr
+
+    def fail(_address):
+        context.server.fix_addr = unchanged
+        raised.set()
+        raise ValueError("raised by a test")
+
+    context.server.fix_addr = fail
+    Caller(context.server.address)
+    assert raised.wait(5)
+    # An exception that closes the listening socket does so soon afterwards.
+    time.sleep(WORK_S)
+    context.caller = Caller(context.server.address, 5.0)
+    context.caller.send("GET", "/second")
+
+
 @then("the request is answered completely")
 def answered(context):
     answer = context.caller.read()
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -16,7 +16,7 @@
 from aspengate.serving._close_report import CloseReason, ConnectionReport, has_unread_data
 from aspengate.serving._relay_task import CallerConnection, RelayTask
 from aspengate.serving._request_parser import StrictRequestParser
-from aspengate.telemetry import Counters, NullCounters, supervised_thread
+from aspengate.telemetry import Counters, NullCounters, log_change, supervised_thread
 
 RelayHandler = Callable[[CallerConnection], None]
 CloseObserver = Callable[[ConnectionReport], None]
@@ -106,7 +106,7 @@
     ``idle_timeout_ms`` and ``header_timeout_ms`` may be changed while it runs. While ``leaving``
     is set, every response closes its connection, so that callers reconnect elsewhere.
     ``on_close`` gets a report on each connection that the server closes by itself. ``counters``
-    count exceptions on the reading thread, which continues after them.
+    count exceptions on the reading thread and of single connections; the thread continues.
     """
 
     channel_class = RelayChannel
@@ -154,7 +154,8 @@
         )
         super().__init__(handler, map={}, dispatcher=_PoolDispatcher(threads), adj=adjustments)
         self.next_channel_cleanup = _NEVER
-        self._thread = supervised_thread(self._serve, "callers", counters or NullCounters())
+        self._counters = counters or NullCounters()
+        self._thread = supervised_thread(self._serve, "callers", self._counters)
 
     @property
     def address(self) -> str:
@@ -175,6 +176,17 @@
         """Start serving."""
         self._thread.start()
 
+    def handle_accept(self) -> None:
+        """Accept a connection; an exception fails that one alone.
+
+        waitress closes the listening socket, and the trigger, when this method raises.
+        """
+        try:
+            super().handle_accept()
+        except Exception as error:
+            self._counters.count("connections.not_accepted")
+            log_change("connection.not_accepted", error=repr(error))
+
     def drain(self, deadline_ms: float) -> bool:
         """Answer all requests that have arrived, then stop; return whether all were answered.
 
