Count sending a response as activity of the caller's connection

Callers that read a response for longer than the idle timeout got only part of it: the connection was closed as idle while bytes of the response still waited in the gateway. A connection was also closed as idle right after a request that had taken longer than the idle timeout, if its thread lost the processor between the end of the request and the record of the time.

Cause: the time of the last activity was that of the last received bytes, or of the end of the request, recorded on another thread after the request had left the list.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -22,6 +22,16 @@
     When its reading thread is busy, a request arrives on a new connection, and the server is drained
     Then the request is answered completely
 
+  Scenario: A response that its caller reads for longer than the idle timeout is completed
+    Given a relay server with a kept connection
+    When a large response is read steadily for several idle timeouts
+    Then that response is complete
+
+  Scenario: A connection is not idle for the time that its request took
+    Given a relay server with a kept connection
+    When a request takes several idle timeouts, and its thread is held up right after the response
+    Then the connection remains usable
+
   Scenario: Requests are still read after an exception on the reading thread
     Given a relay server with a kept connection
     When an exception is raised on its reading thread, and then a request arrives
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -16,6 +16,15 @@
 BUSY_S = 0.8
 SHORT_IDLE_TIMEOUT_MS = 100.0
 DRAIN_S = 5.0
+# More than the socket buffers hold, so that most of it waits in the server.
+LARGE_BYTES = 16 * 1024 * 1024
+READ_IDLE_TIMEOUT_MS = 1_000.0
+READ_S = 3.5
+READ_PIECES = 128
+# Several idle timeouts, and longer than a server waits between two checks for stale connections.
+LONG_WORK_S = 4.0
+# Longer than a server waits between two checks, shorter than the idle timeout of the scenario.
+HOLD_S = 0.6
 # Longer than the reading thread takes to close a connection.
 WORK_S = 0.1
 
@@ -40,7 +49,10 @@
 
 
 def respond_with_target(caller):
-    time.sleep(WORK_S)
+    if caller.request.target == "/large":
+        caller.respond(200, "OK", [], bytes(LARGE_BYTES))
+        return
+    time.sleep(LONG_WORK_S if caller.request.target == "/long" else WORK_S)
     caller.respond(200, "OK", [], caller.request.target.encode())
 
 
@@ -127,6 +139,45 @@
     context.clock.free.set()
 
 
+@when("a large response is read steadily for several idle timeouts")
+def read_steadily(context):
+    context.server.idle_timeout_ms = READ_IDLE_TIMEOUT_MS
+    context.caller.send("GET", "/large")
+    assert context.caller.read_head()[0] == 200
+    context.received = 0
+    for _ in range(READ_PIECES):
+        time.sleep(READ_S / READ_PIECES)
+        context.received += len(context.caller.reader.read(LARGE_BYTES // READ_PIECES))
+
+
+@then("that response is complete")
+def large_response_complete(context):
+    context.received += len(context.caller.reader.read(LARGE_BYTES - context.received))
+    assert context.received == LARGE_BYTES, context.received
+
+
+@when("a request takes several idle timeouts, and its thread is held up right after the response")
+def hold_thread_after_response(context):
+    context.server.idle_timeout_ms = LONG_WORK_S * 1_000 / 2
+    wake_reading_thread = context.server.pull_trigger
+
+    def wake_and_hold():
+        # A thread of the pool calls it right after the request has left the list of requests.
+        wake_reading_thread()
+        if threading.current_thread().name.startswith("request"):
+            time.sleep(HOLD_S)
+
+    context.server.pull_trigger = wake_and_hold
+    assert context.caller.request("GET", "/long").body == b"/long"
+    # The connection has not been idle for its timeout yet.
+    time.sleep(HOLD_S)
+
+
+@then("the connection remains usable")
+def remains_usable(context):
+    assert context.caller.request("GET", "/second").body == b"/second"
+
+
 @when("an exception is raised on its reading thread, and then a request arrives")
 def exception_on_reading_thread(context):
     raised = threading.Event()
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -33,7 +33,11 @@
 
 
 class RelayChannel(HTTPChannel):  # type: ignore[misc]
-    """A caller's connection; ``last_used_ms`` is the monotonic time of its last activity."""
+    """A caller's connection; ``last_used_ms`` is the monotonic time of its last activity.
+
+    Both reading and sending are activity: a response may take longer than the idle timeout, and
+    its last bytes may leave long after its request has been handled.
+    """
 
     task_class = RelayTask
     parser_class = StrictRequestParser
@@ -47,10 +51,12 @@
         self.last_used_ms = _CLOCK.monotonic_ms()
         return bool(super().received(data))
 
-    def service(self) -> None:
-        """Handle the next request; called on a thread of the pool."""
-        super().service()
-        self.last_used_ms = _CLOCK.monotonic_ms()
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        """Send response data, on the thread of the request or on the reading thread."""
+        sent = int(super().send(data, do_close))
+        if sent:
+            self.last_used_ms = _CLOCK.monotonic_ms()
+        return sent
 
     @property
     def is_idle(self) -> bool:
