Send nothing after a response whose handler raises an exception

waitress sent an error response behind a response that was complete or had begun, because it learned only after the handler's return that a head had been written. A caller took the bytes for the response to its next request, or for the end of an unframed body. The gateway's handler catches nearly all exceptions, but not those of its log line or of cutting off a response. None was seen; found by reading.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -41,3 +41,13 @@
     Given a relay server with a kept connection
     When an exception is raised while a connection is accepted, and then a request arrives on a new one
     Then the request is answered completely
+
+  Scenario: An exception of the handler adds nothing to a complete response
+    Given a relay server with a kept connection
+    When its handler raises an exception after a complete response
+    Then its caller receives that response, and then the end of the connection
+
+  Scenario: An exception of the handler adds nothing to a part of an unframed response
+    Given a relay server with a kept connection
+    When its handler raises an exception after a part of an unframed response
+    Then its caller receives no more than that part, and then a reset of the connection
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -8,6 +8,7 @@
 from platform_standins.fleet import eventually
 
 from aspengate.clock import SystemClock
+from aspengate.connections import Waiter
 from aspengate.serving import RelayServer
 from aspengate.serving._request_parser import StrictRequestParser
 from gateway_world import in_background
@@ -25,6 +26,7 @@
 LONG_WORK_S = 4.0
 # Longer than a server waits between two checks, shorter than the idle timeout of the scenario.
 HOLD_S = 0.6
+PART_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 # Longer than the reading thread takes to close a connection.
 WORK_S = 0.1
 
@@ -216,6 +218,54 @@
     context.caller.send("GET", "/second")
 
 
+def read_to_end(caller):
+    """Read until the connection ends; return the bytes, and whether it was reset."""
+    received = b""
+    try:
+        while data := caller.socket.recv(65_536):
+            received += data
+    except ConnectionResetError:
+        return received, True
+    return received, False
+
+
+def raise_after_response(caller):
+    caller.respond(200, "OK", [], b"complete")
+    raise ValueError("raised by a test")
+
+
+def raise_after_part(caller):
+    caller.start(200, "OK", [])
+    caller.write(b"part", Waiter(SystemClock(), None, float("inf")))
+    raise ValueError("raised by a test")
+
+
+@when("its handler raises an exception after a complete response")
+def exception_after_response(context):
+    context.server.handler = raise_after_response
+    context.caller.raw(b"GET /second HTTP/1.1\r\nHost: any\r\n\r\n")
+
+
+@when("its handler raises an exception after a part of an unframed response")
+def exception_after_part(context):
+    context.server.handler = raise_after_part
+    context.caller.raw(b"GET /second HTTP/1.0\r\n\r\n")
+
+
+@then("its caller receives that response, and then the end of the connection")
+def only_that_response(context):
+    received, was_reset = read_to_end(context.caller)
+    assert received.endswith(b"complete") and not was_reset, received
+
+
+@then("its caller receives no more than that part, and then a reset of the connection")
+def only_that_part(context):
+    received, was_reset = read_to_end(context.caller)
+    # A reset may overtake bytes that were sent before it.
+    assert received in (b"", PART_HEAD, PART_HEAD + b"part"), received
+    assert was_reset
+
+
 @then("the request is answered completely")
 def answered(context):
     answer = context.caller.read()
--- a/src/aspengate/serving/_relay_task.py
+++ b/src/aspengate/serving/_relay_task.py
@@ -125,11 +125,13 @@
         try:
             self.channel.server.handler(connection)
         except CallerGoneError:
-            connection.abort()
-        if not connection.ended:
-            connection.abort()
-        self.wrote_header = connection.started
-        self.close_on_finish = connection.closing
+            pass
+        finally:
+            if not connection.ended:
+                connection.abort()
+            # After an exception, waitress sends an error response unless a head was written.
+            self.wrote_header = connection.started
+            self.close_on_finish = connection.closing
 
     def _must_close(self) -> bool:
         server = self.channel.server
