Announce the close in responses to requests that were in progress at SIGTERM

Whether a response closes its connection was decided when its request began to be handled. A caller whose request was in progress at the SIGTERM kept its connection therefore, and sent its next request on it, which met the close of idle connections half a second before the refusals.

Evidence: the new scenario failed before (no Connection header), and passes now. It is now decided when the head is sent. Streams whose head was sent before the SIGTERM still end without the announcement.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -22,6 +22,11 @@
     When its reading thread is busy, a request arrives on a new connection, and the server is drained
     Then the request is answered completely
 
+  Scenario: The response to a request in progress announces the close when the server leaves
+    Given a relay server with a kept connection
+    When the server begins to leave while a request is in progress
+    Then the request is answered completely, and the response announces the close
+
   Scenario: A response that its caller reads for longer than the idle timeout is completed
     Given a relay server with a kept connection
     When a large response is read steadily for several idle timeouts
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -141,6 +141,21 @@
     context.clock.free.set()
 
 
+@when("the server begins to leave while a request is in progress")
+def leave_during_request(context):
+    context.caller.send("GET", "/second")
+    assert eventually(lambda: context.server.in_progress)
+    context.server.leaving = True
+
+
+@then("the request is answered completely, and the response announces the close")
+def announces_close(context):
+    answer = context.caller.read()
+    assert answer.status == 200 and answer.whole and answer.body == b"/second", answer.body
+    assert answer.header("Connection") == "close", answer.headers
+    assert context.caller.socket.recv(1) == b""
+
+
 @when("a large response is read steadily for several idle timeouts")
 def read_steadily(context):
     context.server.idle_timeout_ms = READ_IDLE_TIMEOUT_MS
--- a/src/aspengate/serving/_relay_task.py
+++ b/src/aspengate/serving/_relay_task.py
@@ -100,6 +100,8 @@
 
     def _send_head(self, status: int, reason: str, lines: list[str]) -> None:
         self.started = True
+        # The server may have been told to leave since the request was read.
+        self.closing = self.closing or bool(self._channel.server.leaving)
         if self.closing:
             lines.append("Connection: close")
         elif self.request.version == "1.0":
