Keep the trigger of a stopped relay server open

A request that was still in progress when the time of a planned stop had passed woke the reading thread at its end by writing to a descriptor that the stop had closed. The number could belong to a connection to the store by then, on which the accounts are settled.

The two descriptors are released when the process ends.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -56,3 +56,8 @@
     Given a relay server with a kept connection
     When its handler raises an exception after a part of an unframed response
     Then its caller receives no more than that part, and then a reset of the connection
+
+  Scenario: A request that ends after its server was stopped writes to no other socket
+    Given a relay server with a kept connection
+    When the server is stopped during a request, other sockets are opened, and the request ends
+    Then none of these sockets receives anything
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -1,5 +1,7 @@
 """Steps on connections of callers that a relay server closes."""
 
+import itertools
+import socket
 import threading
 import time
 
@@ -281,6 +283,31 @@
     assert was_reset
 
 
+@when("the server is stopped during a request, other sockets are opened, and the request ends")
+def end_after_stop(context):
+    context.caller.send("GET", "/second")
+    assert eventually(lambda: context.server.in_progress)
+    channel = next(iter(context.server.active_channels.values()))
+    context.server.stop()
+    # They get the descriptors that the server has closed.
+    context.pairs = [socket.socketpair() for _ in range(4)]
+    for each in itertools.chain.from_iterable(context.pairs):
+        context.cleanup.callback(each.close)
+        each.setblocking(False)
+    assert eventually(lambda: not channel.requests)
+    time.sleep(WORK_S)
+
+
+@then("none of these sockets receives anything")
+def nothing_received(context):
+    for each in itertools.chain.from_iterable(context.pairs):
+        try:
+            received = each.recv(16)
+        except BlockingIOError:
+            continue
+        raise AssertionError(received)
+
+
 @then("the request is answered completely")
 def answered(context):
     answer = context.caller.read()
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -220,8 +220,10 @@
             self.report_close(channel, CloseReason.STOPPED)
             with contextlib.suppress(OSError):
                 channel.socket.close()
+        # The trigger stays open until the process ends: a request that is still in progress pulls
+        # it, and by then the number of its descriptor may belong to another connection.
         with contextlib.suppress(OSError):
-            self.close()
+            self.asyncore.dispatcher.close(self)
 
     def close_idle(self) -> None:
         """Have the reading thread close the connections that are idle."""
