Leave time to send the failures at the end of a short planned stop

Requests that no replica had answered get a failure at 0.84 of the time of a stop, and of a stop of 4 s all connections were closed 40 ms later (480 ms later of one of 8 s): some of many requests were cut off without an answer, and the scenario of one request depended on those 40 ms.

Below 8 s, 0.1 of the time is now reserved for the end instead of 0.15, which makes it 240 ms of 4 s. A stop of 8 s is unchanged.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -21,6 +21,11 @@
     When SIGTERM is received during a request that may run only once
     Then the request receives a failure, complete, before the gateway exits
 
+  Scenario: Each of many requests that a replica has not answered at the end of a shutdown gets a failure
+    Given a gateway with a replica that does not answer, and a shutdown of 4 s
+    When SIGTERM is received during 200 requests that may run only once
+    Then each of these requests receives a failure, complete
+
   Scenario: A gateway that is shut down settles the exact token use
     Given a gateway with replicas of both services
     When some streams are answered and the gateway is shut down
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import time
+from collections import Counter
 
 from behave import given, then, when
 from platform_standins import Caller
@@ -69,6 +70,30 @@
     assert context.router.process.wait(4) == 0
 
 
+@when("SIGTERM is received during {count:d} requests that may run only once")
+def terminate_during_requests(context, count):
+    callers = [context.router.call() for _ in range(count)]
+    for number, caller in enumerate(callers):
+        caller.send("POST", f"/status/{number}", body=b"x", deadline_ms=60_000)
+    portal = context.fleet.of("portal")[0]
+    assert eventually(lambda: len(portal.runs) == count)
+    context.router.terminate()
+    context.outcomes = Counter(map(outcome_of, callers))
+
+
+def outcome_of(caller):
+    try:
+        answer = caller.read()
+    except OSError:
+        return "no response"
+    return (answer.status, answer.whole)
+
+
+@then("each of these requests receives a failure, complete")
+def all_receive_failure(context):
+    assert set(context.outcomes) <= {(502, True), (504, True)}, context.outcomes
+
+
 @when("SIGTERM is received during a stream")
 def terminate_during_stream(context):
     caller = context.router.call()
--- a/src/aspengate/gateway/_stop.py
+++ b/src/aspengate/gateway/_stop.py
@@ -12,7 +12,7 @@
 # the first five sixths of the time to answer.
 _ANSWER_FRACTION = 0.84
 _MARGIN_MS = 800.0
-_MARGIN_FRACTION = 0.15
+_MARGIN_FRACTION = 0.1
 
 
 @dataclass(frozen=True)
