Add a failing test for a planned stop while the store does not respond

A gateway whose requests last until the end of its planned stop and whose store does not respond goes on for up to 2.2 s after the time of the stop, and is killed: no caller loses anything, as all connections are closed before, but the lines at the end of the stop may be missing.

Cause: Gateway.close() removes the router's record from the store on the main thread, with the store's time limit of up to 2 s, after 0.5 s for the accounts; the exit of the process then waits for the threads of the accounts.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -26,6 +26,11 @@
     When SIGTERM is received during 200 requests that may run only once
     Then each of these requests receives a failure, complete
 
+  Scenario: A gateway ends within its grace period although its store does not respond
+    Given a gateway with replicas that take longer than a shutdown
+    When SIGTERM is received during a stream, and its store does not respond
+    Then the gateway exits with code 0 within its grace period
+
   Scenario: A gateway that is shut down settles the exact token use
     Given a gateway with replicas of both services
     When some streams are answered and the gateway is shut down
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -219,6 +219,18 @@
         pass
 
 
+@when("SIGTERM is received during a stream, and its store does not respond")
+def terminate_without_store(context):
+    caller = context.router.call()
+    caller.send("POST", "/score/1", body=b"x", tokens=TOKENS, deadline_ms=60_000)
+    engine = context.fleet.of("engine")[0]
+    assert eventually(lambda: engine.runs)
+    context.router.endpoint.fault = "mute"
+    context.router.terminate()
+    context.terminated_s = time.monotonic()
+    assert eventually(lambda: context.router.find("gateway.refusing"))
+
+
 @then("the gateway exits with code 0 within its grace period")
 def exits_within_grace(context):
     grace_s = context.router.bounds["stop_s"]
