Add failing tests for another router that sends bytes without end

A router that fetches a list from another one reads its response without a limit of size or time: what answers at the address of a router that is gone can make it use all its memory, or hold the thread that fetches lists, which it needs while the store is away.

Cause: PeerClient reads to the end of the response, and its time limit is that of each wait. Not fixed: the limits are a choice.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -29,3 +29,14 @@
       | bytes                   |
       | an event without an end |
       | an unframed event       |
+
+  Scenario Outline: A call to another router that sends <bytes> without end is given up
+    Given another router that sends <bytes> without end
+    When its list of replicas is fetched with a time limit of 500 ms
+    Then the call has failed after 3 s, and has read less than 32 MB
+
+    Examples:
+      | bytes             |
+      | a body            |
+      | a body in drops   |
+      | a header in drops |
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -1,11 +1,15 @@
 """Steps on replicas that send bytes without end."""
 
+import socket
+import threading
 import time
 
 from behave import given, then, when
 from platform_standins.endless import ENDLESS
 from platform_standins.fleet import eventually
 
+from aspengate.errors import AspengateError
+from aspengate.peers import PeerClient
 from gateway_world import TOKENS, start_gateways
 
 LATE_S = 0.5
@@ -91,3 +95,65 @@
 def check_memory(context):
     growth = resident_bytes(context.router) - context.before_bytes
     assert growth < MAX_GROWTH_BYTES, growth
+
+
+# For each kind, what a router sends first, what it then sends repeatedly, and the pause between.
+ENDLESS_ROUTERS = {
+    "a body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536, 0.0),
+    "a body in drops": (b"HTTP/1.1 200 OK\r\n\r\n", b"x", 0.1),
+    "a header in drops": (b"HTTP/1.1 200 OK\r\nX-More: ", b"x", 0.1),
+}
+
+
+class EndlessRouter:
+    """Sends one response without end, until ``MAX_GROWTH_BYTES`` have been sent."""
+
+    def __init__(self, first, more, pause_s):
+        self.sent = 0
+        self._parts = first, more, pause_s
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._closing = threading.Event()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def close(self):
+        self._closing.set()
+        self._listener.close()
+
+    def _serve(self):
+        first, more, pause_s = self._parts
+        connection = self._listener.accept()[0]
+        with connection:
+            connection.recv(65_536)
+            try:
+                connection.sendall(first)
+                while self.sent < MAX_GROWTH_BYTES and not self._closing.wait(pause_s):
+                    connection.sendall(more)
+                    self.sent += len(more)
+            except OSError:
+                pass
+
+
+@given("another router that sends {name} without end")
+def endless_router(context, name):
+    context.other_router = EndlessRouter(*ENDLESS_ROUTERS[name])
+    context.cleanup.callback(context.other_router.close)
+
+
+@when("its list of replicas is fetched with a time limit of 500 ms")
+def fetch_list(context):
+    failures = context.failures = []
+
+    def fetch():
+        try:
+            PeerClient(500).fetch_mirror(context.other_router.address, "replicas/")
+        except AspengateError as error:
+            failures.append(error)
+
+    threading.Thread(target=fetch, daemon=True).start()
+
+
+@then("the call has failed after 3 s, and has read less than 32 MB")
+def call_has_failed(context):
+    assert eventually(lambda: context.failures, 3.0), "the call goes on"
+    assert context.other_router.sent < MAX_GROWTH_BYTES, context.other_router.sent
