Continue to tell readiness after an exception on the thread of the server

An unexpected exception on the thread that answers readiness, metrics or other routers' calls ended it without a log line, and one while a connection was accepted closed the listening socket: a gateway that worked was taken out of traffic until its next start. None was seen; found by reading.

The thread is supervised as the others are, and both servers accept connections by the same class.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -61,3 +61,13 @@
     Given a relay server with a kept connection
     When the server is stopped during a request, other sockets are opened, and the request ends
     Then none of these sockets receives anything
+
+  Scenario Outline: Readiness is still told after an exception <place>
+    Given a server of readiness
+    When an exception is raised <place> of that server
+    Then the server still responds
+
+    Examples:
+      | place                          |
+      | while a connection is accepted |
+      | on the reading thread          |
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -11,7 +11,7 @@
 
 from aspengate.clock import SystemClock
 from aspengate.connections import Waiter
-from aspengate.serving import RelayServer
+from aspengate.serving import RelayServer, WsgiServer
 from aspengate.serving._request_parser import StrictRequestParser
 from gateway_world import in_background
 
@@ -308,6 +308,48 @@
         raise AssertionError(received)
 
 
+def ready_application(_environ, start_response):
+    start_response("200 OK", [("Content-Length", "0")])
+    return [b""]
+
+
+@given("a server of readiness")
+def readiness_server(context):
+    context.server = WsgiServer(ready_application, "127.0.0.1:0", 2, 1_024)
+    context.server.start()
+    context.cleanup.callback(context.server.close)
+
+
+# The method of the waitress server that raises, by the place of the exception.
+FAILING_METHODS = {
+    "while a connection is accepted": "fix_addr",
+    "on the reading thread": "readable",
+}
+
+
+@when("an exception is raised {place} of that server")
+def exception_of_readiness_server(context, place):
+    raised = threading.Event()
+    waitress_server = context.server._server
+    name = FAILING_METHODS[place]
+    unchanged = getattr(waitress_server, name)
+
+    def fail(*_):
+        setattr(waitress_server, name, unchanged)
+        raised.set()
+        raise ValueError("raised by a test")
+
+    setattr(waitress_server, name, fail)
+    Caller(context.server.address)
+    assert raised.wait(5)
+    time.sleep(WORK_S)
+
+
+@then("the server still responds")
+def still_responds(context):
+    assert Caller(context.server.address, 5.0).request("GET", "/").status == 200
+
+
 @then("the request is answered completely")
 def answered(context):
     answer = context.caller.read()
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -10,13 +10,13 @@
 
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
-from waitress.server import TcpWSGIServer
 
 from aspengate.clock import SystemClock
+from aspengate.serving._accepting_server import AcceptingServer
 from aspengate.serving._close_report import CloseReason, ConnectionReport, has_unread_data
 from aspengate.serving._relay_task import CallerConnection, RelayTask
 from aspengate.serving._request_parser import StrictRequestParser
-from aspengate.telemetry import Counters, NullCounters, log_change, supervised_thread
+from aspengate.telemetry import Counters, supervised_thread
 
 RelayHandler = Callable[[CallerConnection], None]
 CloseObserver = Callable[[ConnectionReport], None]
@@ -106,7 +106,7 @@
         task.service()
 
 
-class RelayServer(TcpWSGIServer):  # type: ignore[misc]
+class RelayServer(AcceptingServer):
     """Serves ``handler`` at ``listen``, which is ``host:port``.
 
     ``idle_timeout_ms`` and ``header_timeout_ms`` may be changed while it runs. While ``leaving``
@@ -158,10 +158,15 @@
             outbuf_high_watermark=_BUFFER_BYTES * 4,
             ident="aspengate",
         )
-        super().__init__(handler, map={}, dispatcher=_PoolDispatcher(threads), adj=adjustments)
+        super().__init__(
+            handler,
+            map={},
+            dispatcher=_PoolDispatcher(threads),
+            adj=adjustments,
+            counters=counters,
+        )
         self.next_channel_cleanup = _NEVER
-        self._counters = counters or NullCounters()
-        self._thread = supervised_thread(self._serve, "callers", self._counters)
+        self._thread = supervised_thread(self._serve, "callers", self.counters)
 
     @property
     def address(self) -> str:
@@ -182,17 +187,6 @@
         """Start serving."""
         self._thread.start()
 
-    def handle_accept(self) -> None:
-        """Accept a connection; an exception fails that one alone.
-
-        waitress closes the listening socket, and the trigger, when this method raises.
-        """
-        try:
-            super().handle_accept()
-        except Exception as error:
-            self._counters.count("connections.not_accepted")
-            log_change("connection.not_accepted", error=repr(error))
-
     def drain(self, deadline_ms: float) -> bool:
         """Answer all requests that have arrived, then stop; return whether all were answered.
 
--- a/src/aspengate/serving/_server.py
+++ b/src/aspengate/serving/_server.py
@@ -7,8 +7,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
-from waitress.server import create_server
+
+from aspengate.serving._accepting_server import AcceptingServer
+from aspengate.telemetry import NullCounters, supervised_thread
 
 WsgiEnvironment = dict[str, Any]
 StartResponse = Callable[..., Any]
@@ -20,7 +23,10 @@
 
 
 class WsgiServer:
-    """A waitress server in its own thread; ``address`` is its ``host:port``."""
+    """A waitress server in its own thread; ``address`` is its ``host:port``.
+
+    The thread is supervised: an exception on it is logged, and it continues.
+    """
 
     def __init__(
         self, application: WsgiApplication, listen: str, threads: int, max_body_bytes: int
@@ -30,9 +36,7 @@
         logging.getLogger("waitress").setLevel(logging.CRITICAL)
         host, _, port = listen.rpartition(":")
         self._map: dict[int, Any] = {}
-        server: Any = create_server(
-            application,
-            map=self._map,
+        adjustments = Adjustments(
             host=host,
             port=int(port),
             threads=threads,
@@ -43,10 +47,10 @@
             asyncore_use_poll=True,
             clear_untrusted_proxy_headers=True,
         )
-        self._server = server
-        self.address = f"{host}:{server.effective_port}"
+        self._server = AcceptingServer(application, map=self._map, adj=adjustments)
+        self.address = f"{host}:{self._server.effective_port}"
         self._closing = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True, name="http")
+        self._thread = supervised_thread(self._run, "http", NullCounters())
 
     def start(self) -> None:
         """Start serving."""
@@ -79,6 +83,6 @@
     def _run(self) -> None:
         try:
             self._server.run()
-        except OSError:
+        except Exception:
             if not self._closing.is_set():
                 raise
