--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -221,8 +221,8 @@
 
 @when("SIGTERM is received during a stream, and its store does not respond")
 def terminate_without_store(context):
-    caller = context.router.call()
-    caller.send("POST", "/score/1", body=b"x", tokens=TOKENS, deadline_ms=60_000)
+    context.caller = context.router.call()
+    context.caller.send("POST", "/score/1", body=b"x", tokens=TOKENS, deadline_ms=60_000)
     engine = context.fleet.of("engine")[0]
     assert eventually(lambda: engine.runs)
     context.router.endpoint.fault = "mute"
