--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -1,5 +1,6 @@
 """Steps on connections of callers that a relay server closes."""
 
+import itertools
 import select
 import socket
 import threading
@@ -11,7 +12,8 @@
 from platform_standins.fleet import eventually
 
 from aspengate.clock import SystemClock
-from aspengate.serving import RelayServer
+from aspengate.connections import Waiter
+from aspengate.serving import RelayServer, WsgiServer
 from aspengate.serving._request_parser import StrictRequestParser
 from gateway_world import in_background
 
@@ -19,6 +21,16 @@
 BUSY_S = 0.8
 SHORT_IDLE_TIMEOUT_MS = 100.0
 DRAIN_S = 5.0
+# More than the socket buffers hold, so that most of it waits in the server.
+LARGE_BYTES = 16 * 1024 * 1024
+READ_IDLE_TIMEOUT_MS = 1_000.0
+READ_S = 3.5
+READ_PIECES = 128
+# Several idle timeouts, and longer than a server waits between two checks for stale connections.
+LONG_WORK_S = 4.0
+# Longer than a server waits between two checks, shorter than the idle timeout of the scenario.
+HOLD_S = 0.6
+PART_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 # Longer than the reading thread takes to close a connection.
 WORK_S = 0.1
 
@@ -48,7 +60,10 @@
 
 
 def respond_with_target(caller):
-    time.sleep(WORK_S)
+    if caller.request.target == "/large":
+        caller.respond(200, "OK", [], bytes(LARGE_BYTES))
+        return
+    time.sleep(LONG_WORK_S if caller.request.target == "/long" else WORK_S)
     if caller.request.target == HELD_TARGET:
         released.wait(10)
     caller.respond(200, "OK", [], caller.request.target.encode())
@@ -163,6 +178,60 @@
         return True
 
 
+@when("the server begins to leave while a request is in progress")
+def leave_during_request(context):
+    context.caller.send("GET", "/second")
+    assert eventually(lambda: context.server.in_progress)
+    context.server.leaving = True
+
+
+@then("the request is answered completely, and the response announces the close")
+def announces_close(context):
+    answer = context.caller.read()
+    assert answer.status == 200 and answer.whole and answer.body == b"/second", answer.body
+    assert answer.header("Connection") == "close", answer.headers
+    assert context.caller.socket.recv(1) == b""
+
+
+@when("a large response is read steadily for several idle timeouts")
+def read_steadily(context):
+    context.server.idle_timeout_ms = READ_IDLE_TIMEOUT_MS
+    context.caller.send("GET", "/large")
+    assert context.caller.read_head()[0] == 200
+    context.received = 0
+    for _ in range(READ_PIECES):
+        time.sleep(READ_S / READ_PIECES)
+        context.received += len(context.caller.reader.read(LARGE_BYTES // READ_PIECES))
+
+
+@then("that response is complete")
+def large_response_complete(context):
+    context.received += len(context.caller.reader.read(LARGE_BYTES - context.received))
+    assert context.received == LARGE_BYTES, context.received
+
+
+@when("a request takes several idle timeouts, and its thread is held up right after the response")
+def hold_thread_after_response(context):
+    context.server.idle_timeout_ms = LONG_WORK_S * 1_000 / 2
+    wake_reading_thread = context.server.pull_trigger
+
+    def wake_and_hold():
+        # A thread of the pool calls it right after the request has left the list of requests.
+        wake_reading_thread()
+        if threading.current_thread().name.startswith("request"):
+            time.sleep(HOLD_S)
+
+    context.server.pull_trigger = wake_and_hold
+    assert context.caller.request("GET", "/long").body == b"/long"
+    # The connection has not been idle for its timeout yet.
+    time.sleep(HOLD_S)
+
+
+@then("the connection remains usable")
+def remains_usable(context):
+    assert context.caller.request("GET", "/second").body == b"/second"
+
+
 @when("an exception is raised on its reading thread, and then a request arrives")
 def exception_on_reading_thread(context):
     raised = threading.Event()
@@ -179,6 +248,143 @@
     context.caller.send("GET", "/second")
 
 
+@when(
+    "an exception is raised while a connection is accepted, and then a request arrives on a new one"
+)
+def exception_while_accepting(context):
+    raised = threading.Event()
+    # The server calls it with the address of each accepted connection.
+    unchanged = context.server.fix_addr
+
+    def fail(_address):
+        context.server.fix_addr = unchanged
+        raised.set()
+        raise ValueError("raised by a test")
+
+    context.server.fix_addr = fail
+    Caller(context.server.address)
+    assert raised.wait(5)
+    # An exception that closes the listening socket does so soon afterwards.
+    time.sleep(WORK_S)
+    context.caller = Caller(context.server.address, 5.0)
+    context.caller.send("GET", "/second")
+
+
+def read_to_end(caller):
+    """Read until the connection ends; return the bytes, and whether it was reset."""
+    received = b""
+    try:
+        while data := caller.socket.recv(65_536):
+            received += data
+    except ConnectionResetError:
+        return received, True
+    return received, False
+
+
+def raise_after_response(caller):
+    caller.respond(200, "OK", [], b"complete")
+    raise ValueError("raised by a test")
+
+
+def raise_after_part(caller):
+    caller.start(200, "OK", [])
+    caller.write(b"part", Waiter(SystemClock(), None, float("inf")))
+    raise ValueError("raised by a test")
+
+
+@when("its handler raises an exception after a complete response")
+def exception_after_response(context):
+    context.server.handler = raise_after_response
+    context.caller.raw(b"GET /second HTTP/1.1\r\nHost: any\r\n\r\n")
+
+
+@when("its handler raises an exception after a part of an unframed response")
+def exception_after_part(context):
+    context.server.handler = raise_after_part
+    context.caller.raw(b"GET /second HTTP/1.0\r\n\r\n")
+
+
+@then("its caller receives that response, and then the end of the connection")
+def only_that_response(context):
+    received, was_reset = read_to_end(context.caller)
+    assert received.endswith(b"complete") and not was_reset, received
+
+
+@then("its caller receives no more than that part, and then a reset of the connection")
+def only_that_part(context):
+    received, was_reset = read_to_end(context.caller)
+    # A reset may overtake bytes that were sent before it.
+    assert received in (b"", PART_HEAD, PART_HEAD + b"part"), received
+    assert was_reset
+
+
+@when("the server is stopped during a request, other sockets are opened, and the request ends")
+def end_after_stop(context):
+    context.caller.send("GET", "/second")
+    assert eventually(lambda: context.server.in_progress)
+    channel = next(iter(context.server.active_channels.values()))
+    context.server.stop()
+    # They get the descriptors that the server has closed.
+    context.pairs = [socket.socketpair() for _ in range(4)]
+    for each in itertools.chain.from_iterable(context.pairs):
+        context.cleanup.callback(each.close)
+        each.setblocking(False)
+    assert eventually(lambda: not channel.requests)
+    time.sleep(WORK_S)
+
+
+@then("none of these sockets receives anything")
+def nothing_received(context):
+    for each in itertools.chain.from_iterable(context.pairs):
+        try:
+            received = each.recv(16)
+        except BlockingIOError:
+            continue
+        raise AssertionError(received)
+
+
+def ready_application(_environ, start_response):
+    start_response("200 OK", [("Content-Length", "0")])
+    return [b""]
+
+
+@given("a server of readiness")
+def readiness_server(context):
+    context.server = WsgiServer(ready_application, "127.0.0.1:0", 2, 1_024)
+    context.server.start()
+    context.cleanup.callback(context.server.close)
+
+
+# The method of the waitress server that raises, by the place of the exception.
+FAILING_METHODS = {
+    "while a connection is accepted": "fix_addr",
+    "on the reading thread": "readable",
+}
+
+
+@when("an exception is raised {place} of that server")
+def exception_of_readiness_server(context, place):
+    raised = threading.Event()
+    waitress_server = context.server._server
+    name = FAILING_METHODS[place]
+    unchanged = getattr(waitress_server, name)
+
+    def fail(*_):
+        setattr(waitress_server, name, unchanged)
+        raised.set()
+        raise ValueError("raised by a test")
+
+    setattr(waitress_server, name, fail)
+    Caller(context.server.address)
+    assert raised.wait(5)
+    time.sleep(WORK_S)
+
+
+@then("the server still responds")
+def still_responds(context):
+    assert Caller(context.server.address, 5.0).request("GET", "/").status == 200
+
+
 @then("the request is answered completely")
 def answered(context):
     answer = context.caller.read()
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 
 from behave import given, then, when
@@ -74,6 +75,30 @@
     assert context.router.process.wait(4) == 0
 
 
+@when("SIGTERM is received during {count:d} requests that may run only once")
+def terminate_during_requests(context, count):
+    callers = [context.router.call() for _ in range(count)]
+    for number, caller in enumerate(callers):
+        caller.send("POST", f"/status/{number}", body=b"x", deadline_ms=60_000)
+    portal = context.fleet.of("portal")[0]
+    assert eventually(lambda: len(portal.runs) == count)
+    context.router.terminate()
+    context.outcomes = Counter(map(outcome_of, callers))
+
+
+def outcome_of(caller):
+    try:
+        answer = caller.read()
+    except OSError:
+        return "no response"
+    return (answer.status, answer.whole)
+
+
+@then("each of these requests receives a failure, complete")
+def all_receive_failure(context):
+    assert set(context.outcomes) <= {(502, True), (504, True)}, context.outcomes
+
+
 @when("SIGTERM is received during a stream")
 def terminate_during_stream(context):
     caller = context.router.call()
@@ -199,6 +224,18 @@
         pass
 
 
+@when("SIGTERM is received during a stream, and its store does not respond")
+def terminate_without_store(context):
+    context.caller = context.router.call()
+    context.caller.send("POST", "/score/1", body=b"x", tokens=TOKENS, deadline_ms=60_000)
+    engine = context.fleet.of("engine")[0]
+    assert eventually(lambda: engine.runs)
+    context.router.endpoint.fault = "mute"
+    context.router.terminate()
+    context.terminated_s = time.monotonic()
+    assert eventually(lambda: context.router.find("gateway.refusing"))
+
+
 @then("the gateway exits with code 0 within its grace period")
 def exits_within_grace(context):
     grace_s = context.router.bounds["stop_s"]
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -10,9 +10,9 @@
 
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
-from waitress.server import TcpWSGIServer
 
 from aspengate.clock import SystemClock
+from aspengate.serving._accepting_server import AcceptingServer
 from aspengate.serving._close_report import CloseReason, ConnectionReport, has_unread_data
 from aspengate.serving._relay_task import CallerConnection, RelayTask
 from aspengate.serving._request_parser import StrictRequestParser
@@ -33,7 +33,11 @@
 
 
 class RelayChannel(HTTPChannel):  # type: ignore[misc]
-    """A caller's connection; ``last_used_ms`` is the monotonic time of its last activity."""
+    """A caller's connection; ``last_used_ms`` is the monotonic time of its last activity.
+
+    Both reading and sending are activity: a response may take longer than the idle timeout, and
+    its last bytes may leave long after its request has been handled.
+    """
 
     task_class = RelayTask
     parser_class = StrictRequestParser
@@ -47,10 +51,12 @@
         self.last_used_ms = _CLOCK.monotonic_ms()
         return bool(super().received(data))
 
-    def service(self) -> None:
-        """Handle the next request; called on a thread of the pool."""
-        super().service()
-        self.last_used_ms = _CLOCK.monotonic_ms()
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        """Send response data, on the thread of the request or on the reading thread."""
+        sent = int(super().send(data, do_close))
+        if sent:
+            self.last_used_ms = _CLOCK.monotonic_ms()
+        return sent
 
     @property
     def is_idle(self) -> bool:
@@ -113,14 +119,14 @@
         task.service()
 
 
-class RelayServer(TcpWSGIServer):  # type: ignore[misc]
+class RelayServer(AcceptingServer):
     """Serves ``handler`` at ``listen``, which is ``host:port``.
 
     ``idle_timeout_ms`` and ``header_timeout_ms`` may be changed while it runs. While ``leaving``
     is set, every response closes its connection, so that callers reconnect elsewhere.
     ``on_close`` gets a report on each connection that the server closes by itself. ``counters``
-    count exceptions on the reading thread, which continues after them, and threads that the system
-    refuses to start.
+    count exceptions on the reading thread and of single connections, after which the thread
+    continues, and threads that the system refuses to start.
     """
 
     channel_class = RelayChannel
@@ -167,8 +173,13 @@
             ident="aspengate",
         )
         counters = counters or NullCounters()
-        dispatcher = _PoolDispatcher(threads, counters)
-        super().__init__(handler, map={}, dispatcher=dispatcher, adj=adjustments)
+        super().__init__(
+            handler,
+            map={},
+            dispatcher=_PoolDispatcher(threads, counters),
+            adj=adjustments,
+            counters=counters,
+        )
         self.next_channel_cleanup = _NEVER
         self._thread = supervised_thread(self._serve, "callers", counters)
 
@@ -218,8 +229,10 @@
             self.report_close(channel, CloseReason.STOPPED)
             with contextlib.suppress(OSError):
                 channel.socket.close()
+        # The trigger stays open until the process ends: a request that is still in progress pulls
+        # it, and by then the number of its descriptor may belong to another connection.
         with contextlib.suppress(OSError):
-            self.close()
+            self.asyncore.dispatcher.close(self)
 
     def close_idle(self) -> None:
         """Have the reading thread close the connections that are idle."""
--- a/src/aspengate/serving/_relay_task.py
+++ b/src/aspengate/serving/_relay_task.py
@@ -100,6 +100,8 @@
 
     def _send_head(self, status: int, reason: str, lines: list[str]) -> None:
         self.started = True
+        # The server may have been told to leave since the request was read.
+        self.closing = self.closing or bool(self._channel.server.leaving)
         if self.closing:
             lines.append("Connection: close")
         elif self.request.version == "1.0":
@@ -125,11 +127,13 @@
         try:
             self.channel.server.handler(connection)
         except CallerGoneError:
-            connection.abort()
-        if not connection.ended:
-            connection.abort()
-        self.wrote_header = connection.started
-        self.close_on_finish = connection.closing
+            pass
+        finally:
+            if not connection.ended:
+                connection.abort()
+            # After an exception, waitress sends an error response unless a head was written.
+            self.wrote_header = connection.started
+            self.close_on_finish = connection.closing
 
     def _must_close(self) -> bool:
         server = self.channel.server
