Bound the time and size of a response from another router

Found by the review: a call to another router had a limit for each read alone. One that sends byte by byte kept the call waiting for good, one that sends fast made the caller collect without bound (175 MB in 0.4 s).

The connection is shut down after four times the limit of a read, and a response of more than 16 MiB or one that is cut short is a failed call.

--- a/src/aspengate/peers/_exchange.py
+++ b/src/aspengate/peers/_exchange.py
@@ -1,8 +1,11 @@
 """HTTP calls between routers: the state of a mirror of the store, and a session's ceilings."""
 
+import contextlib
 import http.client
+import socket
+import threading
 import zlib
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from http import HTTPStatus
 from typing import Protocol
 from urllib.parse import parse_qs, urlencode
@@ -42,6 +45,9 @@
     number_of,
 )
 
+# A response may take this many times as long as a single read, and have this length.
+_MAX_TIMEOUTS = 4
+_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 _MIRROR_PATH = "/mirror"
 # The fastest level reduces a generated list of 3,000 replicas from 765 to 43 KB in 4 ms.
 _COMPRESSION_LEVEL = 1
@@ -292,14 +298,18 @@
     def _request(self, address: str, target: str, method: str = "GET") -> bytes:
         connection = http.client.HTTPConnection(address, timeout=self.timeout_ms / 1_000)
         try:
-            connection.request(method, target)
-            response = connection.getresponse()
-            content = response.read()
-            self._on_received(address, target.partition("?")[0].strip("/"), len(content))
+            connection.connect()
+            with _time_limit(connection.sock, self.timeout_ms * _MAX_TIMEOUTS):
+                connection.request(method, target)
+                response = connection.getresponse()
+                content = response.read(_MAX_RESPONSE_BYTES + 1)
+                if len(content) > _MAX_RESPONSE_BYTES or response.length:
+                    raise http.client.IncompleteRead(b"", response.length)
         except (OSError, http.client.HTTPException) as error:
             raise _unavailable(address, error) from error
         finally:
             connection.close()
+        self._on_received(address, target.partition("?")[0].strip("/"), len(content))
         if response.status != HTTPStatus.OK:
             raise AspengateError(
                 ErrorKind.STORE_UNAVAILABLE,
@@ -309,6 +319,31 @@
         return content
 
 
+@contextlib.contextmanager
+def _time_limit(connected: socket.socket, limit_ms: float) -> Iterator[None]:
+    """Shut a connection down after ``limit_ms``; raises TimeoutError if that happened.
+
+    The timeout of a socket applies to each read, so that a peer that sends byte by byte would
+    never exceed it.
+    """
+    expired = threading.Event()
+
+    def expire() -> None:
+        expired.set()
+        with contextlib.suppress(OSError):
+            connected.shutdown(socket.SHUT_RDWR)
+
+    timer = threading.Timer(limit_ms / 1_000, expire)
+    timer.daemon = True
+    timer.start()
+    try:
+        yield
+    finally:
+        timer.cancel()
+    if expired.is_set():
+        raise TimeoutError("the response took too long")
+
+
 def _decompressed(content: bytes) -> bytes:
     """Return the decompressed content; builds that predate the compression send it plain."""
     return zlib.decompress(content) if content[:1] == _ZLIB_FIRST_BYTE else content
