Judge plain answers without a length by whether their replica runs on

Cause: the kernel closes the connections of a process that crashes with a FIN, as the process itself does after a whole answer. Streams asked after the end whether the port still accepts, plain answers did not. The question itself was too weak, too: the kernel closes the sockets of an ended process one after the other, often the listener last, and accepts connections until then.

gateway/_unframed_ends.py now judges the ends of both kinds of answers. ListenerProbe opens a connection and closes its sending side: a running server reads that and closes the connection, which ends the probe. A connection that is reset is followed by another one, until one is refused or 100 ms have passed. An accepted connection does not count if the replica is known to have ended: by the crash guard of any router, a refused connection of another request, a record of another start, or another replica at its address. If nothing answers at all, the answer counts as broken off as well; streams took it for whole before. Broken answers are tried again where the route allows it. Answers to HEAD and with 204 or 304 have no body and are not judged.

The line of the request has `unframed_end` for each attempt, and three counters tell how often each verdict was given.

--- a/features/gateway_streams.feature
+++ b/features/gateway_streams.feature
@@ -44,6 +44,7 @@
       | unframed stream, cut in an event |
       | unframed stream, reset           |
       | unframed stream, replica ended   |
+      | unframed stream, replica ending  |
 
   Scenario Outline: A stream without framing that breaks off is resumed at another replica
     Given a gateway with two replicas per service
@@ -55,6 +56,7 @@
       | unframed stream, cut in an event |
       | unframed stream, reset           |
       | unframed stream, replica ended   |
+      | unframed stream, replica ending  |
 
   Scenario: A stream without framing and without events is retried at another replica
     Given a gateway with two replicas per service
--- a/features/platform_standins/client.py
+++ b/features/platform_standins/client.py
@@ -63,10 +63,11 @@
         headers=(),
         host=HOST,
         chunked=False,
+        version="1.1",
     ):
         """Send a request; return its id."""
         identity = identity or f"{next(_numbers):016x}"
-        lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", f"X-Request-Id: {identity}"]
+        lines = [f"{method} {path} HTTP/{version}", f"Host: {host}", f"X-Request-Id: {identity}"]
         if deadline_ms is not None:
             lines.append(f"X-Deadline-Ms: {deadline_ms}")
         if key:
--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -10,6 +10,8 @@
 
 RESET = struct.pack("ii", 1, 0)
 LONG_BYTES = 100_000
+# More than routers hold back of a response that is not complete.
+LONG_UNFRAMED_BYTES = 600_000
 _numbers = itertools.count(1)
 
 
@@ -56,6 +58,9 @@
     record, and ``fault`` replaces the behaviour of some requests, as in a bad version. The
     behaviours "slow first" and "slow pauses" take ``slow_factor`` times as long as usual.
 
+    While ``suspended`` is set it handles no new connection, although the kernel accepts it.
+    Unframed responses that are held end once ``may_end`` is set.
+
     ``requests`` are all requests that were read. By request id, ``sent_events`` counts events,
     ``runs`` executions, and ``cancelled`` executions whose connection ended before the response.
     """
@@ -93,6 +98,8 @@
         self.behaviours = {}
         self.stall_s = 0.0
         self.has_ended = False
+        self.suspended = False
+        self.may_end = threading.Event()
         self.leaving = False
         self.retry_after = "3"
         self.limit = None
@@ -165,6 +172,12 @@
             pass
         self._socket.close()
 
+    def listen_again(self):
+        """Accept connections at the same address again, as a process that was started again."""
+        host, _, port = self.address.rpartition(":")
+        self._socket = socket.create_server((host, int(port)))
+        threading.Thread(target=self._accept, daemon=True).start()
+
     def close(self):
         self.crash()
 
@@ -184,6 +197,8 @@
             self.connections += 1
             with self._lock:
                 self._open.add(connection)
+            if self.suspended:
+                continue
             arguments = (connection, self.connections)
             threading.Thread(target=self._serve, args=arguments, daemon=True).start()
 
@@ -484,6 +499,67 @@
     return False
 
 
+def send_unframed_part(replica, connection, request):
+    """Send the head and half of the body of a response without a length."""
+    replica.run(request)
+    body = replica.body(request)
+    replica.send(connection, replica.head(request) + body[: len(body) // 2], request)
+
+
+def end_process_later(replica):
+    """Let the kernel accept connections for 20 ms more that nothing reads, and then reset them."""
+    replica.suspended = True
+    threading.Timer(0.02, replica.crash).start()
+
+
+@behaviour("unframed, replica ended")
+def end_with_unframed(replica, connection, request):
+    """Close the connection in an orderly way within the body, with a process that has ended."""
+    send_unframed_part(replica, connection, request)
+    replica.stop_listening()
+    return False
+
+
+@behaviour("unframed, replica ending")
+def end_after_unframed(replica, connection, request):
+    """The same, of a process whose listener is closed some milliseconds after the connection."""
+    send_unframed_part(replica, connection, request)
+    end_process_later(replica)
+    return False
+
+
+@behaviour("unframed, held")
+def hold_unframed(replica, connection, request):
+    """Send a part, and close the connection in an orderly way once that is allowed."""
+    send_unframed_part(replica, connection, request)
+    replica.may_end.wait(60.0)
+    return False
+
+
+@behaviour("unframed and long, replica ended")
+def end_with_long_unframed(replica, connection, request):
+    """The same as "unframed, replica ended", with a part that routers pass on as it arrives."""
+    replica.run(request)
+    replica.send(connection, replica.head(request) + b"x" * LONG_UNFRAMED_BYTES, request)
+    replica.stop_listening()
+    return False
+
+
+@behaviour("unframed whole, then suspended")
+def unframed_whole_then_suspended(replica, connection, request):
+    replica.suspended = True
+    return unframed_whole(replica, connection, request)
+
+
+@behaviour("no content, replica ended")
+def end_with_no_content(replica, connection, request):
+    """Send a response that has no body and no length."""
+    replica.run(request)
+    replica.send(connection, replica.head(request, 204), request)
+    replica.stop_listening()
+    return False
+
+
 def send_unframed_events(replica, connection, request, last):
     """Send the events up to ``last`` without a length or chunks."""
     replica.run(request)
@@ -524,6 +600,14 @@
     return False
 
 
+@behaviour("unframed stream, replica ending")
+def end_after_unframed_stream(replica, connection, request):
+    """The same, of a process whose listener is closed some milliseconds after the connection."""
+    send_unframed_events(replica, connection, request, 2)
+    end_process_later(replica)
+    return False
+
+
 @behaviour("unframed stream without events")
 def empty_unframed_stream(replica, connection, request):
     send_unframed_events(replica, connection, request, 0)
--- a/src/aspengate/connections/__init__.py
+++ b/src/aspengate/connections/__init__.py
@@ -19,6 +19,7 @@
     parse_whole_number,
     single_header,
 )
+from aspengate.connections._listener_probe import ListenerProbe, ListenerState
 from aspengate.connections._pool import ConnectionPool
 from aspengate.connections._response import ReplicaResponse
 from aspengate.connections._waiter import CallerGoneError, Waiter
@@ -31,6 +32,8 @@
     "ConnectTimes",
     "ConnectionPool",
     "Headers",
+    "ListenerProbe",
+    "ListenerState",
     "ReplicaConnection",
     "ReplicaResponse",
     "RequestHead",
--- a/src/aspengate/connections/_connection.py
+++ b/src/aspengate/connections/_connection.py
@@ -52,7 +52,7 @@
     """A connection to ``address``; the constructor raises NO_UPSTREAM if it can't be opened.
 
     After an error or an incomplete response it must be closed, since later data on it could not
-    be matched to a request.
+    be matched to a request. ``method`` is that of the last request.
     """
 
     def __init__(self, address: str, clock: Clock, timeout_ms: float) -> None:
@@ -62,6 +62,7 @@
         self.idle_until_ms = float("inf")
         self.requests = 0
         self.responded_early = False
+        self.method = ""
         self._protocol = h11.Connection(h11.CLIENT)
         host, _, port = address.rpartition(":")
         try:
@@ -83,6 +84,7 @@
         sets ``responded_early``, and ``receive`` reports the failure.
         """
         self.requests += 1
+        self.method = head.method
         data = self._render(head, body)
         view = memoryview(data)
         sent = 0
--- a/src/aspengate/connections/_response.py
+++ b/src/aspengate/connections/_response.py
@@ -3,6 +3,7 @@
 import math
 import re
 from collections.abc import Callable
+from http import HTTPStatus
 
 import h11
 
@@ -13,6 +14,7 @@
 _MAX_RESPONSES_READ = 3
 _CONTENT_LENGTH = b"content-length"
 _TRANSFER_ENCODING = b"transfer-encoding"
+_BODYLESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 _KEEP_ALIVE_PATTERN = re.compile(r"timeout=(\d+)")
 
@@ -22,8 +24,7 @@
 class ReplicaResponse:
     """A response whose head was received; ``next_data`` returns its body piece by piece.
 
-    ``is_framed`` is whether the response delimits itself, by a length or chunks, instead of
-    by the end of the connection. ``is_complete`` is set once the whole body was read.
+    ``is_complete`` is set once the whole body was read.
     """
 
     def __init__(self, connection: ReplicaConnection, head: h11.Response) -> None:
@@ -34,7 +35,7 @@
             (name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers
         )
         names = {name for name, _ in head.headers}
-        self.is_framed = bool(names & {_CONTENT_LENGTH, _TRANSFER_ENCODING})
+        self._states_length = bool(names & {_CONTENT_LENGTH, _TRANSFER_ENCODING})
         self.is_complete = False
 
     @classmethod
@@ -68,6 +69,15 @@
             ErrorKind.UPSTREAM_FAILED, "another request's answer", where=connection.address
         )
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the response delimits itself, instead of by the end of the connection.
+
+        It does so by a length, by chunks or by having no body.
+        """
+        has_no_body = self.connection.method == "HEAD" or self.status in _BODYLESS_STATUSES
+        return has_no_body or self._states_length
+
     def header(self, name: str) -> str:
         """Return the value of the first header of this name; empty if there is none."""
         lowered = name.lower()
--- a/src/aspengate/crashes/_suspects.py
+++ b/src/aspengate/crashes/_suspects.py
@@ -84,6 +84,11 @@
                 self._ended.popitem(last=False)
             return True
 
+    def has_ended(self, run: str) -> bool:
+        """Return whether a run is recorded as terminated."""
+        with self._lock:
+            return run in self._ended
+
     def count_ended_near(self, run: str, within_ms: float) -> int:
         """Return how many other runs terminated within ``within_ms`` of a run's termination."""
         with self._lock:
--- a/src/aspengate/gateway/_attempt.py
+++ b/src/aspengate/gateway/_attempt.py
@@ -92,7 +92,8 @@
     record before the send, and ``rollout`` is set once the request is sent to a replica of a
     rollout's cohort. ``has_output`` is set once the replica's output has been relayed: an event, or
     the whole body of a success. ``is_refused`` is set if the replica responded that it has not run
-    the request. Times are in the clock's monotonic milliseconds.
+    the request. ``unframed_end`` is how the end of a response without a length or chunks was
+    judged, empty for other responses. Times are in the clock's monotonic milliseconds.
     """
 
     def __init__(
@@ -125,6 +126,7 @@
         self.notice = ReplicaNotice()
         self.is_refused = False
         self.has_output = False
+        self.unframed_end = ""
         self.is_abandoned = False
         self.ended_ms: float | None = None
         self.connection: ReplicaConnection | None = None
@@ -296,6 +298,7 @@
             "rest_ms": round(self.notice.backoff_ms),
             "limit": self.notice.limit,
             "outcome": self.outcome,
+            **({"unframed_end": self.unframed_end} if self.unframed_end else {}),
             **({"cohort": self.rollout.cohort.value} if self.rollout is not None else {}),
         }
 
@@ -384,7 +387,8 @@
             backoff_ms = _CONNECT_FAILURE_BACKOFF_MS
             if not self.view.has_responded:
                 backoff_ms = max(backoff_ms, _CONNECT_FAILURE_BACKOFF_FACTOR * (now - begun_ms))
-            self.view.record_unreachable(now, backoff_ms)
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            self.view.record_unreachable(now, backoff_ms, refused=refused)
             raise RetryableAttemptError(error, sent=False) from error
         now = self.dependencies.clock.monotonic_ms()
         self.connect_ms = now - begun_ms
--- a/src/aspengate/gateway/_crash_guard.py
+++ b/src/aspengate/gateway/_crash_guard.py
@@ -182,6 +182,10 @@
         """Return the name of a replica's current run, under which its outcomes are recorded."""
         return self.suspects.current_run(replica)
 
+    def has_ended(self, run: str) -> bool:
+        """Return whether a run of a replica has terminated, as this or another router observed."""
+        return self.suspects.has_ended(run)
+
     def record_lost(
         self,
         subjects: tuple[CrashSubject, ...],
--- a/src/aspengate/gateway/_dispatcher.py
+++ b/src/aspengate/gateway/_dispatcher.py
@@ -2,7 +2,12 @@
 
 from http import HTTPStatus
 
-from aspengate.connections import BrokenResponseError, CallerGoneError, ReplicaResponse
+from aspengate.connections import (
+    BrokenResponseError,
+    CallerGoneError,
+    ListenerProbe,
+    ReplicaResponse,
+)
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.fleet_permits import Permit
 from aspengate.gateway._attempt import Attempt, AttemptDependencies, RetryableAttemptError
@@ -12,6 +17,7 @@
 from aspengate.gateway._progress import Progress
 from aspengate.gateway._relay import AnswerRelay
 from aspengate.gateway._selection import ReplicaSelection
+from aspengate.gateway._unframed_ends import UnframedEnds
 from aspengate.gateway.streams import StreamDirectory
 from aspengate.replicas import (
     ReplicaNotice,
@@ -48,7 +54,10 @@
         self.crashes = crashes
         self.streams = streams
         self.counters = counters
-        self.relay = AnswerRelay(dependencies.header_codec, streams, counters)
+        unframed_ends = UnframedEnds(
+            crashes, dependencies.registry, ListenerProbe(dependencies.clock), counters
+        )
+        self.relay = AnswerRelay(dependencies.header_codec, streams, unframed_ends, counters)
 
     def run(self, exchange: Exchange, caller: CallerConnection, progress: Progress) -> None:
         """Relay a replica's response to the caller; raises AspengateError if there is none."""
--- a/src/aspengate/gateway/_relay.py
+++ b/src/aspengate/gateway/_relay.py
@@ -1,29 +1,33 @@
 """Relays a replica's response to the caller."""
 
-from aspengate.connections import BrokenResponseError, ReplicaResponse, refuses_connections
+from aspengate.connections import BrokenResponseError, ReplicaResponse
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.gateway._attempt import Attempt, RetryableAttemptError
 from aspengate.gateway._events import EventSplitter, StreamEvent
 from aspengate.gateway._ports import HeaderCodec
 from aspengate.gateway._progress import Progress
+from aspengate.gateway._unframed_ends import UnframedEnds
 from aspengate.gateway.streams import StreamDirectory
 from aspengate.serving import CallerConnection
 from aspengate.telemetry import Counters
 
 _MAX_BUFFERED_BYTES = 256 * 1024
 _MAX_EVENT_BYTES = 1024 * 1024
-# Time limit of the connection attempt, in ms, that shows whether a replica has terminated.
-_PROBE_TIMEOUT_MS = 100.0
 
 
 class AnswerRelay:
     """Relays buffered responses and event streams."""
 
     def __init__(
-        self, header_codec: HeaderCodec, streams: StreamDirectory, counters: Counters
+        self,
+        header_codec: HeaderCodec,
+        streams: StreamDirectory,
+        unframed_ends: UnframedEnds,
+        counters: Counters,
     ) -> None:
         self.header_codec = header_codec
         self.streams = streams
+        self.unframed_ends = unframed_ends
         self.counters = counters
 
     def relay_buffered(
@@ -43,6 +47,7 @@
                     self._start(answer, caller)
                     caller.write(body, waiter)
                     body = b""
+            self.unframed_ends.check(attempt, answer)
         except AspengateError as error:
             raise _broken_error(attempt, error, resumable=not caller.started) from error
         attempt.release(answer)
@@ -72,8 +77,10 @@
                     raise BrokenResponseError("an event is too long", answer.connection.address)
             if splitter.remainder:
                 raise BrokenResponseError("ends within an event", answer.connection.address)
-            if not answer.is_framed:
-                _check_unframed_end(answer, progress)
+            if not answer.is_framed and not progress.events and not progress.last_event_id:
+                address = answer.connection.address
+                raise BrokenResponseError("a stream without framing and events", address)
+            self.unframed_ends.check(attempt, answer)
         except AspengateError as error:
             resumable = not caller.started or attempt.exchange.known_route.resumable
             raise _broken_error(attempt, error, resumable=resumable) from error
@@ -121,18 +128,6 @@
             caller.start(answer.status, answer.reason, headers)
 
 
-def _check_unframed_end(answer: ReplicaResponse, progress: Progress) -> None:
-    """Raise BrokenResponseError if a stream that ended with its connection may be incomplete.
-
-    The operating system also closes the connections of a replica that crashes.
-    """
-    address = answer.connection.address
-    if not progress.events and not progress.last_event_id:
-        raise BrokenResponseError("a stream without framing and events", address)
-    if refuses_connections(address, _PROBE_TIMEOUT_MS):
-        raise BrokenResponseError("ended together with its replica", address)
-
-
 def _broken_error(attempt: Attempt, error: AspengateError, *, resumable: bool) -> Exception:
     """Return the exception to raise for a response that broke off."""
     is_lost = error.kind is ErrorKind.UPSTREAM_FAILED
--- a/src/aspengate/replicas/_registry.py
+++ b/src/aspengate/replicas/_registry.py
@@ -183,6 +183,25 @@
             view.replaced_until_ms = now + _REPLACED_EXCLUSION_MS
         log_change("replica.replaced", replica=incarnation, told_by=reported_by)
 
+    def has_ended_since(self, view: ReplicaView, since_ms: float) -> bool:
+        """Return whether an incarnation that ran at ``since_ms`` is known to have ended.
+
+        That is so if its address has refused a connection since, if another replica responded or
+        was listed there, or if its record is of another start. A record that is gone shows nothing:
+        some replicas continue to serve without one.
+        """
+        if view.refused_ms >= since_ms or self.clock.monotonic_ms() < view.replaced_until_ms:
+            return True
+        with self._lock:
+            current = self._views.get(view.identity)
+            if current is not None and current is not view and not _is_same_start(current, view):
+                return True
+            return any(
+                other.listed_ms >= since_ms and other.replica.address == view.replica.address
+                for other in self._views.values()
+                if other.identity != view.identity
+            )
+
     def record_notice(
         self, view: ReplicaView, notice: ReplicaNotice, asked_ms: float = float("inf")
     ) -> None:
@@ -305,6 +324,7 @@
 
     def _add_view(self, view: ReplicaView) -> None:
         self._views[view.identity] = view
+        view.listed_ms = self.clock.monotonic_ms()
         early, reported_by = self._early_limits.pop(view.incarnation, (ReportedLimit(), ""))
         is_early = early.number > view.reported.limit.number
         if is_early:
--- a/src/aspengate/replicas/_view.py
+++ b/src/aspengate/replicas/_view.py
@@ -84,6 +84,8 @@
     Until ``replaced_until_ms``, in monotonic time, the incarnation receives no requests, as another
     replica responded at its address. By its record it is cold until ``cold_until_ms``; it may also
     be cold from ``evacuation_ended_ms`` on, when the evacuation of its failure domain ended.
+    ``listed_ms`` is when this incarnation was listed, and ``refused_ms`` when its address last
+    refused a connection of this router, in monotonic time.
     ``reported`` is the state from its responses, and ``unreadable_logged`` is whether an unreadable
     limit has been logged.
     """
@@ -98,6 +100,8 @@
         self.responded_ms = float("-inf")
         self.last_activity_ms = float("-inf")
         self.avoid_until_ms = float("-inf")
+        self.listed_ms = float("-inf")
+        self.refused_ms = float("-inf")
         self.replaced_until_ms = float("-inf")
         self.cold_until_ms = float("-inf")
         self.evacuation_ended_ms = float("-inf")
@@ -291,9 +295,14 @@
         """Record a request that failed at the replica."""
         self._record_outcome(1.0, now_ms)
 
-    def record_unreachable(self, now_ms: float, pause_ms: float) -> None:
-        """Record a failed connection, and avoid the replica for ``pause_ms``."""
+    def record_unreachable(self, now_ms: float, pause_ms: float, *, refused: bool) -> None:
+        """Record a failed connection, and avoid the replica for ``pause_ms``.
+
+        ``refused`` is whether nothing listened at its address.
+        """
         self.avoid_until_ms = now_ms + pause_ms
+        if refused:
+            self.refused_ms = now_ms
 
     def _record_outcome(self, failure: float, now_ms: float) -> None:
         with self._lock:
