Record a crash at once although the listener is closed a little later

Routers took a crash for a lost answer: the kernel closes the sockets of a crashed process one after the other, often the listener last. The crash guard opened one connection right after the answer had broken off, found it accepted, and recorded no end until another request's connection was refused. A trial of a suspect request that crashed its replica in this way counted as one that showed nothing.

The guard now asks ListenerProbe, which tells a closing listener from a running one, as the judgement of answers without a length does. The function that opened a single connection is gone.

Evidence: the new scenario of crashes.feature ("A crash is recorded at once") failed before: no line `replica.ended` when the request had ended.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -5,6 +5,14 @@
     When a receipt crashes its replica, and the response to another receipt is lost
     Then one log line names the crashed replica and its request, and none names the other request
 
+  # The kernel closes the listener of a crashed process some milliseconds after its connections. A
+  # crash looked like a lost response until another request's connection was refused.
+  Scenario: A crash is recorded at once although the replica's listener is closed a little later
+    Given a gateway with one replica per service
+    When a status is requested and the replica's response is "lose, replica ending"
+    Then the caller receives a complete response 502 without a replica's signature
+    And the log says that the replica has ended under this request
+
   Scenario: The log names the prompt segments of a request that crashed its replica
     Given a gateway before four portal replicas
     When a streamed request with three prompt segments crashes its replica
--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -446,6 +446,15 @@
     return False
 
 
+@behaviour("lose, replica ending")
+def run_and_end(replica, connection, request):
+    """Reset the connection, as a process whose listener is closed some milliseconds later."""
+    replica.run(request)
+    replica.reset(connection)
+    end_process_later(replica)
+    return False
+
+
 @behaviour("mute")
 def say_nothing(replica, connection, request):
     replica.run(request)
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -88,6 +88,14 @@
     assert sorted(line["content"] for line in lines) == sorted(fingerprints), lines
 
 
+@then("the log says that the replica has ended under this request")
+def end_is_logged(context):
+    end = eventually(lambda: context.router.find("request.ended", request_id=context.identity))
+    replica = context.fleet.of("portal")[0].identity
+    # The line of the crash is written before that of the request.
+    assert context.router.find("replica.ended", replica=replica, content=end["content"]), end
+
+
 @when("a streamed request with three prompt segments crashes its replica")
 def segments_of_crash(context):
     for replica in context.fleet.of("engine"):
--- a/src/aspengate/connections/__init__.py
+++ b/src/aspengate/connections/__init__.py
@@ -5,7 +5,6 @@
     BrokenResponseError,
     ReplicaConnection,
     RequestHead,
-    refuses_connections,
 )
 from aspengate.connections._dead_peer import TCP_USER_TIMEOUT_MS, detect_dead_peer
 from aspengate.connections._decimal import parse_decimal
@@ -45,6 +44,5 @@
     "number_header",
     "parse_decimal",
     "parse_whole_number",
-    "refuses_connections",
     "single_header",
 ]
--- a/src/aspengate/connections/_connection.py
+++ b/src/aspengate/connections/_connection.py
@@ -33,21 +33,6 @@
         super().__init__(ErrorKind.UPSTREAM_FAILED, str(cause), where=where)
 
 
-def refuses_connections(address: str, timeout_ms: float) -> bool:
-    """Return whether connections to an address are refused, so that its process has ended.
-
-    False if the machine does not answer within ``timeout_ms``: it may just be unreachable.
-    """
-    host, _, port = address.rpartition(":")
-    try:
-        socket.create_connection((host, int(port)), timeout_ms / 1_000).close()
-    except ConnectionRefusedError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 class ReplicaConnection:
     """A connection to ``address``; the constructor raises NO_UPSTREAM if it can't be opened.
 
--- a/src/aspengate/connections/_listener_probe.py
+++ b/src/aspengate/connections/_listener_probe.py
@@ -31,6 +31,7 @@
     def probe(self, address: str, timeout_ms: float) -> ListenerState:
         """Return the state of the listener; UNREACHABLE if nothing responds in ``timeout_ms``.
 
+        A shorter time than ``_CLOSING_MS`` counts as that, and half of it goes to one connection.
         An accepted connection alone shows nothing, since the kernel accepts it on behalf of a
         process that is suspended or being ended. The probe closes its sending side at once. A
         running server reads that and closes the connection, which ends the probe. A connection
@@ -40,7 +41,8 @@
         """
         begun_ms = self.clock.monotonic_ms()
         closed_by_ms = begun_ms + _CLOSING_MS
-        end_ms = begun_ms + max(timeout_ms, _CLOSING_MS)
+        timeout_ms = max(timeout_ms, _CLOSING_MS)
+        end_ms = begun_ms + timeout_ms
         pause_ms = _FIRST_PAUSE_MS
         while True:
             left_ms = end_ms - self.clock.monotonic_ms()
--- a/src/aspengate/gateway/_crash_guard.py
+++ b/src/aspengate/gateway/_crash_guard.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection
 
 from aspengate.clock import Clock
-from aspengate.connections import refuses_connections
+from aspengate.connections import ListenerProbe, ListenerState
 from aspengate.crashes import (
     AnsweredSegments,
     CrashPolicy,
@@ -23,9 +23,9 @@
 from aspengate.store import KeyValueStore, MirrorState
 from aspengate.telemetry import Counters, log_change
 
-# Time limit of the connection attempt, in ms, that shows whether a replica has terminated. A port
+# Time limit, in ms, of the two connections that show whether a replica has terminated. A port
 # without a listener refuses within a round trip of a few ms; only an unreachable host takes longer.
-_PROBE_TIMEOUT_MS = 100.0
+_PROBE_TIMEOUT_MS = 200.0
 # Crashes that are sent to a router that has just become reachable: a datagram of about 6 KB.
 _MAX_RESENT_CRASHES = 100
 _MAX_UNRECORDED_TRIALS = 1_000
@@ -39,9 +39,10 @@
     A request is refused for the sake of its whole content or of a shared segment of its prompt.
     ``broadcast`` sends a notice to all other routers. ``on_ended`` is called with each run of a
     replica that has terminated. ``reaches_store`` returns whether the store responds to this
-    router, and ``has_ended`` whether the process at an address has terminated. ``is_first``
-    returns whether this router is the one that may run a trial of a subject while the store is
-    unavailable, and ``rewrites_lost`` whether it writes a record again that the store has lost.
+    router. ``has_ended`` replaces the probe that returns whether the process at an address has
+    terminated. ``is_first`` returns whether this router is the one that may run a trial of a
+    subject while the store is unavailable, and ``rewrites_lost`` whether it writes a record again
+    that the store has lost.
     ``is_superseded`` returns whether the router of a session has started again since.
     ``docs/design/crashes.md`` explains why the limit holds across all routers.
     """
@@ -56,9 +57,7 @@
         on_ended: Callable[[str], None],
         reaches_store: Callable[[], bool],
         is_first: Callable[[str], bool],
-        has_ended: Callable[[str], bool] = lambda each: refuses_connections(
-            each, _PROBE_TIMEOUT_MS
-        ),
+        has_ended: Callable[[str], bool] | None = None,
         rewrites_lost: Callable[[str], bool] = lambda _: True,
         is_superseded: Callable[[str], bool] = lambda _: False,
     ) -> None:
@@ -80,7 +79,8 @@
         self._broadcast = broadcast
         self._on_ended = on_ended
         self._reaches_store = reaches_store
-        self._has_ended = has_ended
+        self._probe = ListenerProbe(clock)
+        self._has_ended = has_ended or self._refuses_connections
         self._is_first = is_first
         self._is_superseded = is_superseded
         # Fingerprints of trials that were started without a record.
@@ -207,6 +207,10 @@
         lost = [LostRun(fingerprint, run) for fingerprint in fingerprints]
         self._broadcast(CrashNotice(lost, [run] if has_ended else []))
 
+    def _refuses_connections(self, address: str) -> bool:
+        """Return whether nothing listens at an address; False if it is unreachable."""
+        return self._probe.probe(address, _PROBE_TIMEOUT_MS) is ListenerState.REFUSED
+
     def record_connection_refused(self, run: str) -> None:
         """Record that a replica's address refused a connection."""
         if self.suspects.has_lost_requests(run) and self._record_ended(run):
