Test that a part whose replica can't be reached is no whole answer

Guards against the case that the code before the judgement of unframed ends passed on as whole: the connection ends in an orderly way, and nothing answers at the replica's address afterwards, as at a machine that goes down. The caller gets a 502, and the request's line and counter say "unreachable".

--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -515,6 +515,19 @@
     replica.send(connection, replica.head(request) + body[: len(body) // 2], request)
 
 
+def fill_queue(listener):
+    """Open connections until the kernel drops further ones; return them with the listener."""
+    opened = [listener]
+    while True:
+        filler = socket.socket()
+        opened.append(filler)
+        filler.settimeout(0.2)
+        try:
+            filler.connect(listener.getsockname())
+        except TimeoutError:
+            return opened
+
+
 def end_process_later(replica):
     """Let the kernel accept connections for 20 ms more that nothing reads, and then reset them."""
     replica.suspended = True
@@ -537,6 +550,16 @@
     return False
 
 
+@behaviour("unframed, replica unreachable")
+def become_unreachable_after_unframed(replica, connection, request):
+    """Close the connection within the body, and let no new one be answered."""
+    send_unframed_part(replica, connection, request)
+    replica.stop_listening()
+    host, _, port = replica.address.rpartition(":")
+    replica.fillers = fill_queue(socket.create_server((host, int(port)), backlog=0))
+    return False
+
+
 @behaviour("unframed, held")
 def hold_unframed(replica, connection, request):
     """Send a part, and close the connection in an orderly way once that is allowed."""
--- a/features/steps/unframed_answers_steps.py
+++ b/features/steps/unframed_answers_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from platform_standins.client import Answer
 from platform_standins.fleet import eventually
-from platform_standins.replica import RESET
+from platform_standins.replica import RESET, fill_queue
 
 from aspengate.clock import SystemClock
 from aspengate.connections import ListenerProbe
@@ -156,16 +156,11 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
 
 
-def fill_queue(context, listener):
-    """Open connections until the kernel drops further ones."""
+def let_nothing_in(context, listener):
+    """Have the kernel drop all further connections."""
     listener.listen(0)
-    while True:
-        filler = context.cleanup.enter_context(socket.socket())
-        filler.settimeout(0.2)
-        try:
-            filler.connect(listener.getsockname())
-        except TimeoutError:
-            return
+    for each in fill_queue(listener):
+        context.cleanup.enter_context(each)
 
 
 LISTENERS = {
@@ -178,7 +173,7 @@
         CLOSED_AFTER_S, listener.close
     ).start(),
     "resets each connection": lambda context, listener: handle_connections(listener, reset),
-    "answers nothing, as its queue is full": fill_queue,
+    "answers nothing, as its queue is full": let_nothing_in,
 }
 
 
--- a/features/unframed_answers.feature
+++ b/features/unframed_answers.feature
@@ -52,6 +52,13 @@
       | the replica's record is of another start at the same address  |
       | another replica was listed at the same address                |
 
+  # A machine that goes down ends its processes first, which closes their connections.
+  Scenario: A part is no response if its replica can't be reached after its end
+    Given a gateway with one replica per service
+    When a status is requested and the replica's response is "unframed, replica unreachable"
+    Then the caller receives a complete response 502 without a replica's signature
+    And the request's line and a counter say that its response was judged as "unreachable"
+
   Scenario: A replica that is suspended after a whole response has not ended
     Given a gateway with one replica per service
     When a status is requested and the replica's response is "unframed whole, then suspended"
