--- a/src/aspengate/connections/__init__.py
+++ b/src/aspengate/connections/__init__.py
@@ -5,7 +5,6 @@
     BrokenResponseError,
     ReplicaConnection,
     RequestHead,
-    refuses_connections,
 )
 from aspengate.connections._dead_peer import TCP_USER_TIMEOUT_MS, detect_dead_peer
 from aspengate.connections._decimal import parse_decimal
@@ -19,6 +18,7 @@
     parse_whole_number,
     single_header,
 )
+from aspengate.connections._listener_probe import ListenerProbe, ListenerState
 from aspengate.connections._pool import ConnectionPool
 from aspengate.connections._response import ReplicaResponse
 from aspengate.connections._waiter import CallerGoneError, Waiter
@@ -31,6 +31,8 @@
     "ConnectTimes",
     "ConnectionPool",
     "Headers",
+    "ListenerProbe",
+    "ListenerState",
     "ReplicaConnection",
     "ReplicaResponse",
     "RequestHead",
@@ -42,6 +44,5 @@
     "number_header",
     "parse_decimal",
     "parse_whole_number",
-    "refuses_connections",
     "single_header",
 ]
