End a planned stop in time although the store does not respond

No caller loses anything, but the last lines of the log are lost.

Cause: the last steps of the stop wait for the store on the main thread, and the exit joins threads that wait for it.

The stop runs on a thread that is awaited until shortly before the end of its time, and the process then ends without joining others.

--- a/src/aspengate/deployed.py
+++ b/src/aspengate/deployed.py
@@ -1,7 +1,9 @@
 """Runs a gateway on the users' platform, for the deploy file and ``aspengate gateway``."""
 
+import os
 import re
 import sys
+import threading
 from pathlib import Path
 
 from aspengate.clock import SystemClock
@@ -18,6 +20,8 @@
 UNNAMED_BUILD = "unnamed"
 _BUILD_PATTERN = re.compile(r"[0-9A-Za-z._-]{1,40}")
 _SETTINGS_POLL_S = 5.0
+# What remains of the time of a stop for the last log lines and the exit.
+_EXIT_MARGIN_S = 0.3
 _METRICS_THREADS = 1
 _MAX_METRICS_REQUEST_BYTES = 4 * 1024
 
@@ -46,7 +50,7 @@
     counters = PrometheusCounters()
     deployment = PlatformDeployment(settings.store, settings.store_timeout_ms, clock)
     gateway = Gateway(settings, deployment, clock, counters, build)
-    metrics = _serve_metrics(settings, counters, gateway, log)
+    _serve_metrics(settings, counters, gateway, log)
     gateway.start()
     modified_ns = _modified_ns(settings_file)
     while not signals.stop:
@@ -55,10 +59,19 @@
         if not signals.stop and (hung_up or changed_ns != modified_ns):
             modified_ns = changed_ns
             _reload(gateway, settings_file)
-    gateway.leave()
-    if metrics is not None:
-        metrics.close()
+    _leave(gateway)
     log.close()
+    # Threads that still wait for the store would hold up the exit beyond the time of the stop.
+    os._exit(0)
+
+
+def _leave(gateway: Gateway) -> None:
+    """Stop a gateway; return by the end of its stop time, even if it still waits for the store."""
+    leaving = threading.Thread(target=gateway.leave, daemon=True, name="leave")
+    leaving.start()
+    leaving.join(max(0.0, gateway.settings.stop_s - _EXIT_MARGIN_S))
+    if leaving.is_alive():
+        log_change("gateway.stop_incomplete", name=gateway.settings.name)
 
 
 def _modified_ns(settings_file: Path) -> int:
@@ -79,9 +92,9 @@
 
 def _serve_metrics(
     settings: GatewaySettings, counters: PrometheusCounters, gateway: Gateway, log: BackgroundLog
-) -> WsgiServer | None:
+) -> None:
     if not settings.metrics_listen:
-        return None
+        return
     counters.gauge_source = lambda: {**gateway.gauges(), "log_lines_dropped": log.dropped}
     server = WsgiServer(
         MetricsApplication(counters),
@@ -91,4 +104,3 @@
     )
     server.start()
     log_change("metrics.serving", address=server.address)
-    return server
