Keep the pause before a trial of a segment that shows nothing

A caller's segment that another caller names beside crashing ones of its own is refused for ten minutes after two crashed trials, except to a request that has it alone. If such a request got the last trial and was cancelled before its send, any request with the segment and a new one could take that trial a second later, crash its replica, and get the segment refused for good.

Cause: the record of a running trial overwrites the end of the pause and the segments of the last crashed trial, so that they are lost if the trial shows nothing. The same held after one crash for a trial whose caller left, whose router was killed, or whose end was not reported.

The record now keeps both beside the running trial; only a trial that crashes its replica replaces them. Trials within the pause stay a second apart, by a field of their own. Fields that earlier builds drop cost the pause, not the count: three trials at most for any drawn outcomes and rewriting of records. The sampled field names of the scenario on unreadable records are now all that a record has.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -130,6 +130,12 @@
     Given arbitrary bytes and corrupted records in the store
     Then reading them returns a record or raises BAD_REQUEST
 
+  # A record that is too long to be read counts as empty, so that its trials start anew.
+  Scenario: The longest record can be read
+    Given a trial of a request with as many segments and crashed replicas as records name
+    When ids of replicas and segments are 200 characters long
+    Then its record is read as it was written
+
   Scenario: A record that another writer corrupted is replaced
     Given 4 routers that share the records of a store
     When a request was on two crashed replicas, and its record is unreadable
--- a/features/crashing_segments.feature
+++ b/features/crashing_segments.feature
@@ -79,6 +79,28 @@
     And a trial of the other caller's segment alone is not sent
     Then a request with that segment and a new one is refused
 
+  # The record of a trial replaced the pause after the one before by a second, and forgot which
+  # segments were on it.
+  Scenario Outline: A trial without an outcome does not end the pause before it
+    Given 4 routers that share the records of a store
+    When two segments of a request were on three crashed replicas, and a trial of both crashed one
+    And a request with one of them alone is tried, and <event>
+    Then a request with that one and a new segment is refused until the pause of a minute is over
+
+    Examples:
+      | event                                                        |
+      | its caller disconnects                                       |
+      | its router is killed and restarted                           |
+      | its router is killed and restarted, and the next is not sent |
+      | its router does not report the end                           |
+
+  Scenario: A trial that was not sent can be repeated a second later
+    Given 4 routers that share the records of a store
+    When a caller's streams name another's segment, each with one of several that crash replicas
+    And a trial of the other caller's segment alone is not sent, five times
+    Then each one started at least a second after the one before
+    And after one that crashes its replica, no request with the segment is sent again
+
   Scenario: An answer without output does not clear a segment
     Given 4 routers that share the records of a store
     When a segment was on three crashed replicas, and an answer without output is recorded
--- a/features/steps/crash_records_steps.py
+++ b/features/steps/crash_records_steps.py
@@ -1,5 +1,6 @@
 """Steps on the crash records that routers share through the store."""
 
+import itertools
 import random
 from collections import Counter
 from zlib import crc32
@@ -9,11 +10,13 @@
 from hypothesis import given as given_any
 from hypothesis import settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 from platform_standins.fleet import eventually
 
 from aspengate.clock import ManualClock
 from aspengate.crashes import (
     RECORD_PREFIX,
+    CrashPolicy,
     CrashRecord,
     CrashSubject,
     crash_subjects,
@@ -698,6 +701,7 @@
     found = verdicts(simulation, context.both)
     assert found == {"tried": 1, ErrorKind.SUSPECTED: context.count - 1}, found
     run_trial(simulation, crashes=True)
+    context.crashed_ms = simulation.clock.monotonic_ms()
     assert verdicts(simulation, context.both) == {ErrorKind.QUARANTINED: context.count}
 
 
@@ -772,6 +776,175 @@
     assert found == {ErrorKind.QUARANTINED: context.count}, found
 
 
+def one_alone():
+    return crash_subjects("c" * 32, ["one"])
+
+
+@when("a request with one of them alone is tried, and its caller disconnects")
+def alone_caller_disconnects(context):
+    simulation = context.simulation
+    assert verdicts(simulation, one_alone)["tried"] == 1
+    run_trial(simulation, crashes=False)
+
+
+@when("a request with one of them alone is tried, and its router is killed and restarted")
+def alone_router_restarted(context):
+    simulation = context.simulation
+    assert verdicts(simulation, one_alone)["tried"] == 1
+    simulation.trial_router.begin()
+
+
+@when(
+    "a request with one of them alone is tried, "
+    "and its router is killed and restarted, and the next is not sent"
+)
+def alone_restarted_and_not_sent(context):
+    alone_router_restarted(context)
+    simulation = context.simulation
+    simulation.advance(1_100)
+    assert verdicts(simulation, one_alone)["tried"] == 1
+    simulation.trial_router.guard.end_trial(simulation.trial)
+
+
+@when("a request with one of them alone is tried, and its router does not report the end")
+def alone_without_report(context):
+    simulation = context.simulation
+    assert verdicts(simulation, one_alone)["tried"] == 1
+    simulation.advance(20_100)
+
+
+@then("a request with that one and a new segment is refused until the pause of a minute is over")
+def refused_for_a_minute(context):
+    simulation = context.simulation
+
+    def beside_new():
+        return crash_subjects("e" * 32, ["one", "new"])
+
+    simulation.advance(2_000)
+    while simulation.clock.monotonic_ms() < context.crashed_ms + 57_000:
+        for request in (beside_new, context.both):
+            found = verdicts(simulation, request)
+            assert found == {ErrorKind.QUARANTINED: context.count}, found
+        simulation.advance(1_000)
+    simulation.advance(5_000)
+    assert verdicts(simulation, beside_new)["tried"] == 1
+
+
+def other_alone():
+    return crash_subjects("d" * 32, ["other"])
+
+
+@when("a trial of the other caller's segment alone is not sent, five times")
+def trials_not_sent(context):
+    simulation = context.simulation
+    context.started_ms = []
+    for _ in range(100):
+        if verdicts(simulation, other_alone)["tried"]:
+            context.started_ms.append(simulation.clock.monotonic_ms())
+            simulation.trial_router.guard.end_trial(simulation.trial)
+        simulation.advance(100)
+        if len(context.started_ms) == 5:
+            break
+    simulation.advance(2_000)
+
+
+@then("each one started at least a second after the one before")
+def spaced_trials(context):
+    assert len(context.started_ms) == 5, context.started_ms
+    for one, other in itertools.pairwise(context.started_ms):
+        assert 1_000 <= other - one <= 1_500, context.started_ms
+
+
+@then("after one that crashes its replica, no request with the segment is sent again")
+def never_sent_again(context):
+    simulation = context.simulation
+    assert verdicts(simulation, other_alone)["tried"] == 1
+    run_trial(simulation, crashes=True)
+    for _ in range(3):
+        found = verdicts(simulation, other_alone)
+        assert found == {ErrorKind.QUARANTINED: context.count}, found
+        simulation.advance(700_000)
+
+
+def rewrite_records(simulation, field):
+    """Write all records again with the fields up to one, as builds do that have no others."""
+    names = CrashRecord.__struct_fields__
+    known = names[: names.index(field) + 1]
+    store = simulation.records
+    for key, item in store.items.items():
+        values = msgspec.json.decode(item.value)
+        store.revision += 1
+        value = msgspec.json.encode({name: values[name] for name in known if name in values})
+        store.items[key] = StoreItem(key, value, store.revision)
+
+
+@when('a build that has only the fields up to "{field}" writes the records again')
+def rewritten_records(context, field):
+    rewrite_records(context.simulation, field)
+
+
+class SegmentTrials:
+    """Runs trials of a segment with any outcome, while another build writes its records again.
+
+    ``sent_ms`` are the times of the trials whose requests were sent, and ``crashed`` counts those
+    that crashed their replica.
+    """
+
+    def __init__(self, count, field):
+        self.simulation = CrashSimulation(count, 1)
+        self.field = field
+        self.sent_ms = []
+        self.crashed = 0
+        crash_with_segment(self.simulation, 3)
+
+    def run(self, beside, outcome, rewrites, pause_ms):
+        """Offer a request with the segment and others to the routers; end its trial, if any."""
+        simulation = self.simulation
+        segments = [simulation.segment, *beside]
+        if verdicts(simulation, lambda: crash_subjects("d" * 32, segments))["tried"]:
+            if rewrites:
+                rewrite_records(simulation, self.field)
+                simulation.trial_router.load_records()
+            self.end_trial(outcome)
+        simulation.advance(100)
+        if rewrites:
+            rewrite_records(simulation, self.field)
+        simulation.advance(pause_ms)
+
+    def end_trial(self, outcome):
+        simulation = self.simulation
+        if outcome == "not sent":
+            simulation.trial_router.guard.end_trial(simulation.trial)
+            return
+        self.sent_ms.append(simulation.clock.monotonic_ms())
+        if outcome == "killed":
+            simulation.trial_router.begin()
+        elif outcome != "not reported":
+            self.crashed += outcome == "crashed"
+            run_trial(simulation, crashes=outcome == "crashed")
+
+
+@then('no outcomes of trials and builds with the fields up to "{field}" let a segment get more')
+def three_trials_in_all(context, field):
+    event = st.tuples(
+        st.sampled_from([[], ["new"], ["new", "newer"]]),
+        st.sampled_from(["not sent", "crashed", "inconclusive", "killed", "not reported"]),
+        st.booleans(),
+        st.sampled_from([1_000.0, 2_000.0, 25_000.0, 61_000.0, 601_000.0]),
+    )
+
+    @given_any(st.lists(event, min_size=4, max_size=20))
+    def check(events):
+        trials = SegmentTrials(context.count, field)
+        for each in events:
+            trials.run(*each)
+        assert trials.crashed <= 3, events
+        for first, fourth in zip(trials.sent_ms, trials.sent_ms[3:], strict=False):
+            assert fourth - first >= 600_000, (trials.sent_ms, events)
+
+    check()
+
+
 @then("after ten minutes a request with it and a segment that was on no crashed replica is tried")
 def tried_after_ten_minutes(context):
     simulation = context.simulation
@@ -849,9 +1022,7 @@
         st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=3),
         lambda inner: (
             st.lists(inner, max_size=3)
-            | st.dictionaries(
-                st.sampled_from(["ends", "tries", "trying", "next_try_ms"]), inner, max_size=4
-            )
+            | st.dictionaries(st.sampled_from(CrashRecord.__struct_fields__), inner, max_size=4)
         ),
     ).map(msgspec.json.encode)
     context.values = st.binary(max_size=50) | changed | deep | json
@@ -871,6 +1042,31 @@
     check()
 
 
+@given("a trial of a request with as many segments and crashed replicas as records name")
+def longest_trial(context):
+    context.runs = [f"{number:0200}@{10**12}~{number}" for number in range(100)]
+
+
+@when("ids of replicas and segments are 200 characters long")
+def long_ids(context):
+    # An unprintable character is the longest one in JSON.
+    segments = [chr(1) * 200 + str(number) for number in range(100)]
+    subjects = crash_subjects(CONTENT, segments)
+    names = frozenset(each.fingerprint for each in subjects if each.is_segment)
+    beside = names - {subjects[0].fingerprint}
+    policy, session, now = CrashPolicy(), "front-1." + "a" * 40, 10**12
+    record = CrashRecord().begin_trial(subjects[0], beside, session, context.runs, now, policy)
+    record = record.end_trial(context.runs, now, policy, has_ended=True)
+    record = record.begin_trial(subjects[0], beside, session, context.runs, now, policy)
+    context.record = replace(record, wait_until_ms=now)
+
+
+@then("its record is read as it was written")
+def read_longest(context):
+    assert context.record.prior_together, context.record
+    assert decode_record(encode_record(context.record), "a key") == context.record
+
+
 @given("{count:d} segments that were on crashed replicas with ids of {length:d} characters")
 def many_segments(context, count, length):
     context.runs = [f"{number:0{length}d}" for number in range(count)]
--- a/features/upgrades.feature
+++ b/features/upgrades.feature
@@ -98,6 +98,37 @@
       | b95c5d9 |
       | f615bed |
 
+  # Earlier builds write records without the pause before the running trial, and drop it from those
+  # that they write again.
+  Scenario: A pause that an earlier build recorded outlasts a trial that was not sent
+    Given 4 routers that share the records of a store
+    When a caller's streams name another's segment, each with one of several that crash replicas
+    And a build that has only the fields up to "together" writes the records again
+    And a trial of the other caller's segment alone is not sent
+    Then a request with that segment and a new one is refused
+
+  Scenario Outline: An earlier build keeps to the pause before a trial that was not sent
+    Given 4 routers that share the records of a store
+    When a caller's streams name another's segment, each with one of several that crash replicas
+    And a trial of the other caller's segment alone is not sent
+    And a build that has only the fields up to "<field>" writes the records again
+    Then a request with that segment and a new one is refused
+
+    Examples:
+      | field       |
+      | next_try_ms |
+      | together    |
+
+  Scenario Outline: A segment gets three trials, whichever builds write its record
+    Given 4 routers that share the records of a store
+    Then no outcomes of trials and builds with the fields up to "<field>" let a segment get more
+
+    Examples:
+      | field         |
+      | next_try_ms   |
+      | together      |
+      | wait_until_ms |
+
   Scenario: The build of each router is reported
     Given a gateway of build 49152d8 that serves, and replicas
     When a gateway of the current build named v9 starts next to it
--- a/src/aspengate/crashes/_record.py
+++ b/src/aspengate/crashes/_record.py
@@ -22,10 +22,19 @@
     The suspect is a request, or the prompt segment with the id ``segment``, which may be cut.
     ``ends`` are the runs of replicas that it may have crashed. ``tries`` counts its
     trials, and ``ended`` those that crashed their replica. ``trying`` is the session of the router
-    that is running a trial, and empty if there is none. No trial starts before ``next_try_ms``, in
-    wall-clock milliseconds. ``together`` are the fingerprints of the other segments that the last
-    trial's request had and that were not known to be harmless, so that its outcome does not tell
-    which of them crashed the replica.
+    that is running a trial, and empty if there is none. Times are wall-clock milliseconds.
+
+    While a trial runs, ``next_try_ms`` is when it expires. Otherwise it is the end of the pause,
+    before which only a request that tells apart the segments of the last crash gets a trial.
+    ``together`` are the fingerprints of the other segments that the request of the running trial,
+    or else of the last one that crashed its replica, had and that were not known to be harmless, so
+    that its outcome does not tell which of them crashed the replica.
+
+    ``prior_next_try_ms`` and ``prior_together`` hold these two as they were before the running
+    trial. Unless it crashes its replica, it has shown nothing, and they are in force again: a trial
+    that was not sent used to end a pause of ten minutes after a second. Then no request gets a
+    trial before ``wait_until_ms``, within the pause either. Earlier builds neither write nor keep
+    the three fields; without them, no pause precedes the running trial.
     """
 
     ends: tuple[str, ...] = ()
@@ -35,6 +44,9 @@
     next_try_ms: int = 0
     segment: str = ""
     together: tuple[str, ...] = ()
+    prior_next_try_ms: int = 0
+    prior_together: tuple[str, ...] = ()
+    wait_until_ms: int = 0
 
     def begin_trial(
         self,
@@ -45,41 +57,66 @@
         now_ms: int,
         policy: CrashPolicy,
     ) -> "CrashRecord":
-        """Return the record with one more trial, which ``session`` starts now."""
+        """Return the record with one more trial, which ``session`` starts now.
+
+        A trial that is still recorded as running has no outcome, or this one could not start.
+        """
+        before = self.end_lost_trial(policy) if self.trying else self
         return replace(
-            self,
+            before,
             ends=_merge_runs(self.ends, crashed_runs),
             tries=self.tries + 1,
             trying=session,
             next_try_ms=now_ms + int(policy.trial_timeout_ms),
             segment=subject.segment[:_MAX_SEGMENT_CHARS],
             together=tuple(sorted(together)),
+            prior_next_try_ms=before.next_try_ms,
+            prior_together=before.together,
+            wait_until_ms=0,
         )
 
     def cancel_trial(self, now_ms: int, policy: CrashPolicy) -> "CrashRecord":
         """Return the record after a trial whose request was not sent."""
-        until_ms = now_ms + int(policy.short_pause_ms)
-        return replace(self, tries=max(0, self.tries - 1), trying="", next_try_ms=until_ms)
+        record = self.resume_pause(now_ms + int(policy.short_pause_ms))
+        return replace(record, tries=max(0, self.tries - 1))
 
     def end_trial(
         self, crashed_runs: Collection[str], now_ms: int, policy: CrashPolicy, *, has_ended: bool
     ) -> "CrashRecord":
         """Return the record after a trial that crashed its replica or was inconclusive."""
         ended = self.ended + has_ended
-        pause_ms = policy.pause_after(self.tries, ended, has_ended=has_ended)
+        until_ms = now_ms + int(policy.pause_after(self.tries, ended, has_ended=has_ended))
+        record = replace(self, ends=_merge_runs(self.ends, crashed_runs), ended=ended)
+        if not has_ended:
+            return record.resume_pause(until_ms)
         return replace(
-            self,
-            ends=_merge_runs(self.ends, crashed_runs),
-            ended=ended,
+            record,
             trying="",
-            next_try_ms=now_ms + int(pause_ms),
+            next_try_ms=until_ms,
+            prior_next_try_ms=0,
+            prior_together=(),
         )
 
     def end_lost_trial(self, policy: CrashPolicy) -> "CrashRecord":
         """Return the record after a trial whose router reports no outcome: it is inconclusive."""
         begun_ms = self.next_try_ms - int(policy.trial_timeout_ms)
         pause_ms = policy.pause_after(self.tries, self.ended, has_ended=False)
-        return replace(self, trying="", next_try_ms=begun_ms + int(pause_ms))
+        return self.resume_pause(begun_ms + int(pause_ms))
+
+    def resume_pause(self, until_ms: int) -> "CrashRecord":
+        """Return the record after a trial that crashed no replica, with a pause until a time.
+
+        The pause before the trial continues if it ends later.
+        """
+        return replace(
+            self,
+            trying="",
+            next_try_ms=max(self.prior_next_try_ms, until_ms),
+            together=self.prior_together,
+            prior_next_try_ms=0,
+            prior_together=(),
+            wait_until_ms=until_ms,
+        )
 
 
 def _merge_runs(one: Collection[str], other: Collection[str]) -> tuple[str, ...]:
@@ -113,8 +150,9 @@
         return Verdict.TRY if may_try else Verdict.REFUSE
     if record.trying or pause_ms <= policy.short_pause_ms:
         return Verdict.WAIT
-    may_try = _may_try_within_pause(subject, request, record, policy)
-    return Verdict.TRY if may_try else Verdict.REFUSE
+    if not _may_try_within_pause(subject, request, record, policy):
+        return Verdict.REFUSE
+    return Verdict.WAIT if now_ms < record.wait_until_ms else Verdict.TRY
 
 
 def _may_try_after_pause(
