Wait for the reading thread at the end of a stop no longer than it has left

A turn of the reading thread took up to 2.5 s there; stop() waited up to 1.0 s for it, where the plan of a stop of 8 s leaves 0.8 s. Suspected, not shown by an experiment; it waits 0.2 s now.

--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -24,6 +24,8 @@
 _LISTEN_BACKLOG = 1_024
 _LOOP_TIMEOUT_S = 0.5
 _IDLE_CHECK_MS = 500.0
+# How long a stop waits for the reading thread, whose turn may take longer than the stop has left.
+_STOP_TIMEOUT_S = 0.2
 # Threads that handle the requests which wait or arrive during a drain.
 _DRAIN_THREADS = 8
 _BUFFER_BYTES = 1024 * 1024
@@ -223,7 +225,7 @@
             return
         self._closing.set()
         self.pull_trigger()
-        self._thread.join(timeout=1.0)
+        self._thread.join(_STOP_TIMEOUT_S)
         self.task_dispatcher.shutdown()
         for channel in list(self.active_channels.values()):
             self.report_close(channel, CloseReason.STOPPED)
