Read the requests in progress at the end of a soak run to their end

The callers' processes ended with the run, so that requests in progress were not recorded: one that never got an answer would not have been seen. A blocking connect, up to 1 s for each, made the times of all callers of a process late, and an answer without a length that ended with its connection passed for complete.

Callers begin no request after the end and read the others until they end; they connect without waiting, record when the first byte was sent, and report by how much their times may be late. A request that was not sent completely has no time of its last byte, so that it is not judged.

--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -17,6 +17,8 @@
 # A request ends without an answer if nothing arrives for this long.
 SILENCE_S = 20.0
 RECONNECT_S = 0.05
+CONNECT_TIMEOUT_S = 1.0
+POLL_S = 0.005
 RECEIVE_BYTES = 65_536
 # Method, path prefix and whether the request is a stream.
 KINDS = (("GET", "/receipt", False), ("POST", "/status", False), ("POST", "/score", True))
@@ -44,14 +46,17 @@
 
 @dataclasses.dataclass
 class CallRecord:
-    """One request and its end; ``sent_s`` is when its last byte was written.
+    """One request and its end.
 
-    ``status`` is 0 if no head arrived. Times are of the monotonic clock, which all processes share.
+    ``began_s`` is just before its first byte was written and ``sent_s`` just before its last one,
+    or 0 if it was not written completely. ``status`` is 0 if no head arrived. Times are of the
+    monotonic clock, which all processes share.
     """
 
     request_id: str
     path: str
     address: str
+    began_s: float = 0.0
     sent_s: float = 0.0
     ended_s: float = 0.0
     status: int = 0
@@ -71,32 +76,57 @@
         self.target = plan.first
         self.sent = 0
         self.socket = None
+        self.opened_s = 0.0
         self.call = None
+        self.unsent = b""
+        self.is_framed = True
         self.due_s = time.monotonic() + plan.max_pause_s * self.random.random()
 
-    def act(self, now_s):
-        """Send the next request if it is due; give up one that gets no answer."""
-        if self.call is not None:
-            if now_s - self.call.sent_s > SILENCE_S:
-                self.disconnect("silent")
-        elif now_s >= self.due_s:
-            self.send_request()
-
-    def send_request(self):
+    def act(self, now_s, may_begin):
+        """Begin the next request if it is due; give up one that gets no answer."""
         try:
-            if self.socket is None:
-                self.connect()
-            self.write_request()
+            if self.call is None:
+                if may_begin and now_s >= self.due_s:
+                    self.begin_request()
+            elif self.unsent:
+                self.send()
+            elif now_s - self.call.sent_s > SILENCE_S:
+                self.disconnect("silent")
         except OSError as error:
             self.disconnect(repr(error))
 
+    def begin_request(self):
+        if self.socket is None:
+            self.connect()
+        self.unsent = self.make_request()
+        self.send()
+
     def connect(self):
+        """Start to connect; a call that waited for it would make the times of all callers late."""
         host, _, port = self.plan.addresses[self.target].rpartition(":")
-        self.socket = socket.create_connection((host, int(port)), 1.0)
+        self.socket = socket.socket()
+        self.socket.setblocking(False)
+        self.socket.connect_ex((host, int(port)))
+        self.opened_s = time.monotonic()
         self.protocol = h11.Connection(h11.CLIENT)
         self.selector.register(self.socket, selectors.EVENT_READ, self)
 
-    def write_request(self):
+    def send(self):
+        """Send what the connection takes."""
+        now_s = time.monotonic()
+        try:
+            count = self.socket.send(self.unsent)
+        except BlockingIOError:
+            if not self.call.began_s and now_s - self.opened_s > CONNECT_TIMEOUT_S:
+                self.disconnect("not connected")
+            return
+        self.call.began_s = self.call.began_s or now_s
+        self.unsent = self.unsent[count:]
+        if not self.unsent:
+            self.call.sent_s = now_s
+
+    def make_request(self):
+        """Return the bytes of the next request, which becomes the call in progress."""
         method, prefix, is_stream = self.random.choice(KINDS)
         self.sent += 1
         request_id = f"{self.plan.first:02x}{self.number:04x}{self.sent:010x}"
@@ -121,10 +151,7 @@
         data = self.protocol.send(request)
         if body:
             data += self.protocol.send(h11.Data(data=body))
-        data += self.protocol.send(h11.EndOfMessage())
-        self.call.sent_s = time.monotonic()
-        self.socket.sendall(data)
-        self.call.sent_s = time.monotonic()
+        return data + self.protocol.send(h11.EndOfMessage())
 
     def read(self):
         """Read what has arrived, and end the request if that completes its answer."""
@@ -148,22 +175,27 @@
                 return
             if isinstance(event, h11.Response):
                 self.call.status = event.status_code
+                names = {name for name, _ in event.headers}
+                self.is_framed = bool(names & {b"content-length", b"transfer-encoding"})
             if isinstance(event, h11.EndOfMessage):
-                self.call.is_complete = True
+                # An answer that ends with its connection is not known to be complete.
+                self.call.is_complete = self.is_framed
                 self.end_call("")
                 return
 
     def end_call(self, error):
         call, self.call = self.call, None
-        if call is not None:
-            call.ended_s, call.error = time.monotonic(), error
+        call.ended_s, call.error = time.monotonic(), error
+        if call.began_s:
             self.record(call)
         self.due_s = time.monotonic() + self.plan.max_pause_s * self.random.random()
-        if self.socket is not None and not error:
-            if self.protocol.our_state is h11.MUST_CLOSE:
-                self.disconnect("")
-            else:
-                self.protocol.start_next_cycle()
+        if error:
+            return
+        # An answer may come before the end of its request; such a connection cannot be kept.
+        if self.unsent or self.protocol.our_state is not h11.DONE:
+            self.disconnect("")
+        else:
+            self.protocol.start_next_cycle()
 
     def disconnect(self, error):
         """Close the connection, end a request in progress and turn to the next address."""
@@ -171,6 +203,7 @@
             self.selector.unregister(self.socket)
             self.socket.close()
             self.socket = None
+        self.unsent = b""
         if self.call is not None:
             self.end_call(error or "closed")
         self.target = (self.target + 1) % len(self.plan.addresses)
@@ -178,22 +211,31 @@
 
 
 def run_callers(plan, record):
-    """Run the callers of a plan until its end; ``record`` gets each request that has ended."""
+    """Run the callers of a plan; ``record`` gets each request that has ended.
+
+    After the end of the plan no request begins, but those in progress are read to their end: one
+    that gets no answer must not go unnoticed. Returns the longest time for which no connection was
+    read: times in the records may be late by that much.
+    """
     selector = selectors.DefaultSelector()
     callers = [KeptCaller(number, plan, selector, record) for number in range(plan.callers)]
-    while time.monotonic() < plan.ends_s:
-        for key, _ in selector.select(0.005):
+    late_s, read_s = 0.0, time.monotonic()
+    while read_s < plan.ends_s or any(caller.call for caller in callers):
+        for key, _ in selector.select(POLL_S):
             key.data.read()
         now_s = time.monotonic()
+        late_s, read_s = max(late_s, now_s - read_s), now_s
         for caller in callers:
-            caller.act(now_s)
+            caller.act(now_s, now_s < plan.ends_s)
+    return late_s
 
 
 def main(plan_path, records_path):
     fields = json.loads(Path(plan_path).read_text(encoding="utf-8"))
     plan = CallerPlan(**{**fields, "addresses": tuple(fields["addresses"])})
     with open(records_path, "w", encoding="utf-8") as records:
-        run_callers(plan, lambda call: records.write(json.dumps(vars(call)) + "\n"))
+        late_s = run_callers(plan, lambda call: records.write(json.dumps(vars(call)) + "\n"))
+    print(f"{late_s:.3f}")
 
 
 if __name__ == "__main__":
