Judge lost requests by what replicas record, and report gateways that fail

A request that was cut late in a grace period was excused wherever its replica was; now only if a replica was at work on it then, which the stand-ins record. Stops under way at the end of a run were recorded as killed by its clean-up or not at all; they are waited for. A gateway that ends by itself, does not start again or exits with another code than 0 now breaks the run, and so does a process of callers that fails.

--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -16,6 +16,7 @@
 class Request:
     """A received request; ``at_s`` is the time at which its head was complete.
 
+    ``ended_s`` is when the replica no longer worked on it, None before that.
     ``connection`` is the number of the connection that it was received on.
     """
 
@@ -25,6 +26,7 @@
         self.headers = headers
         self.body = body
         self.at_s = time.monotonic()
+        self.ended_s = None
         self.connection = 0
 
     def header(self, name):
@@ -237,6 +239,7 @@
         finally:
             with self._lock:
                 self.in_flight -= 1
+                request.ended_s = time.monotonic()
 
     def _read(self, connection, reader):
         if self.stall_s:
--- a/features/soak/planned.py
+++ b/features/soak/planned.py
@@ -13,25 +13,19 @@
 import sys
 import threading
 import time
-from collections import Counter
+from collections import defaultdict
 from pathlib import Path
 
 from platform_standins import Fleet
 from platform_standins.fleet import eventually
 from platform_standins.operator import HOST, KEY, route
 
-from soak.callers import CallRecord
+from soak.callers import SILENCE_S, CallRecord
+from soak.lost import DEADLINE_S, GRACE_S, Arrival, Stop, find_failed, find_lost, reached_deadline
 
 FEATURES = Path(__file__).resolve().parent.parent
-# Limit of the time that a planned stop may take, and of the time in which a request that was read
-# and not passed on may end without an answer.
-GRACE_S = 8.0
-LOSS_SLACK_S = 0.2
-# Requests that were sent this late after SIGTERM are refused, so that their replica cannot still
-# be at work when the grace period ends.
-LATE_S = 3.0
-LAST_PART = 5 / 6
-ROUTE_TIMEOUT_S = 5.0
+# The callers' processes end this long after a run at the latest: no request of theirs waits longer.
+CALLERS_END_S = SILENCE_S + 10.0
 WEIGHTS = {"terminate": 4, "hang up": 3, "change": 3, "terminate twice": 1, "all at once": 1}
 
 
@@ -71,8 +65,9 @@
     """Runs planned work against gateways and records all requests.
 
     ``routers`` are all processes that were started, ``stopping`` those that got a SIGTERM.
-    ``stops`` holds, for each one that has ended, the times of its SIGTERM and its end and its exit
-    code, which is None if it had to be killed at the end of the grace period.
+    ``stops`` are their stops. ``arrivals`` are the arrivals of each request at replicas, by its id.
+    ``failed`` are the gateways that ended without a SIGTERM or did not start again. ``late_s`` is
+    by how much the times in ``calls`` may be late.
     """
 
     def __init__(self, seed, seconds, routers=4, callers=20, *, work_s=0.02, max_pause_s=0.12):
@@ -81,7 +76,10 @@
         self.work_s, self.max_pause_s = work_s, max_pause_s
         self.plan = draw_planned(seed, seconds, routers)
         self.calls, self.stops, self.figures = [], [], {}
-        self.routers, self.stopping = [], []
+        self.routers, self.stopping, self.failed = [], [], []
+        self.arrivals = defaultdict(list)
+        self.late_s = 0.0
+        self._stop_threads = []
         self._ended = threading.Event()
 
     def run(self):
@@ -97,9 +95,17 @@
             time.sleep(max(0.0, ends_s - time.monotonic()))
             self._ended.set()
             for process, records in processes:
-                process.wait(30)
+                output, _ = process.communicate(timeout=CALLERS_END_S)
+                assert process.returncode == 0, "callers have failed, so that records are missing"
+                self.late_s = max(self.late_s, float(output))
                 lines = records.read_text(encoding="utf-8").splitlines()
                 self.calls += [CallRecord(**json.loads(line)) for line in lines]
+            # The clean-up kills all gateways, which would pass for the end of their stops.
+            for thread in self._stop_threads:
+                thread.join()
+            for router in self.routers:
+                if router.has_ended and not self.is_stopping(router):
+                    self.failed.append(f"{router.name} ended without a SIGTERM")
         self._count()
         return self
 
@@ -125,13 +131,13 @@
             "seed": self.seed,
             "ends_s": ends_s,
             "max_pause_s": self.max_pause_s,
-            "deadline_ms": 4_000,
+            "deadline_ms": int(DEADLINE_S * 1_000),
             "host": HOST,
             "key": KEY,
         }
         plan.write_text(json.dumps(fields), encoding="utf-8")
         command = [sys.executable, "-m", "soak.callers", str(plan), str(records)]
-        return subprocess.Popen(command, cwd=FEATURES), records
+        return subprocess.Popen(command, cwd=FEATURES, stdout=subprocess.PIPE, text=True), records
 
     def _do_planned_work(self):
         for work in self.plan:
@@ -148,19 +154,25 @@
             except subprocess.TimeoutExpired:
                 router.kill()
                 code = None
-            self.stops.append((router, asked_s, time.monotonic(), code))
+            self.stops.append(Stop(router.name, router.address, asked_s, time.monotonic(), code))
             if not self._ended.is_set():
-                with contextlib.suppress(ValueError, AssertionError):
+                try:
                     again = self.fleet.start_again(router, ready=False, same_port=True)
                     self.routers.append(again)
+                except AssertionError:
+                    self.failed.append(f"{router.name} did not start again")
 
-        threading.Thread(target=wait, daemon=True).start()
+        thread = threading.Thread(target=wait, daemon=True)
+        self._stop_threads.append(thread)
+        thread.start()
+
+    def is_stopping(self, router):
+        return any(each is router for each in self.stopping)
 
     def _count(self):
-        received = Counter()
         for replica in self.fleet.replicas:
-            received.update(each.identity for each in list(replica.requests))
-        self.received = received
+            for each in list(replica.requests):
+                self.arrivals[each.identity].append(Arrival(each.at_s, each.ended_s))
         self.figures["calls"] = len(self.calls)
         self.figures["answered"] = sum(
             call.is_complete and call.status == 200 for call in self.calls
@@ -168,13 +180,15 @@
         self.figures["refused"] = sum(
             call.is_complete and call.status == 503 for call in self.calls
         )
-        self.figures["unanswered"] = sum(not call.is_complete for call in self.calls)
+        unanswered = [call for call in self.calls if not call.is_complete]
+        self.figures["unanswered"] = len(unanswered)
+        self.figures["of these past the deadline"] = sum(map(reached_deadline, unanswered))
         self.figures["stops"] = len(self.stops)
         self.figures["slowest stop"] = round(
-            max((e - a for _, a, e, _ in self.stops), default=0), 1
+            max((each.ended_s - each.asked_s for each in self.stops), default=0), 1
         )
-        self.figures["killed"] = sum(code is None for *_, code in self.stops)
-        self.figures["exit codes"] = sorted({code for *_, code in self.stops if code})
+        self.figures["killed"] = sum(each.exit_code is None for each in self.stops)
+        self.figures["late s"] = self.late_s
 
 
 def _allow_second_replica(configuration):
@@ -199,10 +213,12 @@
 @action("terminate")
 def terminate(run, number):
     router = run.fleet.routers[number]
-    router.terminate()
-    if not any(each is router for each in run.stopping):
+    if not run.is_stopping(router):
+        if router.has_ended:
+            run.failed.append(f"{router.name} ended without a SIGTERM")
         run.stopping.append(router)
         run.follow_stop(router)
+    router.terminate()
 
 
 @action("hang up")
@@ -218,52 +234,6 @@
     run.fleet.operator.add_route(route(f"/added{version}/", "portal"))
 
 
-def find_lost(run):
-    """Return a line for each request that ended without an answer although it had been accepted.
-
-    A request counts if a replica received it, or if it ended later than ``LOSS_SLACK_S`` after its
-    last byte. One that reached the timeout of its route does not count, nor one whose router was
-    being stopped while its replica was still at work late in the grace period.
-    """
-    for call in run.calls:
-        if call.is_complete:
-            continue
-        waited_s = call.ended_s - call.sent_s
-        is_passed_on = bool(run.received[call.request_id])
-        if not is_passed_on and waited_s <= LOSS_SLACK_S:
-            continue
-        if waited_s >= 4.0 or _is_cut_at_deadline(run, call):
-            continue
-        since = call.ended_s - run.started_s
-        kind = call.path.split("/")[1]
-        sent = "passed on" if is_passed_on else "not passed on"
-        yield (
-            f"lost: {call.request_id} {kind} at {call.address}, ended at {since:.3f} s, "
-            f"{waited_s * 1000:.0f} ms after its last byte, {call.status} {sent}, "
-            f"{_stop_of(run, call)}, {call.error}"
-        )
-
-
-def _stops_of(run, call):
-    return [
-        (asked_s, ended_s)
-        for router, asked_s, ended_s, _ in run.stops
-        if router.address == call.address and asked_s <= call.ended_s <= ended_s + 1.0
-    ]
-
-
-def _is_cut_at_deadline(run, call):
-    return any(
-        call.sent_s <= asked_s + LATE_S and call.ended_s >= asked_s + GRACE_S * LAST_PART
-        for asked_s, _ in _stops_of(run, call)
-    )
-
-
-def _stop_of(run, call):
-    stops = _stops_of(run, call)
-    return f"{call.ended_s - stops[0][0]:.3f} s after its SIGTERM" if stops else "no stop"
-
-
 def main():
     parser = argparse.ArgumentParser(prog="soak.planned")
     parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
@@ -279,7 +249,7 @@
         run = PlannedRun(
             seed, options.seconds, options.routers, options.callers, work_s=options.work
         ).run()
-        lost = list(find_lost(run))
+        lost = [*find_failed(run), *find_lost(run)]
         failed += bool(lost)
         print(seed, "BROKEN" if lost else "kept", json.dumps(run.figures), flush=True)
         for line in lost[:8]:
