Add leaving replicas, uploads in parts and idle callers to the planned work

Replicas that leave, bodies that arrive in parts and connections that stay idle for seconds were not played beside planned stops. A replica of a service now leaves in an orderly way, by the draw; a quarter of the callers sends its bodies in three parts with pauses of up to 0.3 s, and a quarter pauses for 0.5 to 3 s before each request.

--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -20,6 +20,12 @@
 CONNECT_TIMEOUT_S = 1.0
 POLL_S = 0.005
 RECEIVE_BYTES = 65_536
+# Every fourth caller sends the bodies of its requests in parts with random pauses, and every
+# fourth one has its connection idle for some time before each request.
+STYLES = ("plain", "parts", "idle", "plain")
+PART_COUNT, PART_BYTES = 3, 300
+MAX_PART_PAUSE_S = 0.3
+IDLE_S = (0.5, 3.0)
 # Method, path prefix and whether the request is a stream.
 KINDS = (("GET", "/receipt", False), ("POST", "/status", False), ("POST", "/score", True))
 
@@ -29,8 +35,8 @@
     """What the callers of one process send.
 
     They connect to ``addresses`` in turn, beginning with the one at index ``first``. The pause
-    between two requests is random, up to ``max_pause_s``. ``ends_s`` is a time of the monotonic
-    clock. ``key`` and ``host`` are sent with each request.
+    between two requests is random, up to ``max_pause_s`` except for callers of style "idle".
+    ``ends_s`` is a time of the monotonic clock. ``key`` and ``host`` are sent with each request.
     """
 
     addresses: tuple
@@ -69,6 +75,7 @@
 
     def __init__(self, number, plan, selector, record):
         self.number = number
+        self.style = STYLES[number % len(STYLES)]
         self.plan = plan
         self.selector = selector
         self.record = record
@@ -78,9 +85,15 @@
         self.socket = None
         self.opened_s = 0.0
         self.call = None
-        self.unsent = b""
+        self.unsent = []
+        self.part_due_s = 0.0
         self.is_framed = True
-        self.due_s = time.monotonic() + plan.max_pause_s * self.random.random()
+        self.due_s = time.monotonic() + self.draw_pause_s()
+
+    def draw_pause_s(self):
+        if self.style == "idle":
+            return self.random.uniform(*IDLE_S)
+        return self.plan.max_pause_s * self.random.random()
 
     def act(self, now_s, may_begin):
         """Begin the next request if it is due; give up one that gets no answer."""
@@ -89,7 +102,8 @@
                 if may_begin and now_s >= self.due_s:
                     self.begin_request()
             elif self.unsent:
-                self.send()
+                if now_s >= self.part_due_s:
+                    self.send()
             elif now_s - self.call.sent_s > SILENCE_S:
                 self.disconnect("silent")
         except OSError as error:
@@ -112,21 +126,24 @@
         self.selector.register(self.socket, selectors.EVENT_READ, self)
 
     def send(self):
-        """Send what the connection takes."""
+        """Send what the connection takes of the part that is due."""
         now_s = time.monotonic()
         try:
-            count = self.socket.send(self.unsent)
+            count = self.socket.send(self.unsent[0])
         except BlockingIOError:
             if not self.call.began_s and now_s - self.opened_s > CONNECT_TIMEOUT_S:
                 self.disconnect("not connected")
             return
         self.call.began_s = self.call.began_s or now_s
-        self.unsent = self.unsent[count:]
+        self.unsent[0] = self.unsent[0][count:]
+        if not self.unsent[0]:
+            self.unsent.pop(0)
+            self.part_due_s = now_s + MAX_PART_PAUSE_S * self.random.random()
         if not self.unsent:
             self.call.sent_s = now_s
 
     def make_request(self):
-        """Return the bytes of the next request, which becomes the call in progress."""
+        """Return the parts of the next request, which becomes the call in progress."""
         method, prefix, is_stream = self.random.choice(KINDS)
         self.sent += 1
         request_id = f"{self.plan.first:02x}{self.number:04x}{self.sent:010x}"
@@ -143,15 +160,17 @@
                 ("X-Token-Count", "400,60"),
                 ("X-Prefix-Hash", f"{request_id}:400"),
             ]
-        body = b"x" if method == "POST" else b""
-        if body:
-            headers.append(("Content-Length", str(len(body))))
+        parts = [] if method == "GET" else [b"x"]
+        if parts and self.style == "parts":
+            parts = [b"x" * PART_BYTES] * PART_COUNT
+        if parts:
+            headers.append(("Content-Length", str(sum(map(len, parts)))))
         self.call = CallRecord(request_id, path, self.plan.addresses[self.target])
         request = h11.Request(method=method, target=path, headers=headers)
-        data = self.protocol.send(request)
-        if body:
-            data += self.protocol.send(h11.Data(data=body))
-        return data + self.protocol.send(h11.EndOfMessage())
+        head = self.protocol.send(request)
+        sent = [self.protocol.send(h11.Data(data=part)) for part in parts]
+        self.protocol.send(h11.EndOfMessage())
+        return [head, *sent] if self.style == "parts" else [b"".join([head, *sent])]
 
     def read(self):
         """Read what has arrived, and end the request if that completes its answer."""
@@ -188,7 +207,7 @@
         call.ended_s, call.error = time.monotonic(), error
         if call.began_s:
             self.record(call)
-        self.due_s = time.monotonic() + self.plan.max_pause_s * self.random.random()
+        self.due_s = time.monotonic() + self.draw_pause_s()
         if error:
             return
         # An answer may come before the end of its request; such a connection cannot be kept.
@@ -203,7 +222,7 @@
             self.selector.unregister(self.socket)
             self.socket.close()
             self.socket = None
-        self.unsent = b""
+        self.unsent = []
         if self.call is not None:
             self.end_call(error or "closed")
         self.target = (self.target + 1) % len(self.plan.addresses)
--- a/features/soak/planned.py
+++ b/features/soak/planned.py
@@ -26,7 +26,19 @@
 FEATURES = Path(__file__).resolve().parent.parent
 # The callers' processes end this long after a run at the latest: no request of theirs waits longer.
 CALLERS_END_S = SILENCE_S + 10.0
-WEIGHTS = {"terminate": 4, "hang up": 3, "change": 3, "terminate twice": 1, "all at once": 1}
+# A replica that leaves says so in its responses first and in its record later, and ends only when
+# no router sends to it any more and it has answered everything.
+RECORD_DELAY_S = 2.0
+DRAIN_S = 2.0
+SERVICES = ("portal", "engine")
+WEIGHTS = {
+    "terminate": 4,
+    "hang up": 3,
+    "change": 3,
+    "terminate twice": 1,
+    "all at once": 1,
+    "leave": 2,
+}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,15 +124,22 @@
     def _start(self):
         self.fleet.operator.change(_allow_second_replica)
         self.fleet.operator.set_prepaid("board", 500_000_000)
-        for service in ("portal", "engine"):
+        for service in SERVICES:
             for _ in range(3):
-                self.fleet.add_replica(service, work_s=self.work_s, pause_s=0.02)
+                self.add_replica(service)
         for _ in range(self.router_count):
             self.fleet.add_router(ready=False, stop_s=GRACE_S)
         assert eventually(lambda: all(each.is_ready() for each in self.fleet.routers))
         self.addresses = [each.address for each in self.fleet.routers]
         self.routers = list(self.fleet.routers)
 
+    def add_replica(self, service):
+        return self.fleet.add_replica(service, work_s=self.work_s, pause_s=0.02)
+
+    def has_ended(self, wait_s):
+        """Wait for the end of the run at most ``wait_s``; return whether it has ended."""
+        return self._ended.wait(wait_s)
+
     def _start_callers(self, number, ends_s):
         folder = Path(self.fleet.folder)
         plan, records = folder / f"callers-{number}.json", folder / f"calls-{number}.jsonl"
@@ -234,6 +253,29 @@
     run.fleet.operator.add_route(route(f"/added{version}/", "portal"))
 
 
+@action("leave")
+def leave(run, number):
+    """Have the oldest replica of a service leave in an orderly way; another one starts at once."""
+    service = SERVICES[number % len(SERVICES)]
+    replica = next(each for each in run.fleet.of(service) if not each.leaving)
+    run.add_replica(service)
+    replica.leaving = True
+
+    def end():
+        if run.has_ended(RECORD_DELAY_S):
+            return
+        replica.list("draining")
+        if run.has_ended(DRAIN_S):
+            return
+        replica.unlist()
+        run.has_ended(DRAIN_S)
+        # A replica that breaks off would excuse what its routers do.
+        if eventually(lambda: not replica.in_flight):
+            replica.crash()
+
+    threading.Thread(target=end, daemon=True).start()
+
+
 def main():
     parser = argparse.ArgumentParser(prog="soak.planned")
     parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
