Show what the gateways say they cut in the figures of planned work

The lines gateway.stopped count requests that were cut and connections that were closed with unread data; beside what callers saw they show where the two disagree. A read without data no longer ends a request.

--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -181,6 +181,8 @@
                 return
             self.protocol.receive_data(data)
             self.read_events()
+        except BlockingIOError:
+            pass
         except (OSError, h11.ProtocolError) as error:
             self.disconnect(repr(error))
 
--- a/features/soak/planned.py
+++ b/features/soak/planned.py
@@ -207,6 +207,9 @@
             max((each.ended_s - each.asked_s for each in self.stops), default=0), 1
         )
         self.figures["killed"] = sum(each.exit_code is None for each in self.stops)
+        stopped = [line for each in self.routers for line in each.find_all("gateway.stopped")]
+        for count in ("requests_cut", "closed_unread"):
+            self.figures[count] = sum(line[count] for line in stopped)
         self.figures["late s"] = self.late_s
 
 
