Tell for each request without an answer why it is not lost

The figures of a run showed how many requests ended without an answer, but not which exception excused them.

--- a/features/soak/lost.py
+++ b/features/soak/lost.py
@@ -38,29 +38,37 @@
     ended_s: float | None
 
 
-def find_lost(run):
-    """Return a line for each request that ended without an answer although it had been accepted.
+def judge(run, call):
+    """Return how a request ended: "answered", "lost", or why one without an answer is not lost.
 
-    A request that was sent completely counts if a replica received it, or if it ended later than
-    ``LOSS_SLACK_S`` after its last byte. One that reached its deadline does not count, nor one
-    whose gateway was being stopped while a replica was at work on it late in the grace period.
+    A request that was sent completely is lost if a replica received it, or if it ended later than
+    ``LOSS_SLACK_S`` after its last byte. One that reached its deadline is not, nor one whose
+    gateway was being stopped while a replica was at work on it late in the grace period.
     """
+    if call.is_complete:
+        return "answered"
+    if not call.sent_s:
+        return "not sent completely"
+    if call.ended_s - call.began_s >= DEADLINE_S:
+        return "past its deadline"
+    arrivals = run.arrivals.get(call.request_id, ())
+    if not arrivals and call.ended_s - call.sent_s <= LOSS_SLACK_S:
+        return "not passed on"
+    if any(_is_cut_at_work(each, call, arrivals) for each in _stops_of(run, call)):
+        return "cut at work"
+    return "lost"
+
+
+def find_lost(run):
+    """Return a line for each request that was lost."""
     for call in run.calls:
-        if call.is_complete or not call.sent_s or reached_deadline(call):
-            continue
-        arrivals = run.arrivals.get(call.request_id, ())
-        waited_s = call.ended_s - call.sent_s
-        if not arrivals and waited_s <= LOSS_SLACK_S:
-            continue
-        stops = [each for each in run.stops if _covers(each, call)]
-        if any(_is_cut_at_work(each, call, arrivals) for each in stops):
-            continue
-        yield (
-            f"lost: {call.request_id} {call.path.split('/')[1]} at {call.address}, "
-            f"ended at {call.ended_s - run.started_s:.3f} s, "
-            f"{waited_s * 1000:.0f} ms after its last byte, {call.status} "
-            f"{_describe_arrivals(call, arrivals)}, {_describe_stops(call, stops)}, {call.error}"
-        )
+        if judge(run, call) == "lost":
+            yield (
+                f"lost: {call.request_id} {call.path.split('/')[1]} at {call.address}, "
+                f"ended at {call.ended_s - run.started_s:.3f} s, "
+                f"{(call.ended_s - call.sent_s) * 1000:.0f} ms after its last byte, {call.status} "
+                f"{_describe_arrivals(run, call)}, {_describe_stops(run, call)}, {call.error}"
+            )
 
 
 def find_failed(run):
@@ -72,17 +80,14 @@
             yield f"{stop.name} {how}, {stop.ended_s - stop.asked_s:.1f} s after its SIGTERM"
 
 
-def reached_deadline(call):
-    """Return whether a request ended after its deadline, which counts from its first byte."""
-    return call.ended_s - call.began_s >= DEADLINE_S
-
-
-def _covers(stop, call):
-    return (
-        stop.address == call.address
-        and call.began_s <= stop.ended_s
-        and stop.asked_s <= call.ended_s <= stop.ended_s + READ_S
-    )
+def _stops_of(run, call):
+    return [
+        each
+        for each in run.stops
+        if each.address == call.address
+        and call.began_s <= each.ended_s
+        and each.asked_s <= call.ended_s <= each.ended_s + READ_S
+    ]
 
 
 def _is_cut_at_work(stop, call, arrivals):
@@ -94,16 +99,15 @@
     )
 
 
-def _describe_arrivals(call, arrivals):
-    if not arrivals:
-        return "not passed on"
-    spans = (
+def _describe_arrivals(run, call):
+    spans = [
         f"{each.at_s - call.sent_s:.3f} to "
         + ("now" if each.ended_s is None else f"{each.ended_s - call.sent_s:.3f} s")
-        for each in arrivals
-    )
-    return f"passed on, at replicas from {', '.join(spans)} after its last byte"
+        for each in run.arrivals.get(call.request_id, ())
+    ]
+    return f"at replicas from {', '.join(spans)} after it" if spans else "not passed on"
 
 
-def _describe_stops(call, stops):
+def _describe_stops(run, call):
+    stops = _stops_of(run, call)
     return f"{call.ended_s - stops[0].asked_s:.3f} s after its SIGTERM" if stops else "no stop"
--- a/features/soak/planned.py
+++ b/features/soak/planned.py
@@ -13,7 +13,7 @@
 import sys
 import threading
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from pathlib import Path
 
 from platform_standins import Fleet
@@ -21,7 +21,7 @@
 from platform_standins.operator import HOST, KEY, route
 
 from soak.callers import SILENCE_S, CallRecord
-from soak.lost import DEADLINE_S, GRACE_S, Arrival, Stop, find_failed, find_lost, reached_deadline
+from soak.lost import DEADLINE_S, GRACE_S, Arrival, Stop, find_failed, find_lost, judge
 
 FEATURES = Path(__file__).resolve().parent.parent
 # The callers' processes end this long after a run at the latest: no request of theirs waits longer.
@@ -199,9 +199,9 @@
         self.figures["refused"] = sum(
             call.is_complete and call.status == 503 for call in self.calls
         )
-        unanswered = [call for call in self.calls if not call.is_complete]
-        self.figures["unanswered"] = len(unanswered)
-        self.figures["of these past the deadline"] = sum(map(reached_deadline, unanswered))
+        judged = Counter(judge(self, call) for call in self.calls)
+        del judged["answered"]
+        self.figures["unanswered"] = dict(judged)
         self.figures["stops"] = len(self.stops)
         self.figures["slowest stop"] = round(
             max((each.ended_s - each.asked_s for each in self.stops), default=0), 1
--- a/features/steps/planned_work_steps.py
+++ b/features/steps/planned_work_steps.py
@@ -4,20 +4,21 @@
 
 from behave import then, when
 from soak.callers import CallRecord
-from soak.lost import GRACE_S, Arrival, Stop, find_failed, find_lost
+from soak.lost import GRACE_S, Arrival, Stop, find_failed, find_lost, judge
 from soak.planned import ACTIONS, PlannedRun, draw_planned
 
 ADDRESS = "127.0.0.11:1"
 SENT_S = 100.0
 
 
-def judge(context, *, sent_s, ended_s, arrivals=(), stops=(), **fields):
-    """Judge one made-up request that no answer completed."""
+def judge_one(context, *, sent_s, ended_s, arrivals=(), stops=(), **fields):
+    """Judge one made-up request; without further ``fields`` no answer completed it."""
     fields = {"began_s": sent_s, "sent_s": sent_s, "ended_s": ended_s, **fields}
     call = CallRecord("r1", "/status/r1", ADDRESS, **fields)
     run = SimpleNamespace(
         calls=[call], arrivals={"r1": list(arrivals)}, stops=list(stops), started_s=0.0
     )
+    context.verdict = judge(run, call)
     context.lost = list(find_lost(run))
 
 
@@ -28,12 +29,12 @@
 @when("a request that was passed on ends without an answer {after:g} s after its last byte")
 def end_passed_on(context, after):
     arrivals = [Arrival(SENT_S + 0.01, SENT_S + after)]
-    judge(context, sent_s=SENT_S, ended_s=SENT_S + after, arrivals=arrivals)
+    judge_one(context, sent_s=SENT_S, ended_s=SENT_S + after, arrivals=arrivals)
 
 
 @when("a request that was not passed on ends without an answer {after:g} s after its last byte")
 def end_not_passed_on(context, after):
-    judge(context, sent_s=SENT_S, ended_s=SENT_S + after)
+    judge_one(context, sent_s=SENT_S, ended_s=SENT_S + after)
 
 
 @when(
@@ -43,28 +44,31 @@
 def cut_in_stop(context, sent, cut, until):
     arrivals = [Arrival(SENT_S + sent, SENT_S + until)]
     times = {"sent_s": SENT_S + sent, "ended_s": SENT_S + cut}
-    judge(context, **times, arrivals=arrivals, stops=[stop_at(SENT_S)])
+    judge_one(context, **times, arrivals=arrivals, stops=[stop_at(SENT_S)])
 
 
 @when("a request is cut late in a planned stop of another gateway")
 def cut_beside_stop(context):
     times = {"sent_s": SENT_S + 2.9, "ended_s": SENT_S + 6.8}
     arrivals = [Arrival(times["sent_s"], times["ended_s"])]
-    judge(context, **times, arrivals=arrivals, stops=[stop_at(SENT_S, "127.0.0.12:1")])
+    judge_one(context, **times, arrivals=arrivals, stops=[stop_at(SENT_S, "127.0.0.12:1")])
 
 
-@when("a request is answered, and another ends before its last byte")
-def answer_and_break_off(context):
+@when("a request that was passed on is answered")
+def answer(context):
     arrivals = [Arrival(SENT_S, SENT_S + 1.0)]
-    judge(context, sent_s=SENT_S, ended_s=SENT_S + 1.0, arrivals=arrivals, is_complete=True)
-    answered = context.lost
-    judge(context, sent_s=0.0, ended_s=SENT_S + 1.0, began_s=SENT_S)
-    context.lost += answered
+    judge_one(context, sent_s=SENT_S, ended_s=SENT_S + 1.0, arrivals=arrivals, is_complete=True)
 
 
-@then("it is judged as {found}")
-def check_found(context, found):
-    assert bool(context.lost) == (found == "lost"), (found, context.lost)
+@when("a request ends before its last byte was sent")
+def break_off(context):
+    judge_one(context, sent_s=0.0, ended_s=SENT_S + 1.0, began_s=SENT_S)
+
+
+@then('it is judged "{verdict}"')
+def check_verdict(context, verdict):
+    assert context.verdict == verdict, context.verdict
+    assert bool(context.lost) == (verdict == "lost"), context.lost
 
 
 @when("planned stops end with code 0, with code 1 and with a kill, and a gateway fails")
