Stop the relay server although its reading thread closes a connection meanwhile

By reading: since a stop waits for the reading thread for 0.2 s only, that thread may close a connection under the stop, which then failed on the socket that was gone: no tokens settled, no last lines.

Evidence: the new scenario failed before and passes now, as does the rest of caller_connections (18).

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -67,6 +67,11 @@
     When the server is stopped during a request, other sockets are opened, and the request ends
     Then none of these sockets receives anything
 
+  Scenario: A stop goes on if a connection is closed by its reading thread meanwhile
+    Given a relay server with a kept connection
+    When a connection is closed by the reading thread while the server is stopped
+    Then the stop ends without an exception
+
   Scenario Outline: Readiness is still told after an exception <place>
     Given a server of readiness
     When an exception is raised <place> of that server
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -36,7 +36,7 @@
 
 
 class HoldingClock:
-    """A clock that blocks the thread that reads it while ``hold`` is set.
+    """A clock that blocks the thread that reads it while ``free`` is not set.
 
     The reading thread reads it at the first bytes of each request, so it can be made busy.
     """
@@ -333,6 +333,23 @@
     time.sleep(WORK_S)
 
 
+@when("a connection is closed by the reading thread while the server is stopped")
+def close_during_stop(context):
+    report_close = context.server.report_close
+
+    def close_and_report(channel, reason):
+        channel.handle_close()
+        report_close(channel, reason)
+
+    context.server.report_close = close_and_report
+    context.stopping = in_background(context.server.stop)
+
+
+@then("the stop ends without an exception")
+def stopped_without_exception(context):
+    assert context.stopping() is None
+
+
 @then("none of these sockets receives anything")
 def nothing_received(context):
     for each in itertools.chain.from_iterable(context.pairs):
--- a/src/aspengate/serving/_close_report.py
+++ b/src/aspengate/serving/_close_report.py
@@ -35,8 +35,13 @@
         return bool(self.requests) or self.is_unread
 
 
-def has_unread_data(connected: socket.socket) -> bool:
-    """Return whether data has arrived on a non-blocking socket that was not read."""
+def has_unread_data(connected: socket.socket | None) -> bool:
+    """Return whether data has arrived on a non-blocking socket that was not read.
+
+    False if the connection is closed, in which case waitress has no socket any more.
+    """
+    if connected is None:
+        return False
     try:
         return bool(connected.recv(1, socket.MSG_PEEK))
     except OSError:
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -229,8 +229,11 @@
         self.task_dispatcher.shutdown()
         for channel in list(self.active_channels.values()):
             self.report_close(channel, CloseReason.STOPPED)
-            with contextlib.suppress(OSError):
-                channel.socket.close()
+            # A reading thread that is still in its turn may close the connection meanwhile.
+            caller = channel.socket
+            if caller is not None:
+                with contextlib.suppress(OSError):
+                    caller.close()
         # The trigger stays open until the process ends: a request that is still in progress pulls
         # it, and by then the number of its descriptor may belong to another connection.
         with contextlib.suppress(OSError):
