Describe crowds of clients that hold on to memory, threads and connections

The steps start real gateways on loopback, with memory_mb, descriptors and threads lowered in the test's own settings. Their bounds are the limits of the machine: resident memory at its peak and what the kernel holds stay below memory_mb, open descriptors below descriptors, an ordinary request is answered while the crowd stays, and half of the memory between the start and memory_mb is free again afterwards.

--- a/features/platform_standins/fleet.py
+++ b/features/platform_standins/fleet.py
@@ -64,7 +64,8 @@
 class RouterProcess:
     """A router process; ``lines`` are its log lines, ``build`` is the folder of its program.
 
-    ``regions`` and ``threads`` are its settings of these names, and ``domain`` its failure domain.
+    ``regions`` and ``threads`` are its settings of these names, ``limits`` those of the section of
+    that name, and ``domain`` is its failure domain.
 
     With ``unread`` its output is not read after the start.
     """
@@ -84,9 +85,10 @@
         domain="hall-1",
         regions="",
         threads=None,
+        limits=None,
         **bounds,
     ):
-        self.threads = threads
+        self.limits = {"threads": threads, **(limits or {})}
         self.build = build
         self.domain = domain
         self.regions = regions
@@ -130,7 +132,7 @@
             peer_port=peer_port,
             seeds=seeds,
             store=self.endpoint.address,
-            limits=f"threads = {self.threads}" if self.threads else "",
+            limits="\n".join(f"{key} = {value}" for key, value in self.limits.items() if value),
             bounds=bounds,
         )
         self.path.write_text(text, encoding="utf-8")
@@ -250,7 +252,7 @@
             build=build or router.build,
             domain=router.domain,
             regions=router.regions,
-            threads=router.threads,
+            limits=router.limits,
             **router.bounds,
         )
         self.cleanup.callback(again.kill)
--- /dev/null
+++ b/features/steps/untrusted_clients_steps.py
@@ -0,0 +1,369 @@
+"""Steps on clients that hold on to a router's memory, threads and connections."""
+
+import contextlib
+import gc
+import json
+import socket
+import time
+import tracemalloc
+from pathlib import Path
+
+import eliot
+from behave import given, then, when
+from platform_standins import Caller
+from platform_standins.crowd import (
+    BODY,
+    LARGE_BODY_BYTES,
+    Crowd,
+    chunks,
+)
+from platform_standins.fleet import ask, eventually
+from platform_standins.replica import behaviour, chunk, event, is_stream
+
+from aspengate.clock import ManualClock, SystemClock
+from aspengate.errors import AspengateError, ErrorKind
+from aspengate.gateway import PromptSegment
+from aspengate.gateway._progress import Progress
+from aspengate.gateway._request_log import RequestLog
+from aspengate.replicas import SegmentTracker
+from aspengate.streams import StreamKey, StreamOrigin, StreamOrigins
+from aspengate.telemetry import NullCounters
+from gateway_world import in_background, metrics_page, start_gateways
+
+MB = 1024 * 1024
+HOLD_S = 4.0
+# The state of a listening socket in /proc/net/tcp, whose queues are connections.
+LISTENING = "0A"
+ROUTE_TIMEOUT_MS = 60_000
+LONG_ANSWER_BYTES = 16 * MB
+PIECE_BYTES = 16 * 1024
+# Just below the size at which a router takes an event for endless.
+PART_OF_EVENT_BYTES = 1_000_000
+LONG_ID_CHARS = 15_000
+WORK_S = 2.0
+ORDINARY_TIMEOUT_S = 20.0
+
+
+@behaviour("long for a crowd")
+def answer_crowd(replica, connection, request):
+    """Take a while for large requests, and send long answers to those that ask for them."""
+    if request.target.endswith("/1"):
+        return answer(replica, connection, request, replica.body(request))
+    replica.run(request)
+    if request.target.endswith("/part"):
+        replica.send(connection, replica.head(request, stream=True), request)
+        replica.send(connection, chunk(b"id: 1\ndata: " + b"x" * PART_OF_EVENT_BYTES), request)
+        replica.wait(connection, request, ROUTE_TIMEOUT_MS / 1_000)
+        return False
+    piece = b"x" * PIECE_BYTES
+    count = LONG_ANSWER_BYTES // PIECE_BYTES
+    if is_stream(request):
+        replica.send(connection, replica.head(request, stream=True), request)
+        for number in range(1, count + 1):
+            data = b"id: %d\ndata: %s\n\n" % (number, piece)
+            replica.send(connection, chunk(data), request)
+        replica.send(connection, b"0\r\n\r\n", request)
+        return True
+    if request.target.endswith("/long"):
+        replica.send(connection, replica.head(request, length=LONG_ANSWER_BYTES), request)
+        for _ in range(count):
+            replica.send(connection, piece, request)
+        return True
+    if request.target.endswith("/long-chunked"):
+        extra = ["Transfer-Encoding: chunked"]
+        replica.send(connection, replica.head(request, extra=extra), request)
+        for _ in range(count):
+            replica.send(connection, chunk(piece), request)
+        replica.send(connection, b"0\r\n\r\n", request)
+        return True
+    replica.wait(connection, request, WORK_S)
+    return answer(replica, connection, request, b"done")
+
+
+def answer(replica, connection, request, body):
+    if request.target.endswith("/1"):
+        replica.run(request)
+        if is_stream(request):
+            replica.send(connection, replica.head(request, stream=True), request)
+            data = chunk(event(replica, request, 1)) + b"0\r\n\r\n"
+            replica.send(connection, data, request)
+            return True
+    replica.send(connection, replica.head(request, length=len(body)) + body, request)
+    return True
+
+
+def start(context, *, max_body_bytes=LARGE_BODY_BYTES, **limits):
+    def configure(configuration):
+        configuration["limits"]["maxBodyBytes"] = max_body_bytes
+        for each in configuration["routes"]:
+            each["timeoutMs"] = ROUTE_TIMEOUT_MS
+
+    start_gateways(context, limits=limits)
+    context.fleet.operator.change(configure)
+    version = context.fleet.operator.configuration["configVersion"]
+    assert eventually(lambda: figure(context.router, "configuration_version") == version)
+    for replica in context.fleet.replicas:
+        replica.behaviour = "long for a crowd"
+    context.limits = {"descriptors": 1_024, **limits}
+    assert ask_ordinary(context.router)
+    context.start_bytes = memory_bytes(context.router, "VmRSS")
+
+
+def figure(router, name):
+    """Return a figure of the metrics page, of whatever family; None if it has none of that name."""
+    lines = [line for line in metrics_page(router).splitlines() if f'"{name}"}}' in line]
+    return float(lines[0].rpartition(" ")[2]) if lines else None
+
+
+@given("a gateway with {memory_mb:d} MB of memory and {threads:d} threads")
+def gateway_with_memory(context, memory_mb, threads):
+    start(context, memory_mb=memory_mb, threads=threads)
+
+
+@given(
+    "a gateway with {descriptors:d} descriptors, {threads:d} threads and {memory_mb:d} MB of memory"
+)
+def gateway_with_descriptors(context, descriptors, threads, memory_mb):
+    start(context, memory_mb=memory_mb, descriptors=descriptors, threads=threads)
+
+
+@given("a gateway with {memory_mb:d} MB of memory that accepts bodies of {limit:d} bytes")
+def gateway_with_body_limit(context, memory_mb, limit):
+    start(context, max_body_bytes=limit, memory_mb=memory_mb)
+
+
+def memory_bytes(router, name):
+    """Return a figure of a process's memory: VmRSS for the resident one, VmHWM for its peak."""
+    status = Path(f"/proc/{router.process.pid}/status").read_text(encoding="ascii")
+    sizes = dict(line.split(":", 1) for line in status.splitlines())
+    return int(sizes[name].split()[0]) * 1024
+
+
+def queued_bytes(address):
+    """Return the bytes that the kernel holds for the connections to an address, in both ways."""
+    host, port = address.split(":")
+    local = bytes(reversed(socket.inet_aton(host))).hex().upper() + f":{int(port):04X}"
+    rows = [line.split() for line in Path("/proc/net/tcp").read_text("ascii").splitlines()[1:]]
+    queues = [row[4] for row in rows if row[1] == local and row[3] != LISTENING]
+    return sum(int(size, 16) for queue in queues for size in queue.split(":"))
+
+
+def descriptor_count(router):
+    return len(list(Path(f"/proc/{router.process.pid}/fd").iterdir()))
+
+
+def ask_ordinary(router):
+    """Send an ordinary request on a new connection; return whether it is answered."""
+    with contextlib.suppress(OSError), contextlib.closing(Caller(router.address, 10.0)) as caller:
+        found = caller.request("GET", "/receipt/1", deadline_ms=10_000)
+        return found.status == 200 and found.whole
+    return False
+
+
+@when("{crowd:d} clients {did}")
+def crowd_arrives(context, crowd, did):
+    arrive(context, context.router.address, crowd, did)
+
+
+def arrive(context, address, crowd, did):
+    """Let a crowd do what it does at an address, and stay."""
+    context.crowd = Crowd(address, did, crowd)
+    context.cleanup.callback(context.crowd.leave)
+    time.sleep(HOLD_S)
+    context.descriptors = descriptor_count(context.router)
+    context.queued_bytes = queued_bytes(address)
+
+
+def address_of(router, place):
+    return {
+        "readiness": router.ready_address,
+        "metrics": router.metrics_address,
+        "peer": router.peer_address,
+    }[place]
+
+
+@when("its {place} address is called by {crowd:d} clients that {did}")
+def crowd_arrives_at(context, place, crowd, did):
+    arrive(context, address_of(context.router, place), crowd, did)
+
+
+@then("its {place} address responds while the clients stay")
+def address_responds(context, place):
+    address = address_of(context.router, place)
+    assert eventually(lambda: ask(address), ORDINARY_TIMEOUT_S)
+
+
+@then("the gateway runs, within its memory and descriptors")
+def runs_within_limits(context):
+    assert not context.router.has_ended
+    peak = memory_bytes(context.router, "VmHWM") + context.queued_bytes
+    assert peak <= context.limits["memory_mb"] * MB, f"{peak / MB:.0f} MB"
+    assert context.descriptors <= context.limits["descriptors"], context.descriptors
+
+
+@then("an ordinary request is answered while the clients stay")
+def ordinary_is_answered(context):
+    assert eventually(lambda: ask_ordinary(context.router), ORDINARY_TIMEOUT_S)
+    assert not context.crowd.leaving.is_set()
+
+
+@when("{count:d} large bodies are sent one after the other to replicas that {name}")
+def send_one_by_one(context, count, name):
+    for replica in context.fleet.replicas:
+        replica.behaviour = name
+    for _ in range(count):
+        assert send_framed(context.router, "/receipt/1", BODY, "with a length")[1].whole
+    for replica in context.fleet.replicas:
+        replica.behaviour = "long for a crowd"
+    context.descriptors = descriptor_count(context.router)
+    context.queued_bytes = queued_bytes(context.router.address)
+
+
+@then("the memory is given back when the clients have left")
+def memory_given_back_after_crowd(context):
+    context.crowd.leave()
+    assert eventually(lambda: ask_ordinary(context.router), ORDINARY_TIMEOUT_S)
+    memory_given_back(context)
+
+
+@then("its memory is given back")
+def memory_given_back(context):
+    limit = (context.start_bytes + context.limits["memory_mb"] * MB) / 2
+    given_back = eventually(
+        lambda: memory_bytes(context.router, "VmRSS") <= limit, ORDINARY_TIMEOUT_S
+    )
+    peak = memory_bytes(context.router, "VmHWM")
+    assert peak <= context.limits["memory_mb"] * MB, f"{peak / MB:.0f} MB"
+    assert given_back, f"{memory_bytes(context.router, 'VmRSS') / MB:.0f} MB"
+
+
+def framed(body, framing):
+    """Return the header lines and the bytes of a body, framed as a scenario says."""
+    if framing == "with a length":
+        return [f"Content-Length: {len(body)}"], body
+    size = int(framing.removeprefix("in chunks of ").removesuffix(" bytes"))
+    return ["Transfer-Encoding: chunked"], chunks(body, size) + b"0\r\n\r\n"
+
+
+def send_framed(router, path, body, framing):
+    """Send a request with a body; return its id and the response."""
+    lines, data = framed(body, framing)
+    with contextlib.closing(Caller(router.address, 30.0)) as caller:
+        # The length of an empty body would be a second one.
+        identity = caller.send("PUT", path, headers=lines, deadline_ms=30_000)
+        caller.raw(data)
+        return identity, caller.read()
+
+
+@when("a body of {size:d} bytes is sent {framing}")
+def send_body(context, size, framing):
+    context.body = bytes(index % 251 for index in range(size))
+    context.identity, context.answer = send_framed(
+        context.router, "/receipt/1", context.body, framing
+    )
+
+
+@then("it is answered, and the replica has received it unchanged")
+def received_unchanged(context):
+    assert context.answer.status == 200, context.answer.body
+    found = [
+        request
+        for replica in context.fleet.replicas
+        for request in replica.requests
+        if request.identity == context.identity
+    ]
+    assert [request.body == context.body for request in found] == [True]
+
+
+@then("it is refused as too large")
+def refused_as_too_large(context):
+    assert context.answer.status == 413, context.answer.status
+    assert context.answer.whole
+    assert not context.fleet.runs(context.identity)
+
+
+@when("{count:d} requests that may run once are sent at the same time, with large bodies {framing}")
+def send_many(context, count, framing):
+    def send():
+        return send_framed(context.router, "/status/large", BODY, framing)
+
+    waits = [in_background(send) for _ in range(count)]
+    context.answers = [wait() for wait in waits]
+
+
+@then("each is answered or refused, none that was refused has run, and some were refused")
+def answered_or_refused(context):
+    assert not context.router.has_ended
+    errors = [each for each in context.answers if isinstance(each, Exception)]
+    assert not errors, errors
+    assert all(answer.whole for _, answer in context.answers)
+    statuses = {answer.status for _, answer in context.answers}
+    assert statuses == {200, 503}, statuses
+    context.refused = [each for each in context.answers if each[1].status == 503]
+    ran = [identity for identity, _ in context.refused if context.fleet.runs(identity)]
+    assert not ran, ran
+
+
+@then("each refusal names its request and a time to retry, and its line in the log the cause")
+def refusal_is_explained(context):
+    for identity, answer in context.refused:
+        assert answer.header("X-Request-Id") == identity, answer.headers
+        assert float(answer.header("Retry-After")) > 0, answer.headers
+        line = eventually(
+            lambda: context.router.find("request.ended", request_id=identity),  # noqa: B023
+            5.0,
+        )
+        assert line, identity
+        assert line["outcome"] == ErrorKind.OUT_OF_MEMORY.value, line
+        assert "memory" in line["reason"], line
+
+
+@then("the metrics page counts the refusals and the memory in use")
+def refusals_are_counted(context):
+    refused = figure(context.router, "request.out_of_memory")
+    assert refused == len(context.refused), (refused, len(context.refused))
+    assert figure(context.router, "buffered_bytes") is not None
+    assert figure(context.router, "buffer_capacity_bytes") > LARGE_BODY_BYTES
+
+
+def long_id(number):
+    return f"{number:x}".rjust(LONG_ID_CHARS, "0")
+
+
+@when("{count:d} streams and prompts with ids of 15000 characters are recorded")
+def record_long_ids(context, count):
+    context.origins, context.segments = StreamOrigins(ManualClock()), SegmentTracker()
+    origin = StreamOrigin("engine", "v1", "i-1")
+    gc.collect()
+    tracemalloc.start()
+    context.cleanup.callback(tracemalloc.stop)
+    for number in range(count):
+        context.origins.record(StreamKey("board", long_id(number)), origin, 60_000.0)
+        segment = PromptSegment(long_id(number), 10)
+        context.segments.record_sent(segment.identity, "i-1", 0.0)
+    context.count = count
+    context.kept_bytes = tracemalloc.get_traced_memory()[0]
+
+
+@then("less than 200 KB are kept of them, and they are found by their ids")
+def little_is_kept(context):
+    assert context.kept_bytes < 200_000, context.kept_bytes
+    for number in range(context.count):
+        assert context.origins.find(StreamKey("board", long_id(number)))
+        assert context.segments.holders(PromptSegment(long_id(number), 10).identity)
+
+
+@when("the end of a request is logged whose headers have 15000 characters each")
+def log_long_request(context):
+    context.lines = []
+    eliot.add_destinations(context.lines.append)
+    context.cleanup.callback(eliot.remove_destination, context.lines.append)
+    error = AspengateError(ErrorKind.BAD_REQUEST, long_id(1), where="X-Deadline-Ms")
+    log = RequestLog(SystemClock(), NullCounters())
+    log.record_end(long_id(2), 0.0, None, Progress(), error)
+
+
+@then("the line has less than 8 KB")
+def line_is_short(context):
+    sizes = [len(json.dumps(line, default=str)) for line in context.lines]
+    assert sizes and max(sizes) < 8_000, sizes
