Free the body of a request as soon as the request has ended

Callers saw nothing; the router kept the body of each ended request in memory until the next full garbage collection, some hundred requests later. With bodies of 4 MB it went past 96 MB on requests that came one after the other, and its memory was not given back.

Cause: references in a circle. The exchange refers to the handler of the request by its waiter, each attempt to the progress and the progress to its attempts, an error that ends a request was its own __cause__ ('raise error from error'), or in the traceback of the attempt that it replaced, and h11 raises errors whose traceback refers to them. A dump of what the collector finds showed each of them; with this change it finds nothing of an ended request, whether the replica answered, refused, lost it, or answered in garbage.

The handler drops the exchange and the attempts when a request has ended, and an error its traceback and context when it was reported, so that reference counts free them at once.

--- a/src/aspengate/connections/_connection.py
+++ b/src/aspengate/connections/_connection.py
@@ -99,7 +99,8 @@
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
-                raise self._broken(error) from error
+                # A frame in its traceback refers to the error, and others to the request.
+                raise self._broken(error.with_traceback(None)) from error
             if isinstance(event, h11.InformationalResponse):
                 interim_responses += 1
                 if interim_responses > _MAX_INTERIM_RESPONSES:
--- a/src/aspengate/gateway/_application.py
+++ b/src/aspengate/gateway/_application.py
@@ -60,12 +60,18 @@
             handler.log_end(error)
             raise
         except AspengateError as error:
-            handler.handle_error(error)
+            try:
+                handler.handle_error(error)
+            finally:
+                # Frames in the traceback refer to the failed attempt, and that to this error.
+                error.__context__ = error.__traceback__ = None
         except Exception as error:
             log_change("request.fault", request_id=handler.request_id, error=repr(error))
             handler.handle_error(AspengateError(ErrorKind.INTERNAL, "a fault of the router's own"))
         else:
             handler.log_end(None)
+        finally:
+            handler.break_cycles()
 
 
 class _RequestHandler:
@@ -128,6 +134,15 @@
             error,
         )
 
+    def break_cycles(self) -> None:
+        """Drop the references by which the request's body would stay in memory.
+
+        The exchange refers to this handler, and each attempt to the progress; only the garbage
+        collector would find these cycles, much later.
+        """
+        self.exchange = None
+        self.progress.forget_attempts()
+
     def _new_exchange(self, request: CallerRequest) -> Exchange:
         deadline = request.deadline_ms
         if deadline is None:
--- a/src/aspengate/gateway/_progress.py
+++ b/src/aspengate/gateway/_progress.py
@@ -74,6 +74,10 @@
             self.abandoned.end("abandoned", failed=True, version_failed=True)
             self.abandoned = None
 
+    def forget_attempts(self) -> None:
+        """Drop the attempts, which refer to this object, once the request has ended."""
+        self.all_attempts.clear()
+
     def record_event(self, event_id: str, now_ms: float) -> None:
         """Count an event that was sent to the caller; ``event_id`` may be empty."""
         if self.events:
--- a/src/aspengate/gateway/_relay.py
+++ b/src/aspengate/gateway/_relay.py
@@ -49,7 +49,9 @@
                     body = b""
             self.unframed_ends.check(attempt, answer)
         except AspengateError as error:
-            raise _broken_error(attempt, error, resumable=not caller.started) from error
+            if _is_retryable(attempt, error, resumable=not caller.started):
+                raise RetryableAttemptError(error, sent=True) from error
+            raise
         attempt.release(answer)
         if caller.started:
             caller.write(body, waiter)
@@ -83,7 +85,9 @@
             self.unframed_ends.check(attempt, answer)
         except AspengateError as error:
             resumable = not caller.started or attempt.exchange.known_route.resumable
-            raise _broken_error(attempt, error, resumable=resumable) from error
+            if _is_retryable(attempt, error, resumable=resumable):
+                raise RetryableAttemptError(error, sent=True) from error
+            raise
         attempt.release(answer)
         self._start(answer, caller)
         caller.finish()
@@ -128,12 +132,10 @@
             caller.start(answer.status, answer.reason, headers)
 
 
-def _broken_error(attempt: Attempt, error: AspengateError, *, resumable: bool) -> Exception:
-    """Return the exception to raise for a response that broke off."""
+def _is_retryable(attempt: Attempt, error: AspengateError, *, resumable: bool) -> bool:
+    """Return whether a response that broke off may be replaced by that of another attempt."""
     is_lost = error.kind is ErrorKind.UPSTREAM_FAILED
-    if is_lost and resumable and attempt.exchange.known_route.is_retryable:
-        return RetryableAttemptError(error, sent=True)
-    return error
+    return is_lost and resumable and attempt.exchange.known_route.is_retryable
 
 
 def _is_duplicate(event: StreamEvent, progress: Progress) -> bool:
