Keep long ids of callers as digests, and shorten them in the log

Callers saw nothing; a caller that sends long ids made the router keep them: up to 20,000 ids of streams and 4,096 of prompt segments, each as long as a head allows, which is some 380 MB with heads of 16 KB, and up to 2,000 log lines with three of them where the reader of the log is slow.

Cause: the stores of ids are bounded by their number alone. Evidence, by reading and by the tests: 100 recorded ids of 15,000 characters held 3.1 MB, a line 30 KB.

Ids of more than 128 characters are now kept as a digest, which finds them as well; log lines hold their first 256 characters and 2,000 of the reason. Replicas receive the ids unchanged.

Both scenarios failed before: 3,075,120 bytes instead of 200,000, and 30,356 bytes instead of 8,000.

--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -13,3 +13,11 @@
       | lost them           | lose             |
       | broke off answers   | end early        |
       | answered in garbage | garbage          |
+
+  Scenario: Long ids that callers chose stayed in memory
+    When 100 streams and prompts with ids of 15000 characters are recorded
+    Then less than 200 KB are kept of them, and they are found by their ids
+
+  Scenario: Long ids that callers chose filled the queue of the log
+    When the end of a request is logged whose headers have 15000 characters each
+    Then the line has less than 8 KB
--- a/src/aspengate/gateway/_request.py
+++ b/src/aspengate/gateway/_request.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from aspengate.identities import bounded_identity
+
 
 @dataclass(frozen=True)
 class TokenBounds:
@@ -18,11 +20,17 @@
 
 @dataclass(frozen=True)
 class PromptSegment:
-    """A segment of a prompt that other prompts may share, with its length in tokens."""
+    """A segment of a prompt that other prompts may share, with its length in tokens.
+
+    A long identity is kept as its digest.
+    """
 
     identity: str
     tokens: int
 
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "identity", bounded_identity(self.identity))
+
 
 @dataclass(frozen=True)
 class CallerRequest:
--- a/src/aspengate/gateway/_request_log.py
+++ b/src/aspengate/gateway/_request_log.py
@@ -9,6 +9,8 @@
 # Limits the part of a line that a caller can lengthen.
 _MAX_SEGMENTS = 8
 _MAX_SEGMENT_CHARS = 64
+_MAX_FIELD_CHARS = 256
+_MAX_REASON_CHARS = 2_000
 
 
 class RequestLog:
@@ -46,9 +48,9 @@
             return
         log_change(
             "request.ended",
-            request_id=request_id,
+            request_id=request_id[:_MAX_FIELD_CHARS],
             outcome=outcome,
-            reason=str(error) if error else "",
+            reason=str(error)[:_MAX_REASON_CHARS] if error else "",
             status=progress.status,
             held_ms=round(now - received_ms),
             read_ms=round(progress.started_ms - received_ms),
@@ -102,7 +104,7 @@
         "events": progress.events,
         "first_event_ms": round(first - received_ms) if first else None,
         "longest_gap_ms": round(progress.longest_gap_ms),
-        "resumed_from": exchange.request.last_event_id,
-        "resumes": exchange.request.resumes,
+        "resumed_from": exchange.request.last_event_id[:_MAX_FIELD_CHARS],
+        "resumes": exchange.request.resumes[:_MAX_FIELD_CHARS],
         "stream_version": None if progress.pin is None else progress.pin.version,
     }
--- a/src/aspengate/streams/_origin.py
+++ b/src/aspengate/streams/_origin.py
@@ -2,14 +2,22 @@
 
 from dataclasses import dataclass
 
+from aspengate.identities import bounded_identity
+
 
 @dataclass(frozen=True)
 class StreamKey:
-    """Identifies a stream by its caller's account and the request that brought its first event."""
+    """Identifies a stream by its caller's account and the request that brought its first event.
+
+    A long id is kept as its digest.
+    """
 
     account: str
     request_id: str
 
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "request_id", bounded_identity(self.request_id))
+
 
 @dataclass(frozen=True)
 class StreamOrigin:
