Bound the connections and heads of the readiness, metrics and peer addresses

Callers of the load balancer's address could end a router: 450 connections that stopped one byte short of a head of 200 KB took it to 125 MB, and idle ones left it no descriptors for anybody else.

Cause: the WSGI servers took the library's limits of 2,000 connections and 256 KB a head, more than the process has, and closed silent connections only after two minutes.

The servers of the gateway now take 64 (readiness), 16 (metrics) and 96 (routers) connections with heads of 8, 4 and 8 KB. Beyond that the oldest connection without a request is closed for the new one, so that the address goes on to respond.

--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -21,3 +21,18 @@
   Scenario: Long ids that callers chose filled the queue of the log
     When the end of a request is logged whose headers have 15000 characters each
     Then the line has less than 8 KB
+
+  Scenario Outline: A gateway ran out of <resource> at its <place> address when clients <did>
+    Given a gateway with 400 descriptors, 16 threads and 96 MB of memory
+    When its <place> address is called by 450 clients that <did>
+    Then the gateway runs, within its memory and descriptors
+    And its <place> address responds while the clients stay
+    And an ordinary request is answered while the clients stay
+
+    Examples:
+      | resource    | did                             | place     |
+      | memory      | stop one byte short of any head | readiness |
+      | memory      | stop one byte short of any head | metrics   |
+      | memory      | stop one byte short of any head | peer      |
+      | descriptors | send nothing                    | readiness |
+      | descriptors | send nothing                    | metrics   |
--- a/src/aspengate/deployed.py
+++ b/src/aspengate/deployed.py
@@ -24,6 +24,7 @@
 _EXIT_MARGIN_S = 0.3
 _METRICS_THREADS = 1
 _MAX_METRICS_REQUEST_BYTES = 4 * 1024
+_MAX_METRICS_CONNECTIONS = 16
 
 
 def read_build(build_file: Path) -> str:
@@ -101,6 +102,8 @@
         settings.metrics_listen,
         _METRICS_THREADS,
         _MAX_METRICS_REQUEST_BYTES,
+        max_header_bytes=_MAX_METRICS_REQUEST_BYTES,
+        max_connections=_MAX_METRICS_CONNECTIONS,
     )
     server.start()
     log_change("metrics.serving", address=server.address)
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -64,7 +64,10 @@
 # Interval in s at which deferrable documents are written together. It suffices to refill a reserve
 # of ten seconds of demand, and limits the router that draws for all to one call per interval.
 _TICK_INTERVAL_S = 1.0
-_MAX_READY_BODY_BYTES = 64 * 1024
+# Load balancers send no bodies and few headers.
+_MAX_READY_BODY_BYTES = 4 * 1024
+_MAX_READY_HEADER_BYTES = 8 * 1024
+_MAX_READY_CONNECTIONS = 64
 
 _RELOADABLE_SETTINGS = frozenset(
     {
@@ -161,6 +164,8 @@
             settings.ready_listen,
             _READY_THREADS,
             _MAX_READY_BODY_BYTES,
+            max_header_bytes=_MAX_READY_HEADER_BYTES,
+            max_connections=_MAX_READY_CONNECTIONS,
         )
         self.holder.on_change(self._apply_configuration)
         self._suspension = SuspensionDetector(clock, counters, deployment.store.abort_watches)
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -72,6 +72,8 @@
 _FETCH_TIMEOUT_MS = 500.0
 _SERVER_THREADS = 2
 _SMALL_BODY = 4 * 1024
+_MAX_HEADER_BYTES = 8 * 1024
+_MAX_PEER_CONNECTIONS = 96
 _LIST_INTERVAL_MS = 30_000.0
 _LIST_INTERVAL_ALONE_MS = 3_000.0
 # Number of replica ids that fit into a heartbeat datagram.
@@ -136,7 +138,12 @@
         self.on_permit: Callable[[PermitReply, str], None] = lambda _reply, _address: None
         self.on_stream: Callable[[StreamReply, str], None] = lambda _reply, _address: None
         self.server = WsgiServer(
-            PeerApplication(mirrors, services), address, _SERVER_THREADS, _SMALL_BODY
+            PeerApplication(mirrors, services),
+            address,
+            _SERVER_THREADS,
+            _SMALL_BODY,
+            max_header_bytes=_MAX_HEADER_BYTES,
+            max_connections=_MAX_PEER_CONNECTIONS,
         )
         self.session = session_name(name, uuid.uuid4().hex[:8])
         self.members = MemberList(
--- a/src/aspengate/serving/_server.py
+++ b/src/aspengate/serving/_server.py
@@ -18,18 +18,42 @@
 WsgiApplication = Callable[[WsgiEnvironment, StartResponse], Iterable[bytes]]
 
 _CHANNEL_TIMEOUT_S = 120
-_CONNECTION_LIMIT = 2_000
+_MAX_CONNECTIONS = 2_000
+_MAX_HEADER_BYTES = 256 * 1024
 _STOP_TIMEOUT_S = 1
 
 
+class _LimitedServer(AcceptingServer):
+    """Closes the oldest connections without a request when there are too many."""
+
+    max_connections = _MAX_CONNECTIONS
+
+    def handle_accept(self) -> None:
+        """Accept a connection, in place of another one if need be."""
+        super().handle_accept()
+        waiting = [each for each in list(self.active_channels.values()) if not each.requests]
+        surplus = max(0, len(self.active_channels) - self.max_connections)
+        for channel in sorted(waiting, key=lambda each: each.creation_time)[:surplus]:
+            channel.handle_close()
+
+
 class WsgiServer:
     """A waitress server in its own thread; ``address`` is its ``host:port``.
 
+    The oldest connections beyond ``max_connections`` are closed if they have no request.
+
     The thread is supervised: an exception on it is logged, and it continues.
     """
 
     def __init__(
-        self, application: WsgiApplication, listen: str, threads: int, max_body_bytes: int
+        self,
+        application: WsgiApplication,
+        listen: str,
+        threads: int,
+        max_body_bytes: int,
+        *,
+        max_header_bytes: int = _MAX_HEADER_BYTES,
+        max_connections: int = _MAX_CONNECTIONS,
     ) -> None:
         # The only way to abort a response after its headers is to raise. Such responses are
         # counted, so that the traceback in the log is not needed.
@@ -40,14 +64,16 @@
             host=host,
             port=int(port),
             threads=threads,
-            connection_limit=_CONNECTION_LIMIT,
+            connection_limit=max_connections * 2,
             channel_timeout=_CHANNEL_TIMEOUT_S,
+            max_request_header_size=max_header_bytes,
             max_request_body_size=max_body_bytes,
             ident="aspengate",
             asyncore_use_poll=True,
             clear_untrusted_proxy_headers=True,
         )
-        self._server = AcceptingServer(application, map=self._map, adj=adjustments)
+        self._server = _LimitedServer(application, map=self._map, adj=adjustments)
+        self._server.max_connections = max_connections
         self.address = f"{host}:{self._server.effective_port}"
         self._closing = threading.Event()
         self._thread = supervised_thread(self._run, "http", NullCounters())
