Count a chunked body without its framing

A single request inside the limits was refused in calm: a chunked body of exactly maxBodyBytes got 413 in chunks of 64 KB, of 1 KB and of 1 byte, and one of 1 KB less in chunks of 1 KB. With a length it got 200.

Cause: the library compares the bytes as they arrive, the lines with the sizes of the chunks among them, with the limit of the body.

The parser now has receivers of its own for bodies. That for chunks counts their data alone; a chunk that would exceed the limit is refused before it is read. Lines with a size may have 1 KB, the trailers as much as a head. Framing and trailers are dropped as they are read. The body is collected in one bytearray, for which a reservation is asked; there is no limit on reservations yet.

--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -36,3 +36,15 @@
       | memory      | stop one byte short of any head | peer      |
       | descriptors | send nothing                    | readiness |
       | descriptors | send nothing                    | metrics   |
+
+  Scenario Outline: A body of the largest size was refused when it came <framing>
+    Given a gateway with 96 MB of memory that accepts bodies of <limit> bytes
+    When a body of <limit> bytes is sent <framing>
+    Then it is answered, and the replica has received it unchanged
+
+    Examples:
+      | limit   | framing                  |
+      | 4194304 | with a length            |
+      | 4194304 | in chunks of 65536 bytes |
+      | 4194304 | in chunks of 1000 bytes  |
+      | 65536   | in chunks of 1 bytes     |
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -169,7 +169,6 @@
             asyncore_use_poll=True,
             max_request_header_size=max_header_bytes,
             max_request_body_size=max_body_bytes + 1,
-            inbuf_overflow=max_body_bytes + 1,
             outbuf_overflow=_BUFFER_BYTES,
             outbuf_high_watermark=_BUFFER_BYTES * 4,
             ident="aspengate",
--- a/src/aspengate/serving/_request_parser.py
+++ b/src/aspengate/serving/_request_parser.py
@@ -5,23 +5,62 @@
 from waitress.parser import HTTPRequestParser, ParsingError, get_header_lines
 
 from aspengate.clock import Clock, SystemClock
+from aspengate.serving._memory_budget import Reservation, unlimited_reservation
 from aspengate.serving._relay_task import ReceivedRequest
+from aspengate.serving._request_body import (
+    BodyBuffer,
+    BodyReceiver,
+    ChunkedBodyReceiver,
+    OutOfMemoryError,
+    SizedBodyReceiver,
+)
 
 _VERSIONS = frozenset({"1.0", "1.1"})
+# What the objects of a request occupy, apart from its bytes, and each of its header lines.
+_REQUEST_BYTES = 4 * 1024
+_HEADER_LINE_BYTES = 512
+# Copies of the head that are held at the same time, parsed and not parsed.
+_HEAD_COPIES = 3
 
 
 class StrictRequestParser(HTTPRequestParser):  # type: ignore[misc]
     """Keeps the header lines as they were sent and rejects ambiguous framing.
 
-    Ambiguous framing would allow request smuggling.
+    Ambiguous framing would allow request smuggling. All memory that the request occupies is
+    reserved first, and ``close`` releases it.
     """
 
     clock: Clock = SystemClock()
+    body_rcv: BodyReceiver | None
 
-    def __init__(self, adjustments: Any) -> None:
+    def __init__(self, adjustments: Any, reservation: Reservation | None = None) -> None:
         super().__init__(adjustments)
+        self.reservation = reservation or unlimited_reservation()
         self.received_ms = self.clock.monotonic_ms()
         self.header_pairs: tuple[tuple[str, str], ...] = ()
+        self.body = b""
+        self._buffer = BodyBuffer(self.reservation)
+
+    @property
+    def max_body_bytes(self) -> int:
+        """The largest length of a body."""
+        # The limit of the library is the first length that is refused.
+        return int(self.adj.max_request_body_size) - 1
+
+    def received(self, data: bytes) -> int:
+        """Take the bytes that belong to this request; return how many were taken."""
+        if self.completed:
+            return 0
+        if self.body_rcv is not None:
+            return self._receive_body(self.body_rcv, data)
+        before = len(self.header_plus)
+        consumed = int(super().received(data))
+        has_room = self.reservation.grow(len(self.header_plus) - before)
+        if self.headers_finished:
+            has_room = self._begin_body() and has_room
+        if not has_room and self.error is None:
+            self._fail(OutOfMemoryError("no memory for the request"))
+        return consumed
 
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the request line and the headers; raises ParsingError."""
@@ -31,18 +70,57 @@
         _, _, block = header_plus.partition(b"\r\n")
         self.header_pairs = _header_pairs(block)
         _check_framing(self.header_pairs, self.version)
+        self.header_plus = b""
 
     def received_request(self) -> ReceivedRequest:
-        """Return the request; call it once the parser has completed."""
+        """Return the request; without its body if that has not completed."""
         return ReceivedRequest(
             method=self.command,
             target=self.request_uri,
             version=self.version,
             headers=self.header_pairs,
-            body=self.get_body_stream().read(),
+            body=self.body,
             received_ms=self.received_ms,
         )
 
+    def close(self) -> None:
+        """Drop the body and release the request's memory."""
+        self.body = b""
+        self._buffer.close()
+        self.reservation.release()
+
+    def _begin_body(self) -> bool:
+        """Reserve memory for the parsed head and a body of known length; return if there is any."""
+        if self.error is not None or self.empty:
+            return True
+        head_bytes = _REQUEST_BYTES + _HEAD_COPIES * self.header_bytes_received
+        lines_bytes = _HEADER_LINE_BYTES * len(self.header_pairs)
+        if not self.reservation.grow(head_bytes + lines_bytes):
+            return False
+        if self.chunked:
+            self.body_rcv = ChunkedBodyReceiver(
+                self._buffer, self.max_body_bytes, self.adj.max_request_header_size
+            )
+        elif self.content_length:
+            self.body_rcv = SizedBodyReceiver(self.content_length, self._buffer)
+            return self._buffer.reserve(self.content_length)
+        return True
+
+    def _receive_body(self, receiver: BodyReceiver, data: bytes) -> int:
+        consumed = receiver.received(data)
+        if receiver.error is not None:
+            self._fail(receiver.error)
+        elif receiver.completed:
+            self.completed = True
+            self.headers["CONTENT_LENGTH"] = str(len(receiver))
+            self.body = self._buffer.take()
+        return consumed
+
+    def _fail(self, error: Any) -> None:
+        self.error = error
+        self.completed = True
+        self._buffer.close()
+
 
 def _header_pairs(block: bytes) -> tuple[tuple[str, str], ...]:
     pairs = []
