--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -3,20 +3,17 @@
 import contextlib
 import logging
 import threading
-from collections import deque
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
-from typing import Any
 
 from waitress.adjustments import Adjustments
-from waitress.channel import HTTPChannel
 
 from aspengate.clock import SystemClock
 from aspengate.serving._accepting_server import AcceptingServer
 from aspengate.serving._close_report import CloseReason, ConnectionReport, has_unread_data
-from aspengate.serving._relay_task import CallerConnection, RelayTask
-from aspengate.serving._request_parser import StrictRequestParser
-from aspengate.telemetry import Counters, NullCounters, log_change, supervised_thread
+from aspengate.serving._pool_dispatcher import PoolDispatcher
+from aspengate.serving._relay_channel import RelayChannel
+from aspengate.serving._relay_task import CallerConnection
+from aspengate.telemetry import Counters, NullCounters, supervised_thread
 
 RelayHandler = Callable[[CallerConnection], None]
 CloseObserver = Callable[[ConnectionReport], None]
@@ -34,93 +31,6 @@
 _CLOCK = SystemClock()
 
 
-class RelayChannel(HTTPChannel):  # type: ignore[misc]
-    """A caller's connection; ``last_used_ms`` is the monotonic time of its last activity.
-
-    Both reading and sending are activity: a response may take longer than the idle timeout, and
-    its last bytes may leave long after its request has been handled.
-    """
-
-    task_class = RelayTask
-    parser_class = StrictRequestParser
-
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        self.last_used_ms = _CLOCK.monotonic_ms()
-
-    def received(self, data: bytes) -> bool:
-        """Handle data from the caller."""
-        self.last_used_ms = _CLOCK.monotonic_ms()
-        return bool(super().received(data))
-
-    def send(self, data: bytes, do_close: bool = True) -> int:
-        """Send response data, on the thread of the request or on the reading thread."""
-        sent = int(super().send(data, do_close))
-        if sent:
-            self.last_used_ms = _CLOCK.monotonic_ms()
-        return sent
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is in progress or partly read, and all responses are written."""
-        return not self.requests and self.request is None and not self.total_outbufs_len
-
-    def close_unless_unread(self, reason: CloseReason) -> bool:
-        """Close the connection unless data has arrived that is read next; return whether it did.
-
-        Only the reading thread may call it: otherwise a request could be read in between.
-        """
-        if self.readable() and has_unread_data(self.socket):
-            return False
-        self.server.report_close(self, reason)
-        self.handle_close()
-        return True
-
-
-class _PoolDispatcher:
-    """Runs waitress tasks on a thread pool that starts threads on demand."""
-
-    def __init__(self, threads: int, counters: Counters) -> None:
-        self.counters = counters
-        self._waiting: deque[Any] = deque()
-        self._is_shut_down = False
-        self._pools = [ThreadPoolExecutor(threads, thread_name_prefix="request")]
-
-    def add_task(self, task: Any) -> None:
-        """Queue a task for the next free thread."""
-        self._waiting.append(task)
-        self._submit()
-
-    def add_threads(self, threads: int) -> None:
-        """Run the waiting tasks and all later ones on further threads."""
-        self._pools.append(ThreadPoolExecutor(threads, thread_name_prefix="refusal"))
-        for _ in range(len(self._waiting)):
-            self._submit()
-
-    def shutdown(self, *_: Any, **__: Any) -> None:
-        """Cancel the tasks that have not started."""
-        self._is_shut_down = True
-        for pool in self._pools:
-            pool.shutdown(wait=False, cancel_futures=True)
-
-    def _submit(self) -> None:
-        try:
-            self._pools[-1].submit(self._run_next)
-        except RuntimeError as error:
-            if self._is_shut_down:
-                raise
-            # The system refuses to start a thread. The task is queued for those that run.
-            self.counters.count("threads.not_started")
-            log_change("thread.not_started", error=str(error))
-
-    def _run_next(self) -> None:
-        try:
-            task = self._waiting.popleft()
-        except IndexError:  # A thread of another pool took it.
-            return
-        task.service()
-
-
 class RelayServer(AcceptingServer):
     """Serves ``handler`` at ``listen``, which is ``host:port``.
 
@@ -177,7 +87,7 @@
         super().__init__(
             handler,
             map={},
-            dispatcher=_PoolDispatcher(threads, counters),
+            dispatcher=PoolDispatcher(threads, counters),
             adj=adjustments,
             counters=counters,
         )
