Let callers read the refusal of a body that is too large

Callers that sent a body beyond maxBodyBytes saw their connection reset instead of the 413: 8 MB with a length and in chunks, each time. The refusal named no request and had no line in the log.

Cause: the connection was closed as soon as the refusal was written, while the caller still sent; the kernel answers what arrives then with a reset, which discards the response that was not read yet. What was left of the body in the same read was parsed as another request.

The refusal is now sent by the reading thread, with the id of the request and a line of its own, and only the sending direction is closed. What the caller still sends is dropped for headerTimeoutMs. Requests that arrive together are parsed one at a time, each after the response to the one before: of hundreds that arrive at once, only the first one occupies a parser.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -17,6 +17,11 @@
     When idle connections are closed while a request on that connection is being read
     Then the request is answered completely
 
+  Scenario: Requests that arrive together are answered in their order
+    Given a relay server with a kept connection
+    When three requests arrive together on that connection, the last one in two parts
+    Then the three requests are answered in their order
+
   Scenario: A request on a connection that was not accepted yet is answered when the server is drained
     Given a relay server with a kept connection
     When its reading thread is busy, a request arrives on a new connection, and the server is drained
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -406,3 +406,17 @@
 def answered(context):
     answer = context.caller.read()
     assert answer.status == 200 and answer.whole and answer.body == b"/second", answer.body
+
+
+@when("three requests arrive together on that connection, the last one in two parts")
+def pipelined_requests(context):
+    request = "GET /%s HTTP/1.1\r\nHost: board.example\r\n\r\n"
+    data = "".join(request % name for name in ("one", "two", "three")).encode()
+    context.caller.raw(data[:-10])
+    assert eventually(lambda: context.server.in_progress)
+    context.caller.raw(data[-10:])
+
+
+@then("the three requests are answered in their order")
+def answered_in_order(context):
+    assert [context.caller.read().body for _ in range(3)] == [b"/one", b"/two", b"/three"]
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -48,3 +48,13 @@
       | 4194304 | in chunks of 65536 bytes |
       | 4194304 | in chunks of 1000 bytes  |
       | 65536   | in chunks of 1 bytes     |
+
+  Scenario Outline: A body beyond the limit was cut off instead of refused when it came <framing>
+    Given a gateway with 96 MB of memory that accepts bodies of 65536 bytes
+    When a body of 8000000 bytes is sent <framing>
+    Then it is refused as too large
+
+    Examples:
+      | framing                  |
+      | with a length            |
+      | in chunks of 65536 bytes |
--- a/src/aspengate/gateway/_application.py
+++ b/src/aspengate/gateway/_application.py
@@ -1,5 +1,6 @@
 """Handles each caller request: admission filters, dispatch to replicas, and error responses."""
 
+import contextlib
 import math
 from collections.abc import Callable
 
@@ -73,6 +74,10 @@
         finally:
             handler.break_cycles()
 
+    def refuse(self, caller: CallerConnection, error: AspengateError) -> None:
+        """Refuse a request that the server does not read; raises like a call."""
+        _RequestHandler(self, caller).refuse(error)
+
 
 class _RequestHandler:
     """Handles one request and holds its state."""
@@ -116,6 +121,14 @@
             for step in reversed(applied):
                 step.finish(self.exchange, outcome)
 
+    def refuse(self, error: AspengateError) -> None:
+        """Send a refusal for a request that is not handled, and log it."""
+        self.progress.started_ms = self.application.clock.monotonic_ms()
+        with contextlib.suppress(AspengateError):
+            codec = self.application.header_codec
+            self.request_id = codec.parse_request(self.caller.request).request_id
+        self.handle_error(error)
+
     def handle_error(self, error: AspengateError) -> None:
         """Send an error response, or cut off a response that has started; log the request."""
         reported = _with_correct_run_state(error, self.progress)
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -457,6 +457,7 @@
             max_connections=(self.settings.descriptors - _RESERVED_DESCRIPTORS) // 2,
             max_header_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
+            on_refused=self.application.refuse,
             on_close=self.close_log,
             counters=self.counters,
         )
--- a/src/aspengate/serving/_relay_channel.py
+++ b/src/aspengate/serving/_relay_channel.py
@@ -1,13 +1,17 @@
-"""A caller's connection: it reads requests and sends the responses."""
+"""A caller's connection: it reads requests, one at a time, and sends the responses."""
 
+import contextlib
+import socket
 from typing import Any
 
 from waitress.channel import HTTPChannel
 
 from aspengate.clock import SystemClock
+from aspengate.connections import CallerGoneError
+from aspengate.errors import AspengateError, ErrorKind
 from aspengate.serving._close_report import CloseReason, has_unread_data
-from aspengate.serving._relay_task import RelayTask
-from aspengate.serving._request_parser import StrictRequestParser
+from aspengate.serving._relay_task import CallerConnection, RelayTask
+from aspengate.serving._request_parser import StrictRequestParser, is_refused_for_size
 
 _CLOCK = SystemClock()
 
@@ -21,15 +25,42 @@
 
     task_class = RelayTask
     parser_class = StrictRequestParser
+    request: StrictRequestParser | None
+    # Bytes that arrived after a complete request, which are parsed after its response.
+    _unparsed = b""
+    # Whether a request is refused, and what its caller still sends is dropped. From the time at
+    # which the refusal was sent, that lasts until ``_drop_until_ms``.
+    _drops_rest = False
+    _drop_until_ms: float | None = None
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
         self.last_used_ms = _CLOCK.monotonic_ms()
+        super().__init__(*args, **kwargs)
 
     def received(self, data: bytes) -> bool:
         """Handle data from the caller."""
-        self.last_used_ms = _CLOCK.monotonic_ms()
-        return bool(super().received(data))
+        if self._drop_until_ms is not None:
+            return False
+        with self.requests_lock:
+            if self.will_close or self.close_when_flushed:
+                return False
+            if self.requests:
+                self._unparsed += data
+            elif self._parse(self._unparsed + data):
+                self.last_used_ms = _CLOCK.monotonic_ms()
+        return True
+
+    def service(self) -> None:
+        """Handle one request; called on a thread of the pool."""
+        super().service()
+        if self._unparsed:
+            self.server.parse_later(self)
+
+    def parse_pending(self) -> None:
+        """Parse what arrived together with the previous request; on the reading thread."""
+        with self.requests_lock:
+            if self.connected and not (self.requests or self.close_when_flushed):
+                self._parse(self._unparsed)
 
     def send(self, data: bytes, do_close: bool = True) -> int:
         """Send response data, on the thread of the request or on the reading thread."""
@@ -38,10 +69,43 @@
             self.last_used_ms = _CLOCK.monotonic_ms()
         return sent
 
+    def readable(self) -> bool:
+        """Whether data of the caller is read next."""
+        return bool(super().readable()) and not self._unparsed
+
+    def handle_write(self) -> None:
+        """Send response data, or close the connection after the last of it."""
+        if not (self._drops_rest and self.close_when_flushed):
+            super().handle_write()
+            return
+        self._flush_exception(self._flush_some)
+        if self.will_close:
+            self.handle_close()
+        elif not self.total_outbufs_len:
+            self._end_sending()
+
+    def handle_close(self) -> None:
+        """Close the connection and drop what was read of a request."""
+        request, self.request = self.request, None
+        if request is not None:
+            request.close()
+        self._unparsed = b""
+        super().handle_close()
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is in progress or partly read, and all responses are written."""
-        return not self.requests and self.request is None and not self.total_outbufs_len
+        is_reading = self.request is not None or bool(self._unparsed)
+        return not (self.requests or is_reading or self.total_outbufs_len or self.is_dropping)
+
+    @property
+    def is_dropping(self) -> bool:
+        """Whether a refusal was sent, and what the caller still sends is dropped."""
+        return self._drop_until_ms is not None
+
+    def has_dropped_rest(self, now_ms: float) -> bool:
+        """Return whether the caller has had enough time to read a refusal."""
+        return self._drop_until_ms is not None and now_ms > self._drop_until_ms
 
     def close_unless_unread(self, reason: CloseReason) -> bool:
         """Close the connection unless data has arrived that is read next; return whether it did.
@@ -53,3 +117,59 @@
         self.server.report_close(self, reason)
         self.handle_close()
         return True
+
+    def _parse(self, data: bytes) -> bool:
+        """Parse data up to the end of a request; return False if there were only empty lines."""
+        is_used = False
+        while data and self.connected and not (self.requests or self._drops_rest):
+            if self.request is None:
+                self.request = self.parser_class(self.adj)
+            request = self.request
+            data = data[request.received(data) :]
+            self._answer_expectation(request)
+            if request.completed:
+                self.request = None
+                self.sent_continue = False
+                self._accept(request)
+            is_used = is_used or not request.empty
+        is_kept = self.connected and not self._drops_rest
+        self._unparsed = data if is_kept else b""
+        return is_used
+
+    def _answer_expectation(self, request: StrictRequestParser) -> None:
+        """Send an interim response if the caller waits for one before it sends the body."""
+        if request.expect_continue and request.headers_finished and not request.completed:
+            self.send_continue()
+
+    def _accept(self, request: StrictRequestParser) -> None:
+        """Queue a request that was read, or refuse it."""
+        if request.empty:
+            request.close()
+        elif is_refused_for_size(request.error) and request.headers_finished:
+            self._refuse(request)
+        else:
+            self._drops_rest = request.error is not None
+            self.requests.append(request)
+            self.server.add_task(self)
+
+    def _refuse(self, request: StrictRequestParser) -> None:
+        """Send a refusal at once, without a thread of the pool."""
+        request.close()
+        self._drops_rest = True
+        caller = CallerConnection(self, request.received_request(), closing=True)
+        with contextlib.suppress(CallerGoneError):
+            self.server.on_refused(caller, _too_large(request))
+        self.close_when_flushed = True
+
+    def _end_sending(self) -> None:
+        """Close the sending direction; closing both would reset it under the last response."""
+        self.close_when_flushed = False
+        self._drop_until_ms = _CLOCK.monotonic_ms() + self.server.header_timeout_ms
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+
+
+def _too_large(request: StrictRequestParser) -> AspengateError:
+    return AspengateError(
+        ErrorKind.TOO_LARGE, f"the body has more than {request.max_body_bytes} bytes"
+    )
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -3,19 +3,22 @@
 import contextlib
 import logging
 import threading
+from collections import deque
 from collections.abc import Callable
 
 from waitress.adjustments import Adjustments
 
 from aspengate.clock import SystemClock
+from aspengate.errors import AspengateError
 from aspengate.serving._accepting_server import AcceptingServer
 from aspengate.serving._close_report import CloseReason, ConnectionReport, has_unread_data
 from aspengate.serving._pool_dispatcher import PoolDispatcher
 from aspengate.serving._relay_channel import RelayChannel
-from aspengate.serving._relay_task import CallerConnection
+from aspengate.serving._relay_task import CallerConnection, reason_phrase
 from aspengate.telemetry import Counters, NullCounters, supervised_thread
 
 RelayHandler = Callable[[CallerConnection], None]
+RefusalHandler = Callable[[CallerConnection, AspengateError], None]
 CloseObserver = Callable[[ConnectionReport], None]
 
 _LISTEN_BACKLOG = 1_024
@@ -39,6 +42,9 @@
     ``on_close`` gets a report on each connection that the server closes by itself. ``counters``
     count exceptions on the reading thread and of single connections, after which the thread
     continues, and threads that the system refuses to start.
+
+    A request that is refused for its size is passed to ``on_refused``, on the reading thread, which
+    sends the refusal.
     """
 
     channel_class = RelayChannel
@@ -52,11 +58,13 @@
         max_connections: int,
         max_header_bytes: int,
         max_body_bytes: int,
+        on_refused: RefusalHandler = lambda caller, error: _respond_briefly(caller, error),
         on_close: CloseObserver = lambda _report: None,
         counters: Counters | None = None,
     ) -> None:
         logging.getLogger("waitress").setLevel(logging.CRITICAL)
         self.handler = handler
+        self.on_refused = on_refused
         self.on_close = on_close
         self.leaving = False
         self.idle_timeout_ms = 15_000.0
@@ -70,6 +78,7 @@
         self._is_listening = True
         # The connections that a drain waits for before it stops to accept, None before its start.
         self._awaited: set[RelayChannel] | None = None
+        self._pending: deque[RelayChannel] = deque()
         adjustments = Adjustments(
             listen=listen,
             backlog=_LISTEN_BACKLOG,
@@ -153,6 +162,11 @@
         self._must_close_idle.set()
         self.pull_trigger()
 
+    def parse_later(self, channel: RelayChannel) -> None:
+        """Have the reading thread parse what a caller sent together with its previous request."""
+        self._pending.append(channel)
+        self.pull_trigger()
+
     def report_close(self, channel: RelayChannel, reason: CloseReason) -> None:
         """Report the state of a connection that is about to be closed."""
         self.on_close(
@@ -204,7 +218,9 @@
 
     def _close_idle(self) -> None:
         for channel in list(self.active_channels.values()):
-            if channel.is_idle:
+            if channel.is_dropping:
+                channel.handle_close()
+            elif channel.is_idle:
                 channel.close_unless_unread(CloseReason.LEAVING)
 
     def _close_stale(self, now: float) -> None:
@@ -217,7 +233,9 @@
                 if not surplus:
                     break
         for channel in channels:
-            if channel.requests or not channel.connected:
+            if channel.has_dropped_rest(now):
+                channel.handle_close()
+            if channel.requests or channel.is_dropping or not channel.connected:
                 continue
             timeout_ms = self.idle_timeout_ms if channel.request is None else self.header_timeout_ms
             if now - channel.last_used_ms > timeout_ms:
@@ -226,8 +244,18 @@
     def _serve(self) -> None:
         while not self._closing.is_set():
             self._close_connections()
+            self._parse_pending()
             self.asyncore.loop(timeout=_LOOP_TIMEOUT_S, map=self._map, use_poll=True, count=1)
 
+    def _parse_pending(self) -> None:
+        while self._pending:
+            self._pending.popleft().parse_pending()
+
+
+def _respond_briefly(caller: CallerConnection, error: AspengateError) -> None:
+    status = error.response.status
+    caller.respond(status, reason_phrase(status), [], str(error).encode())
+
 
 def _last_used_ms(channel: RelayChannel) -> float:
     return channel.last_used_ms
--- a/src/aspengate/serving/_request_parser.py
+++ b/src/aspengate/serving/_request_parser.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from waitress.parser import HTTPRequestParser, ParsingError, get_header_lines
+from waitress.utilities import RequestEntityTooLarge
 
 from aspengate.clock import Clock, SystemClock
 from aspengate.serving._memory_budget import Reservation, unlimited_reservation
@@ -122,6 +123,11 @@
         self._buffer.close()
 
 
+def is_refused_for_size(error: Any) -> bool:
+    """Return whether a request is valid and was refused for its size alone."""
+    return isinstance(error, RequestEntityTooLarge)
+
+
 def _header_pairs(block: bytes) -> tuple[tuple[str, str], ...]:
     pairs = []
     if b"\r\n " in block or b"\r\n\t" in block:
