Bound the memory of requests

Clients could end a gateway: 32 that sent bodies of 4 MB took it to 416 MB with memory_mb = 96, to 164 when they stopped one byte short of the end or sent the end in drops, to 137 in chunks, to 102 with endless trailers; 200 heads of 1,400 lines took it to 133, and after 300 clients that sent hundreds of requests at once 88 MB were not given back.

Cause: the library bounds each request and nothing bounds their sum. A body was held three times: in the buffer of the parser, in the request, and joined with the head for each replica; a request that waited for a thread kept it; a short header line costs hundreds of bytes once it is parsed.

One budget now counts all that a connection holds for requests: [limits] buffer_mb, a quarter of memory_mb by default and at least two bodies of the largest size. A body with a length is reserved before it is read; what finds no room gets 503 out_of_memory at once, with its id, Retry-After and a line in the log, and has not run. Three quarters are open to requests above 32 KB, the rest to small ones only. If the bodies of callers that have sent for more than a second make up what is missing, they are given up for the new request, the oldest first. A body is copied once, on the reading thread, and sent to replicas without a copy. The gauges buffered_bytes and buffer_capacity_bytes and the counter request_out_of_memory show both.

All ten rows failed before, with the figures above, and where each request beyond the memory was accepted (in chunks: refused with 413). They pass now.

--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -1,5 +1,23 @@
 Feature: Clients outside of the operator's control neither exhaust a router nor keep others out
 
+  Scenario Outline: A gateway ran out of memory when many clients <did>
+    Given a gateway with 96 MB of memory and <threads> threads
+    When <crowd> clients <did>
+    Then the gateway runs, within its memory and descriptors
+    And an ordinary request is answered while the clients stay
+    And the memory is given back when the clients have left
+
+    Examples: Requests
+      | crowd | threads | did                                              |
+      | 32    | 256     | send large bodies with a length                  |
+      | 32    | 256     | send large bodies in chunks                      |
+      | 32    | 256     | stop one byte short of the end of a large body   |
+      | 32    | 256     | send the end of a large body in drops            |
+      | 32    | 256     | stop one byte short of the end of a chunked body |
+      | 64    | 256     | send chunked bodies with long trailers           |
+      | 200   | 256     | send heads of thousands of lines                 |
+      | 300   | 256     | send hundreds of requests at once                |
+
   Scenario Outline: The bodies of requests stayed in memory after replicas <did>
     Given a gateway with 96 MB of memory and 256 threads
     When 20 large bodies are sent one after the other to replicas that <do>
@@ -58,3 +76,15 @@
       | framing                  |
       | with a length            |
       | in chunks of 65536 bytes |
+
+  Scenario Outline: Requests beyond the memory were accepted when large bodies came <framing>
+    Given a gateway with 96 MB of memory and 256 threads
+    When 32 requests that may run once are sent at the same time, with large bodies <framing>
+    Then each is answered or refused, none that was refused has run, and some were refused
+    And each refusal names its request and a time to retry, and its line in the log the cause
+    And the metrics page counts the refusals and the memory in use
+
+    Examples:
+      | framing                  |
+      | with a length            |
+      | in chunks of 65536 bytes |
--- a/src/aspengate/cli/_pages.py
+++ b/src/aspengate/cli/_pages.py
@@ -75,6 +75,7 @@
     ErrorKind.WARMING_UP: "every upstream of the service may be cold and has its share of requests",
     ErrorKind.RESTING: "every usable replica of the service is backing off",
     ErrorKind.AT_LIMIT: "every usable replica of the service is at its rate limit",
+    ErrorKind.OUT_OF_MEMORY: "this router has no memory left for the request",
     ErrorKind.REGION_UNAVAILABLE: "no replica in the allowed regions can take the request now",
     ErrorKind.VERSION_GONE: "no replica of the version that began the stream is left",
     ErrorKind.STREAM_UNKNOWN: "no router knows the version that began the stream",
--- a/src/aspengate/connections/_connection.py
+++ b/src/aspengate/connections/_connection.py
@@ -48,6 +48,8 @@
         self.requests = 0
         self.responded_early = False
         self.method = ""
+        # Whether a part of the last request was sent.
+        self._has_sent = False
         self._protocol = h11.Connection(h11.CLIENT)
         host, _, port = address.rpartition(":")
         try:
@@ -70,24 +72,12 @@
         """
         self.requests += 1
         self.method = head.method
-        data = self._render(head, body)
-        view = memoryview(data)
-        sent = 0
-        while sent < len(data):
-            try:
-                sent += self.socket.send(view[sent : sent + _SEND_BYTES])
-            except BlockingIOError:
-                can_write, can_read = waiter.wait_writable_or_readable(self.socket)
-                if can_read and not can_write:
-                    self.responded_early = True
-                    return
-            except OSError as error:
-                if not sent:
-                    raise AspengateError(
-                        ErrorKind.NO_UPSTREAM, repr(error), where=self.address
-                    ) from error
-                self.responded_early = True
+        self._has_sent = False
+        for data in self._render(head, body):
+            self._send_piece(data, waiter)
+            if self.responded_early:
                 return
+            self._has_sent = True
 
     def receive(self, waiter: Waiter, until_ms: float | None = None) -> h11.Event | None:
         """Return the next event of the response, or None if ``until_ms`` passes first.
@@ -151,18 +141,39 @@
         with contextlib.suppress(OSError):
             self.socket.close()
 
-    def _render(self, head: RequestHead, body: bytes) -> bytes:
+    def _send_piece(self, data: bytes, waiter: Waiter) -> None:
+        view = memoryview(data)
+        sent = 0
+        while sent < len(data):
+            try:
+                sent += self.socket.send(view[sent : sent + _SEND_BYTES])
+            except BlockingIOError:
+                can_write, can_read = waiter.wait_writable_or_readable(self.socket)
+                if can_read and not can_write:
+                    self.responded_early = True
+                    return
+            except OSError as error:
+                if not (sent or self._has_sent):
+                    raise AspengateError(
+                        ErrorKind.NO_UPSTREAM, repr(error), where=self.address
+                    ) from error
+                self.responded_early = True
+                return
+
+    def _render(self, head: RequestHead, body: bytes) -> list[bytes]:
+        """Return the request as pieces to send; a long body is not copied."""
         headers = [
             (name.encode("latin-1"), value.encode("latin-1")) for name, value in head.headers
         ]
         request = h11.Request(
             method=head.method, target=head.target.encode("latin-1"), headers=headers
         )
-        chunks = [self._protocol.send(request)]
+        pieces = [self._protocol.send(request)]
         if body:
-            chunks.append(self._protocol.send(h11.Data(data=body)))
-        chunks.append(self._protocol.send(h11.EndOfMessage()))
-        return b"".join(chunk for chunk in chunks if chunk)
+            pieces.append(self._protocol.send(h11.Data(data=body)))
+        pieces.append(self._protocol.send(h11.EndOfMessage()))
+        rendered = [piece for piece in pieces if piece]
+        return rendered if len(body) > _SEND_BYTES else [b"".join(rendered)]
 
     def _read(self) -> None:
         try:
--- a/src/aspengate/errors/_kinds.py
+++ b/src/aspengate/errors/_kinds.py
@@ -30,6 +30,7 @@
     WARMING_UP = "warming_up"
     RESTING = "resting"
     AT_LIMIT = "at_limit"
+    OUT_OF_MEMORY = "out_of_memory"
     REGION_UNAVAILABLE = "region_unavailable"
     VERSION_GONE = "version_gone"
     STREAM_UNKNOWN = "stream_unknown"
@@ -75,6 +76,7 @@
     ErrorKind.WARMING_UP: ErrorResponse(503, RunState.NOT_RUN, retry_after_s=1),
     ErrorKind.RESTING: ErrorResponse(503, RunState.NOT_RUN, retry_after_s=1),
     ErrorKind.AT_LIMIT: ErrorResponse(503, RunState.NOT_RUN, retry_after_s=1),
+    ErrorKind.OUT_OF_MEMORY: ErrorResponse(503, RunState.NOT_RUN, retry_after_s=1),
     ErrorKind.REGION_UNAVAILABLE: ErrorResponse(503, RunState.NOT_RUN, retry_after_s=2),
     ErrorKind.VERSION_GONE: ErrorResponse(503, RunState.NOT_RUN),
     ErrorKind.STREAM_UNKNOWN: ErrorResponse(503, RunState.NOT_RUN, retry_after_s=1),
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -5,7 +5,7 @@
 
 from aspengate.clock import Clock
 from aspengate.cold_starts import ColdStartPolicy, Connectivity
-from aspengate.configuration import ConfigurationHolder, FleetConfiguration
+from aspengate.configuration import CallerLimits, ConfigurationHolder, FleetConfiguration
 from aspengate.connections import ConnectionPool
 from aspengate.crashes import replica_of_run
 from aspengate.gateway._allowed_regions import AllowedRegions
@@ -64,6 +64,9 @@
 # Interval in s at which deferrable documents are written together. It suffices to refill a reserve
 # of ten seconds of demand, and limits the router that draws for all to one call per interval.
 _TICK_INTERVAL_S = 1.0
+# The budget for requests and responses in progress is no less than this many of the largest bodies:
+# one request may use three quarters of it, and a body takes an eighth more while it is read.
+_BODIES_IN_BUFFER = 2
 # Load balancers send no bodies and few headers.
 _MAX_READY_BODY_BYTES = 4 * 1024
 _MAX_READY_HEADER_BYTES = 8 * 1024
@@ -234,6 +237,8 @@
             "crash_records": len(self.crashes.records),
             "requests_in_progress": self.server.in_progress,
             "connections": len(self.server.active_channels),
+            "buffered_bytes": self.server.memory.used_bytes,
+            "buffer_capacity_bytes": self.server.memory.capacity_bytes,
             "connections_opened": self.pool.opened,
             "connections_idle": self.pool.idle,
             **{f"store_calls_{kind}": n for kind, n in self.deployment.store.calls.items()},
@@ -457,6 +462,7 @@
             max_connections=(self.settings.descriptors - _RESERVED_DESCRIPTORS) // 2,
             max_header_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
+            buffer_bytes=_buffer_bytes(self.settings, limits),
             on_refused=self.application.refuse,
             on_close=self.close_log,
             counters=self.counters,
@@ -566,9 +572,15 @@
         self.server.header_timeout_ms = limits.header_timeout_ms
         self.server.adj.max_request_header_size = limits.max_header_bytes
         self.server.adj.max_request_body_size = limits.max_body_bytes + 1
+        self.server.memory.capacity_bytes = _buffer_bytes(self.settings, limits)
         self.tokens.limits_changed()
 
 
+def _buffer_bytes(settings: GatewaySettings, limits: CallerLimits) -> int:
+    """Return the memory for requests and responses; it suffices for one of the largest size."""
+    return max(settings.buffer_bytes, _BODIES_IN_BUFFER * limits.max_body_bytes)
+
+
 def _max_idle_connections(descriptors: int) -> int:
     """Return the maximum of idle connections to replicas; callers have half of the descriptors."""
     return max(1, min(_MAX_IDLE_CONNECTIONS, (descriptors - _RESERVED_DESCRIPTORS) // 4))
--- a/src/aspengate/gateway/_settings.py
+++ b/src/aspengate/gateway/_settings.py
@@ -8,6 +8,7 @@
 
 _MAX_MS = 86_400_000
 _MAX_S = 86_400
+_BUFFER_FRACTION = 4
 
 
 def _milliseconds(section: str, text: str, default: float) -> float:
@@ -116,6 +117,14 @@
         accepts="64 to 1048576",
         default=1_024,
     )
+    buffer_mb: int = setting(
+        "limits",
+        whole_number(0, 2**20),
+        "maximum memory of requests and responses in progress; a quarter of `memory_mb` if 0",
+        accepts="0 to 1048576",
+        unit="MB",
+        default=0,
+    )
     threads: int = setting(
         "limits",
         whole_number(1, 4_000),
@@ -214,6 +223,11 @@
             message = f"is needed: [peers] regions has no region of {self.failure_domain!r}"
             raise AspengateError(ErrorKind.BAD_REQUEST, message, where="[instance] region")
 
+    @property
+    def buffer_bytes(self) -> int:
+        """The maximum memory of requests and responses in progress, in bytes."""
+        return int((self.buffer_mb or self.memory_mb / _BUFFER_FRACTION) * 2**20)
+
     @property
     def topology(self) -> Topology:
         """The regions of the failure domains, as seen from this process."""
--- a/src/aspengate/serving/_close_report.py
+++ b/src/aspengate/serving/_close_report.py
@@ -6,12 +6,16 @@
 
 
 class CloseReason(StrEnum):
-    """Why the server closes a connection, other than at the end of a response."""
+    """Why the server closes a connection, other than at the end of a response.
+
+    ``MEMORY`` says that its caller is slow, and that others need the memory that it holds.
+    """
 
     LEAVING = "leaving"
     SURPLUS = "surplus"
     TIMED_OUT = "timed_out"
     STOPPED = "stopped"
+    MEMORY = "memory"
 
 
 @dataclass(frozen=True)
--- a/src/aspengate/serving/_relay_channel.py
+++ b/src/aspengate/serving/_relay_channel.py
@@ -10,9 +10,14 @@
 from aspengate.connections import CallerGoneError
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.serving._close_report import CloseReason, has_unread_data
+from aspengate.serving._memory_budget import Reservation
 from aspengate.serving._relay_task import CallerConnection, RelayTask
+from aspengate.serving._request_body import OutOfMemoryError
 from aspengate.serving._request_parser import StrictRequestParser, is_refused_for_size
 
+# What a connection occupies apart from its requests and responses.
+_CONNECTION_BYTES = 4 * 1024
+_NEVER = float("inf")
 _CLOCK = SystemClock()
 
 
@@ -33,9 +38,11 @@
     _drops_rest = False
     _drop_until_ms: float | None = None
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
+    def __init__(self, server: Any, *args: Any, **kwargs: Any) -> None:
+        self._reservation = Reservation(server.memory)
         self.last_used_ms = _CLOCK.monotonic_ms()
-        super().__init__(*args, **kwargs)
+        super().__init__(server, *args, **kwargs)
+        self._reservation.add(_CONNECTION_BYTES)
 
     def received(self, data: bytes) -> bool:
         """Handle data from the caller."""
@@ -45,7 +52,7 @@
             if self.will_close or self.close_when_flushed:
                 return False
             if self.requests:
-                self._unparsed += data
+                self._keep_unparsed(self._unparsed + data)
             elif self._parse(self._unparsed + data):
                 self.last_used_ms = _CLOCK.monotonic_ms()
         return True
@@ -85,11 +92,12 @@
             self._end_sending()
 
     def handle_close(self) -> None:
-        """Close the connection and drop what was read of a request."""
+        """Close the connection and release the memory that it alone uses."""
         request, self.request = self.request, None
         if request is not None:
             request.close()
         self._unparsed = b""
+        self._reservation.release()
         super().handle_close()
 
     @property
@@ -103,6 +111,23 @@
         """Whether a refusal was sent, and what the caller still sends is dropped."""
         return self._drop_until_ms is not None
 
+    @property
+    def slow_since_ms(self) -> float:
+        """The monotonic time since which the caller has not sent all of a request.
+
+        0 if it still sends after a refusal, infinite if the connection does not wait for it.
+        """
+        if self.is_dropping:
+            return 0.0
+        request = self.request
+        return request.received_ms if request is not None else _NEVER
+
+    @property
+    def slow_bytes(self) -> int:
+        """The memory that is released if the connection is closed although its caller is slow."""
+        request = self.request
+        return request.reservation.held_bytes if request is not None else 0
+
     def has_dropped_rest(self, now_ms: float) -> bool:
         """Return whether the caller has had enough time to read a refusal."""
         return self._drop_until_ms is not None and now_ms > self._drop_until_ms
@@ -118,12 +143,33 @@
         self.handle_close()
         return True
 
+    def give_up(self, reason: CloseReason) -> None:
+        """Refuse a request that is being read, or close the connection.
+
+        Only the reading thread may call it.
+        """
+        request = self.request
+        if reason is CloseReason.MEMORY and request is not None and request.headers_finished:
+            request.error = OutOfMemoryError("the memory is needed for other requests")
+            self.request = None
+            self._refuse(request)
+            return
+        self.server.report_close(self, reason)
+        self.handle_close()
+
+    def _keep_unparsed(self, data: bytes) -> None:
+        """Keep data that is not parsed yet, in place of what was kept before."""
+        added = len(data) - len(self._unparsed)
+        self._unparsed = data
+        if added:
+            self._reservation.add(added)
+
     def _parse(self, data: bytes) -> bool:
         """Parse data up to the end of a request; return False if there were only empty lines."""
         is_used = False
         while data and self.connected and not (self.requests or self._drops_rest):
             if self.request is None:
-                self.request = self.parser_class(self.adj)
+                self.request = self._new_request()
             request = self.request
             data = data[request.received(data) :]
             self._answer_expectation(request)
@@ -133,9 +179,16 @@
                 self._accept(request)
             is_used = is_used or not request.empty
         is_kept = self.connected and not self._drops_rest
-        self._unparsed = data if is_kept else b""
+        self._keep_unparsed(data if is_kept else b"")
         return is_used
 
+    def _new_request(self) -> StrictRequestParser:
+        reservation = Reservation(self.server.memory, self._make_room)
+        return self.parser_class(self.adj, reservation)
+
+    def _make_room(self, missing: int) -> None:
+        self.server.make_room(missing, self)
+
     def _answer_expectation(self, request: StrictRequestParser) -> None:
         """Send an interim response if the caller waits for one before it sends the body."""
         if request.expect_continue and request.headers_finished and not request.completed:
@@ -158,7 +211,7 @@
         self._drops_rest = True
         caller = CallerConnection(self, request.received_request(), closing=True)
         with contextlib.suppress(CallerGoneError):
-            self.server.on_refused(caller, _too_large(request))
+            self.server.on_refused(caller, _refusal(request))
         self.close_when_flushed = True
 
     def _end_sending(self) -> None:
@@ -169,7 +222,10 @@
             self.socket.shutdown(socket.SHUT_WR)
 
 
-def _too_large(request: StrictRequestParser) -> AspengateError:
+def _refusal(request: StrictRequestParser) -> AspengateError:
+    error = request.error
+    if isinstance(error, OutOfMemoryError):
+        return AspengateError(ErrorKind.OUT_OF_MEMORY, str(error.body))
     return AspengateError(
         ErrorKind.TOO_LARGE, f"the body has more than {request.max_body_bytes} bytes"
     )
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -12,9 +12,11 @@
 from aspengate.errors import AspengateError
 from aspengate.serving._accepting_server import AcceptingServer
 from aspengate.serving._close_report import CloseReason, ConnectionReport, has_unread_data
+from aspengate.serving._memory_budget import MemoryBudget
 from aspengate.serving._pool_dispatcher import PoolDispatcher
 from aspengate.serving._relay_channel import RelayChannel
 from aspengate.serving._relay_task import CallerConnection, reason_phrase
+from aspengate.serving._slow_callers import slow_callers, slow_callers_holding
 from aspengate.telemetry import Counters, NullCounters, supervised_thread
 
 RelayHandler = Callable[[CallerConnection], None]
@@ -28,6 +30,7 @@
 _STOP_TIMEOUT_S = 0.2
 # Threads that handle the requests which wait or arrive during a drain.
 _DRAIN_THREADS = 8
+_DEFAULT_BUFFER_BYTES = 64 * 1024 * 1024
 _BUFFER_BYTES = 1024 * 1024
 _NEVER = float("inf")
 
@@ -43,8 +46,9 @@
     count exceptions on the reading thread and of single connections, after which the thread
     continues, and threads that the system refuses to start.
 
-    A request that is refused for its size is passed to ``on_refused``, on the reading thread, which
-    sends the refusal.
+    Requests together occupy at most ``buffer_bytes``, which ``memory`` counts. A request beyond it,
+    or with a body that is too large, is passed to ``on_refused``, on the reading thread, which
+    sends the refusal. When memory runs short, callers that send slowly give way.
     """
 
     channel_class = RelayChannel
@@ -58,11 +62,13 @@
         max_connections: int,
         max_header_bytes: int,
         max_body_bytes: int,
+        buffer_bytes: int = _DEFAULT_BUFFER_BYTES,
         on_refused: RefusalHandler = lambda caller, error: _respond_briefly(caller, error),
         on_close: CloseObserver = lambda _report: None,
         counters: Counters | None = None,
     ) -> None:
         logging.getLogger("waitress").setLevel(logging.CRITICAL)
+        self.memory = MemoryBudget(buffer_bytes)
         self.handler = handler
         self.on_refused = on_refused
         self.on_close = on_close
@@ -167,6 +173,12 @@
         self._pending.append(channel)
         self.pull_trigger()
 
+    def make_room(self, missing_bytes: int, needing: RelayChannel) -> None:
+        """Release memory for the request on a connection, if slow callers hold enough of it."""
+        others = [each for each in list(self.active_channels.values()) if each is not needing]
+        for channel in slow_callers_holding(others, missing_bytes, _CLOCK.monotonic_ms()):
+            channel.give_up(CloseReason.MEMORY)
+
     def report_close(self, channel: RelayChannel, reason: CloseReason) -> None:
         """Report the state of a connection that is about to be closed."""
         self.on_close(
@@ -190,6 +202,7 @@
         if now - self._last_check_ms >= _IDLE_CHECK_MS:
             self._last_check_ms = now
             self._close_stale(now)
+            self._release_memory(now)
 
     def _advance_drain(self) -> None:
         """Close the listening socket once it is not needed, and end when no connection is left.
@@ -241,6 +254,14 @@
             if now - channel.last_used_ms > timeout_ms:
                 channel.close_unless_unread(CloseReason.TIMED_OUT)
 
+    def _release_memory(self, now: float) -> None:
+        """Close connections of slow callers while more memory is in use than there should be."""
+        for channel in slow_callers(list(self.active_channels.values()), now):
+            if not self.memory.is_exceeded:
+                break
+            if channel.slow_bytes:
+                channel.give_up(CloseReason.MEMORY)
+
     def _serve(self) -> None:
         while not self._closing.is_set():
             self._close_connections()
--- a/src/aspengate/serving/_request_parser.py
+++ b/src/aspengate/serving/_request_parser.py
@@ -125,7 +125,7 @@
 
 def is_refused_for_size(error: Any) -> bool:
     """Return whether a request is valid and was refused for its size alone."""
-    return isinstance(error, RequestEntityTooLarge)
+    return isinstance(error, RequestEntityTooLarge | OutOfMemoryError)
 
 
 def _header_pairs(block: bytes) -> tuple[tuple[str, str], ...]:
--- /dev/null
+++ b/src/aspengate/serving/_slow_callers.py
@@ -0,0 +1,46 @@
+"""Chooses the callers that give way when memory runs short."""
+
+from collections.abc import Iterable
+from typing import Protocol, TypeVar
+
+# A caller gives way to others only after this time, in ms, for one request.
+SLOW_AFTER_MS = 1_000.0
+
+
+class SlowConnection(Protocol):
+    """A connection that may wait for its caller.
+
+    ``slow_since_ms`` is the monotonic time since which its caller has not sent all of a request;
+    infinite if it does not wait for one. ``slow_bytes`` is the memory that closing it releases.
+    """
+
+    @property
+    def slow_since_ms(self) -> float:
+        """See above."""
+
+    @property
+    def slow_bytes(self) -> int:
+        """See above."""
+
+
+Connection = TypeVar("Connection", bound=SlowConnection)
+
+
+def slow_callers(connections: Iterable[Connection], now_ms: float) -> list[Connection]:
+    """Return the connections whose callers are slow, the slowest first."""
+    slow = [each for each in connections if now_ms - each.slow_since_ms >= SLOW_AFTER_MS]
+    return sorted(slow, key=lambda each: each.slow_since_ms)
+
+
+def slow_callers_holding(
+    connections: Iterable[Connection], missing_bytes: int, now_ms: float
+) -> list[Connection]:
+    """Return the slowest callers that hold ``missing_bytes`` together; none if they hold less."""
+    chosen = []
+    for each in slow_callers(connections, now_ms):
+        if missing_bytes <= 0:
+            break
+        if each.slow_bytes:
+            chosen.append(each)
+            missing_bytes -= each.slow_bytes
+    return chosen if missing_bytes <= 0 else []
