Bound the memory of responses that callers do not read

Clients that read long answers slowly took a gateway of 96 MB to 211 MB (32 answers of 16 MB with a length), 198 in chunks, 125 as streams, and to 584 with large bodies beside them. The kernel held up to 4 MB more for each of them: 252 MB for 64 in a trial.

Cause: the output buffers of the library keep what was sent until they hold 4 MB, and move to files beyond 1 MB, which count as memory on the users' machines; a piece of 64 KB and up to 256 KB that are held back came on top, and an event up to 1 MB; nothing bounded their sum, nor the kernel's buffers.

Responses now count in the same budget as requests, from a buffer that drops each piece once it is sent. What is held back, or the part of an event, is reserved as it arrives: without room an answer is passed on at once, and a stream is cut off. Nothing is read from a replica while its caller has 256 KB to read, or anything at all when memory is short. Where a request finds no room, a response that has waited for more than a second for its caller is reset, so that a part never looks whole; the line of its request tells the reason. The listening socket sets 32 KB of kernel buffers each way.

--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -18,6 +18,15 @@
       | 200   | 256     | send heads of thousands of lines                 |
       | 300   | 256     | send hundreds of requests at once                |
 
+    Examples: Responses
+      | crowd | threads | did                                            |
+      | 32    | 256     | never read a long answer with a length         |
+      | 32    | 256     | read a long answer with a length slowly        |
+      | 32    | 256     | read a long answer in chunks slowly            |
+      | 32    | 256     | read a long stream slowly                      |
+      | 64    | 256     | wait for an event that has no end              |
+      | 32    | 256     | send large bodies and read long answers slowly |
+
   Scenario Outline: The bodies of requests stayed in memory after replicas <did>
     Given a gateway with 96 MB of memory and 256 threads
     When 20 large bodies are sent one after the other to replicas that <do>
--- a/src/aspengate/connections/_connection.py
+++ b/src/aspengate/connections/_connection.py
@@ -11,7 +11,8 @@
 from aspengate.connections._waiter import Waiter
 from aspengate.errors import AspengateError, ErrorKind
 
-_RECEIVE_BYTES = 64 * 1024
+# Of a response that its caller does not read, a connection holds at most about this.
+_RECEIVE_BYTES = 16 * 1024
 _SEND_BYTES = 64 * 1024
 # A peer may send interim responses (1xx) without end.
 _MAX_INTERIM_RESPONSES = 100
--- a/src/aspengate/gateway/_application.py
+++ b/src/aspengate/gateway/_application.py
@@ -58,7 +58,7 @@
         try:
             handler.serve()
         except CallerGoneError as error:
-            handler.log_end(error)
+            handler.log_end(_closed_error(caller) or error)
             raise
         except AspengateError as error:
             try:
@@ -181,6 +181,14 @@
         self.caller.respond(error.response.status, error.kind.value, headers, body)
 
 
+def _closed_error(caller: CallerConnection) -> AspengateError | None:
+    """Return the error of a request whose connection the router itself closed, else None."""
+    if caller.close_reason is None:
+        return None
+    reason = f"the router closed the connection of a slow caller: {caller.close_reason.value}"
+    return AspengateError(ErrorKind.CALLER_GONE, reason)
+
+
 def _event_tokens(exchange: Exchange) -> int:
     """Return the maximum number of tokens in one event of the exchange's stream."""
     engine = exchange.service.engine if exchange.service else None
--- a/src/aspengate/gateway/_events.py
+++ b/src/aspengate/gateway/_events.py
@@ -23,18 +23,19 @@
     """
 
     def __init__(self) -> None:
-        self.remainder = b""
+        # Bytes would be copied for each piece of a long event.
+        self.remainder = bytearray()
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that ``data`` completes."""
         scanned = max(0, len(self.remainder) - _MAX_END_BYTES + 1)
-        received = self.remainder + data
+        self.remainder += data
         events = []
         start = 0
-        for end in _EVENT_END.finditer(received, scanned):
-            events.append(_parse_event(received[start : end.end()]))
+        for end in _EVENT_END.finditer(self.remainder, scanned):
+            events.append(_parse_event(bytes(self.remainder[start : end.end()])))
             start = end.end()
-        self.remainder = received[start:]
+        del self.remainder[:start]
         return events
 
 
--- a/src/aspengate/gateway/_relay.py
+++ b/src/aspengate/gateway/_relay.py
@@ -35,18 +35,21 @@
     ) -> None:
         """Read a response to its end before sending it, so that a broken one is never started.
 
-        Beyond ``_MAX_BUFFERED_BYTES`` it is passed on as it arrives. Raises RetryableAttemptError,
-        or AspengateError.
+        Beyond ``_MAX_BUFFERED_BYTES``, or without memory for it, it is passed on as it arrives.
+        Raises RetryableAttemptError, or AspengateError.
         """
-        body = b""
+        caller.held_back.release()
+        body = bytearray()
         waiter = attempt.exchange.waiter
         try:
             while data := answer.next_data(waiter):
                 body += data
-                if len(body) > _MAX_BUFFERED_BYTES:
+                has_memory = caller.held_back.grow(len(data))
+                if caller.started or not has_memory or len(body) > _MAX_BUFFERED_BYTES:
                     self._start(answer, caller)
-                    caller.write(body, waiter)
-                    body = b""
+                    caller.held_back.release()
+                    caller.write(bytes(body), waiter)
+                    body.clear()
             self.unframed_ends.check(attempt, answer)
         except AspengateError as error:
             if _is_retryable(attempt, error, resumable=not caller.started):
@@ -54,11 +57,11 @@
             raise
         attempt.release(answer)
         if caller.started:
-            caller.write(body, waiter)
+            caller.write(bytes(body), waiter)
             caller.finish()
             return
         headers = self.header_codec.response_headers(answer.headers)
-        caller.respond(answer.status, answer.reason, headers, body)
+        caller.respond(answer.status, answer.reason, headers, bytes(body))
 
     def relay_stream(
         self,
@@ -77,6 +80,8 @@
                     self._relay_event(event, attempt, answer, caller, progress)
                 if len(splitter.remainder) > _MAX_EVENT_BYTES:
                     raise BrokenResponseError("an event is too long", answer.connection.address)
+                if not caller.held_back.resize(len(splitter.remainder)):
+                    raise AspengateError(ErrorKind.OUT_OF_MEMORY, "no memory for an event")
             if splitter.remainder:
                 raise BrokenResponseError("ends within an event", answer.connection.address)
             if not answer.is_framed and not progress.events and not progress.last_event_id:
--- a/src/aspengate/serving/_relay_channel.py
+++ b/src/aspengate/serving/_relay_channel.py
@@ -4,16 +4,17 @@
 import socket
 from typing import Any
 
-from waitress.channel import HTTPChannel
+from waitress.channel import ClientDisconnected, HTTPChannel
 
 from aspengate.clock import SystemClock
 from aspengate.connections import CallerGoneError
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.serving._close_report import CloseReason, has_unread_data
 from aspengate.serving._memory_budget import Reservation
-from aspengate.serving._relay_task import CallerConnection, RelayTask
+from aspengate.serving._relay_task import RESET_ON_CLOSE, CallerConnection, RelayTask
 from aspengate.serving._request_body import OutOfMemoryError
 from aspengate.serving._request_parser import StrictRequestParser, is_refused_for_size
+from aspengate.serving._response_buffer import ResponseBuffer
 
 # What a connection occupies apart from its requests and responses.
 _CONNECTION_BYTES = 4 * 1024
@@ -26,11 +27,17 @@
 
     Both reading and sending are activity: a response may take longer than the idle timeout, and
     its last bytes may leave long after its request has been handled.
+
+    ``unsent_since_ms`` is the monotonic time since which response data has been waiting for the
+    caller to read, infinite if there is none. ``close_reason`` is set if the server closes the
+    connection under a request.
     """
 
     task_class = RelayTask
     parser_class = StrictRequestParser
     request: StrictRequestParser | None
+    unsent_since_ms = _NEVER
+    close_reason: CloseReason | None = None
     # Bytes that arrived after a complete request, which are parsed after its response.
     _unparsed = b""
     # Whether a request is refused, and what its caller still sends is dropped. From the time at
@@ -43,6 +50,7 @@
         self.last_used_ms = _CLOCK.monotonic_ms()
         super().__init__(server, *args, **kwargs)
         self._reservation.add(_CONNECTION_BYTES)
+        self.outbufs = [ResponseBuffer(Reservation(server.memory))]
 
     def received(self, data: bytes) -> bool:
         """Handle data from the caller."""
@@ -76,6 +84,19 @@
             self.last_used_ms = _CLOCK.monotonic_ms()
         return sent
 
+    def write_soon(self, data: bytes) -> int:
+        """Queue response data and send what the socket takes; raises ClientDisconnected."""
+        with self.outbuf_lock:
+            if not self.connected:
+                raise ClientDisconnected
+            if data:
+                self.outbufs[0].append(data)
+                self.total_outbufs_len += len(data)
+                self._flush_exception(self._flush_some, do_close=False)
+                if self.total_outbufs_len or self.will_close:
+                    self.server.pull_trigger()
+        return len(data)
+
     def readable(self) -> bool:
         """Whether data of the caller is read next."""
         return bool(super().readable()) and not self._unparsed
@@ -113,20 +134,22 @@
 
     @property
     def slow_since_ms(self) -> float:
-        """The monotonic time since which the caller has not sent all of a request.
+        """The monotonic time since which the caller has not sent all of a request, or not read all.
 
         0 if it still sends after a refusal, infinite if the connection does not wait for it.
         """
         if self.is_dropping:
             return 0.0
         request = self.request
-        return request.received_ms if request is not None else _NEVER
+        reading_ms = request.received_ms if request is not None else _NEVER
+        return min(reading_ms, self.unsent_since_ms)
 
     @property
     def slow_bytes(self) -> int:
         """The memory that is released if the connection is closed although its caller is slow."""
         request = self.request
-        return request.reservation.held_bytes if request is not None else 0
+        unread_bytes = request.reservation.held_bytes if request is not None else 0
+        return unread_bytes + int(self.total_outbufs_len)
 
     def has_dropped_rest(self, now_ms: float) -> bool:
         """Return whether the caller has had enough time to read a refusal."""
@@ -144,7 +167,7 @@
         return True
 
     def give_up(self, reason: CloseReason) -> None:
-        """Refuse a request that is being read, or close the connection.
+        """Refuse a request that is being read, or cut off a response that is not read.
 
         Only the reading thread may call it.
         """
@@ -154,9 +177,22 @@
             self.request = None
             self._refuse(request)
             return
+        self.close_reason = reason
         self.server.report_close(self, reason)
+        if self.total_outbufs_len and self.socket is not None:
+            # An orderly close could make a part of a response look whole.
+            with contextlib.suppress(OSError):
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.handle_close()
 
+    def _flush_some(self, do_close: bool = True) -> bool:
+        flushed = bool(super()._flush_some(do_close))
+        if not self.total_outbufs_len:
+            self.unsent_since_ms = _NEVER
+        elif self.unsent_since_ms == _NEVER:
+            self.unsent_since_ms = _CLOCK.monotonic_ms()
+        return flushed
+
     def _keep_unparsed(self, data: bytes) -> None:
         """Keep data that is not parsed yet, in place of what was kept before."""
         added = len(data) - len(self._unparsed)
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import socket
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -31,7 +32,7 @@
 # Threads that handle the requests which wait or arrive during a drain.
 _DRAIN_THREADS = 8
 _DEFAULT_BUFFER_BYTES = 64 * 1024 * 1024
-_BUFFER_BYTES = 1024 * 1024
+_KERNEL_BUFFER_BYTES = 32 * 1024
 _NEVER = float("inf")
 
 _CLOCK = SystemClock()
@@ -46,9 +47,10 @@
     count exceptions on the reading thread and of single connections, after which the thread
     continues, and threads that the system refuses to start.
 
-    Requests together occupy at most ``buffer_bytes``, which ``memory`` counts. A request beyond it,
-    or with a body that is too large, is passed to ``on_refused``, on the reading thread, which
-    sends the refusal. When memory runs short, callers that send slowly give way.
+    Requests and responses together occupy at most ``buffer_bytes``, which ``memory`` counts. A
+    request beyond it, or with a body that is too large, is passed to ``on_refused``, on the reading
+    thread, which sends the refusal. When memory runs short, callers that send or read slowly give
+    way.
     """
 
     channel_class = RelayChannel
@@ -94,8 +96,6 @@
             asyncore_use_poll=True,
             max_request_header_size=max_header_bytes,
             max_request_body_size=max_body_bytes + 1,
-            outbuf_overflow=_BUFFER_BYTES,
-            outbuf_high_watermark=_BUFFER_BYTES * 4,
             ident="aspengate",
         )
         counters = counters or NullCounters()
@@ -107,6 +107,7 @@
             counters=counters,
         )
         self.next_channel_cleanup = _NEVER
+        _limit_kernel_buffers(self.socket)
         self._thread = supervised_thread(self._serve, "callers", counters)
 
     @property
@@ -273,6 +274,12 @@
             self._pending.popleft().parse_pending()
 
 
+def _limit_kernel_buffers(listening: socket.socket) -> None:
+    """Keep the kernel from growing the buffers of accepted connections to several MB each."""
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        listening.setsockopt(socket.SOL_SOCKET, option, _KERNEL_BUFFER_BYTES)
+
+
 def _respond_briefly(caller: CallerConnection, error: AspengateError) -> None:
     status = error.response.status
     caller.respond(status, reason_phrase(status), [], str(error).encode())
--- a/src/aspengate/serving/_relay_task.py
+++ b/src/aspengate/serving/_relay_task.py
@@ -11,10 +11,13 @@
 from waitress.task import Task
 
 from aspengate.connections import CallerGoneError, Waiter
+from aspengate.serving._close_report import CloseReason
+from aspengate.serving._memory_budget import Reservation
 
 _MAX_UNSENT_BYTES = 256 * 1024
 _UNSENT_POLL_MS = 20.0
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# The value of SO_LINGER with which closing a socket resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _BODYLESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 Headers = Iterable[tuple[str, str]]
@@ -37,7 +40,8 @@
 
     Call either ``respond`` once, or ``start``, ``write`` any number of times, and then ``finish``
     or ``abort``. The methods that send raise CallerGoneError if the caller has disconnected.
-    ``closing`` is whether the connection is closed after the response.
+    ``closing`` is whether the connection is closed after the response. ``held_back`` is the memory
+    of a response that is not sent yet.
     """
 
     def __init__(self, channel: Any, request: ReceivedRequest, closing: bool) -> None:
@@ -45,6 +49,7 @@
         self.closing = closing
         self.started = False
         self.ended = False
+        self.held_back = Reservation(channel.server.memory)
         self._channel = channel
         self._chunked = False
 
@@ -54,6 +59,12 @@
         found: socket.socket | None = self._channel.socket
         return found
 
+    @property
+    def close_reason(self) -> CloseReason | None:
+        """Why the server closed the connection under this request; None if it did not."""
+        found: CloseReason | None = self._channel.close_reason
+        return found
+
     def respond(self, status: int, reason: str, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
         lines = _header_lines(headers)
@@ -76,10 +87,10 @@
 
     def write(self, data: bytes, waiter: Waiter) -> None:
         """Send more of a started response; wait while the caller reads too slowly."""
-        while self._channel.total_outbufs_len > _MAX_UNSENT_BYTES:
-            waiter.pause(waiter.clock.monotonic_ms() + _UNSENT_POLL_MS)
         if data:
             self._send(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+        while self._channel.total_outbufs_len > self._max_unsent_bytes:
+            waiter.pause(waiter.clock.monotonic_ms() + _UNSENT_POLL_MS)
 
     def finish(self) -> None:
         """Complete a started response."""
@@ -96,7 +107,11 @@
         self.ended = True
         caller = self.socket
         if not self._chunked and self.started and caller is not None:
-            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+    @property
+    def _max_unsent_bytes(self) -> int:
+        return 0 if self._channel.server.memory.has_shortage else _MAX_UNSENT_BYTES
 
     def _send_head(self, status: int, reason: str, lines: list[str]) -> None:
         self.started = True
@@ -129,6 +144,7 @@
         except CallerGoneError:
             pass
         finally:
+            connection.held_back.release()
             if not connection.ended:
                 connection.abort()
             # After an exception, waitress sends an error response unless a head was written.
--- a/src/aspengate/serving/_slow_callers.py
+++ b/src/aspengate/serving/_slow_callers.py
@@ -3,15 +3,16 @@
 from collections.abc import Iterable
 from typing import Protocol, TypeVar
 
-# A caller gives way to others only after this time, in ms, for one request.
+# A caller gives way to others only after this time, in ms, for one request or response.
 SLOW_AFTER_MS = 1_000.0
 
 
 class SlowConnection(Protocol):
     """A connection that may wait for its caller.
 
-    ``slow_since_ms`` is the monotonic time since which its caller has not sent all of a request;
-    infinite if it does not wait for one. ``slow_bytes`` is the memory that closing it releases.
+    ``slow_since_ms`` is the monotonic time since which its caller has not sent all of a request, or
+    not read all of a response; infinite if it waits for neither. ``slow_bytes`` is the memory that
+    closing it releases.
     """
 
     @property
