Close slow callers when connections or threads run short

Ordinary callers were kept out: with 400 descriptors and 250 clients that sent a head or a short body in drops no ordinary request was answered, since no connection was idle and so no surplus was closed; with 16 threads and 24 clients that read a long response slowly none was either, since each response held its thread to the end of its route's time. A head or a body in drops was never timed out.

Cause: the timeout counted from the last byte instead of from the start of what the limit is for; only idle connections were closed for new ones; nothing took a thread from a caller that does not read.

A head now has headerTimeoutMs from its first byte. When there are too many connections, those of slow callers are closed first, then idle ones as before; beyond a quarter more none are accepted until then, so that replicas and the store keep their descriptors. When a request has waited for a thread for half a second, responses that have waited for their callers for more than a second are reset, the oldest first, and their requests' lines say so.

--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import gc
 import json
+import select
 import socket
 import time
 import tracemalloc
@@ -13,7 +14,10 @@
 from platform_standins import Caller
 from platform_standins.crowd import (
     BODY,
+    CLIENTS,
+    DROP_PAUSE_S,
     LARGE_BODY_BYTES,
+    READ_BYTES,
     Crowd,
     chunks,
 )
@@ -174,6 +178,26 @@
     context.queued_bytes = queued_bytes(address)
 
 
+@when("one client goes on to {do}")
+def client_in_drops(context, do):
+    context.caller = Caller(context.router.address)
+    context.cleanup.callback(context.caller.close)
+    context.steps = CLIENTS[do](context.caller)
+
+
+@then("its connection is closed")
+def connection_is_closed(context):
+    def is_closed():
+        try:
+            next(context.steps)
+            readable, _, _ = select.select([context.caller.socket], [], [], DROP_PAUSE_S)
+            return bool(readable) and context.caller.socket.recv(READ_BYTES) == b""
+        except OSError:
+            return True
+
+    assert eventually(is_closed, ORDINARY_TIMEOUT_S)
+
+
 def address_of(router, place):
     return {
         "readiness": router.ready_address,
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -49,6 +49,31 @@
     When the end of a request is logged whose headers have 15000 characters each
     Then the line has less than 8 KB
 
+  Scenario Outline: Ordinary callers were kept out by clients that <did>
+    Given a gateway with 400 descriptors, 16 threads and 256 MB of memory
+    When <crowd> clients <did>
+    Then the gateway runs, within its memory and descriptors
+    And an ordinary request is answered while the clients stay
+
+    Examples:
+      | crowd | did                                     |
+      | 250   | send a head in drops                    |
+      | 250   | send a short body in drops              |
+      | 250   | send nothing                            |
+      | 24    | read a long answer with a length slowly |
+      | 24    | read a long stream slowly               |
+
+  Scenario Outline: A request in drops was never timed out when a client <did>
+    Given a gateway with 400 descriptors, 16 threads and 256 MB of memory
+    When one client goes on to <do>
+    Then its connection is closed
+
+    Examples:
+      | did                                   | do                                    |
+      | sent a head in drops                  | send a head in drops                  |
+      | sent a short body in drops            | send a short body in drops            |
+      | sent the end of a large body in drops | send the end of a large body in drops |
+
   Scenario Outline: A gateway ran out of <resource> at its <place> address when clients <did>
     Given a gateway with 400 descriptors, 16 threads and 96 MB of memory
     When its <place> address is called by 450 clients that <did>
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -463,6 +463,7 @@
             max_header_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
             buffer_bytes=_buffer_bytes(self.settings, limits),
+            min_body_rate=self.settings.min_body_rate,
             on_refused=self.application.refuse,
             on_close=self.close_log,
             counters=self.counters,
--- a/src/aspengate/gateway/_settings.py
+++ b/src/aspengate/gateway/_settings.py
@@ -125,6 +125,14 @@
         unit="MB",
         default=0,
     )
+    min_body_rate: float = setting(
+        "limits",
+        number(1, 1e9),
+        "minimum rate at which a request's body arrives; a slower one times out",
+        accepts="1 to 1e9",
+        unit="bytes/s",
+        default=1_000.0,
+    )
     threads: int = setting(
         "limits",
         whole_number(1, 4_000),
--- a/src/aspengate/serving/_close_report.py
+++ b/src/aspengate/serving/_close_report.py
@@ -8,7 +8,7 @@
 class CloseReason(StrEnum):
     """Why the server closes a connection, other than at the end of a response.
 
-    ``MEMORY`` says that its caller is slow, and that others need the memory that it holds.
+    ``MEMORY`` and ``THREADS`` say that its caller is slow, and that others need what it holds.
     """
 
     LEAVING = "leaving"
@@ -16,6 +16,7 @@
     TIMED_OUT = "timed_out"
     STOPPED = "stopped"
     MEMORY = "memory"
+    THREADS = "threads"
 
 
 @dataclass(frozen=True)
--- a/src/aspengate/serving/_relay_channel.py
+++ b/src/aspengate/serving/_relay_channel.py
@@ -151,9 +151,16 @@
         unread_bytes = request.reservation.held_bytes if request is not None else 0
         return unread_bytes + int(self.total_outbufs_len)
 
-    def has_dropped_rest(self, now_ms: float) -> bool:
-        """Return whether the caller has had enough time to read a refusal."""
-        return self._drop_until_ms is not None and now_ms > self._drop_until_ms
+    def has_expired(self, now_ms: float, *, timeouts: float = 1.0) -> bool:
+        """Return whether the caller takes longer than ``timeouts`` of the server's timeout."""
+        if self._drop_until_ms is not None:
+            return now_ms > self._drop_until_ms
+        if self.requests or not self.connected:
+            return False
+        request = self.request
+        if request is None:
+            return bool(now_ms - self.last_used_ms > timeouts * self.server.idle_timeout_ms)
+        return bool(now_ms - request.due_from_ms > timeouts * self.server.header_timeout_ms)
 
     def close_unless_unread(self, reason: CloseReason) -> bool:
         """Close the connection unless data has arrived that is read next; return whether it did.
@@ -220,7 +227,9 @@
 
     def _new_request(self) -> StrictRequestParser:
         reservation = Reservation(self.server.memory, self._make_room)
-        return self.parser_class(self.adj, reservation)
+        request = self.parser_class(self.adj, reservation)
+        request.min_body_rate = self.server.min_body_rate
+        return request
 
     def _make_room(self, missing: int) -> None:
         self.server.make_room(missing, self)
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -33,6 +33,12 @@
 _DRAIN_THREADS = 8
 _DEFAULT_BUFFER_BYTES = 64 * 1024 * 1024
 _KERNEL_BUFFER_BYTES = 32 * 1024
+# Up to this part of the maximum of connections more are accepted before others are closed.
+_SURPLUS_DIVISOR = 4
+# A request that has waited this long for a thread gets one from a caller that reads slowly.
+_MAX_THREAD_WAIT_MS = 500.0
+# A request that is not read within this multiple of its timeout is cut off also if data arrives.
+_MAX_TIMEOUTS = 2.0
 _NEVER = float("inf")
 
 _CLOCK = SystemClock()
@@ -48,9 +54,9 @@
     continues, and threads that the system refuses to start.
 
     Requests and responses together occupy at most ``buffer_bytes``, which ``memory`` counts. A
-    request beyond it, or with a body that is too large, is passed to ``on_refused``, on the reading
-    thread, which sends the refusal. When memory runs short, callers that send or read slowly give
-    way.
+    request beyond it is passed to ``on_refused``, on the reading thread, which sends the refusal.
+    A body that arrives at less than ``min_body_rate`` bytes per second times out. When memory,
+    threads or connections run short, callers that send or read slowly give way.
     """
 
     channel_class = RelayChannel
@@ -65,12 +71,14 @@
         max_header_bytes: int,
         max_body_bytes: int,
         buffer_bytes: int = _DEFAULT_BUFFER_BYTES,
+        min_body_rate: float = 1_000.0,
         on_refused: RefusalHandler = lambda caller, error: _respond_briefly(caller, error),
         on_close: CloseObserver = lambda _report: None,
         counters: Counters | None = None,
     ) -> None:
         logging.getLogger("waitress").setLevel(logging.CRITICAL)
         self.memory = MemoryBudget(buffer_bytes)
+        self.min_body_rate = min_body_rate
         self.handler = handler
         self.on_refused = on_refused
         self.on_close = on_close
@@ -91,7 +99,7 @@
             listen=listen,
             backlog=_LISTEN_BACKLOG,
             send_bytes=1,
-            connection_limit=max_connections * 2,
+            connection_limit=max_connections + max_connections // _SURPLUS_DIVISOR,
             asyncore_loop_timeout=_LOOP_TIMEOUT_S,
             asyncore_use_poll=True,
             max_request_header_size=max_header_bytes,
@@ -200,10 +208,14 @@
         if self._must_drain.is_set():
             self._advance_drain()
         now = _CLOCK.monotonic_ms()
+        if self.in_connection_overflow:
+            self._close_surplus(now)
         if now - self._last_check_ms >= _IDLE_CHECK_MS:
             self._last_check_ms = now
-            self._close_stale(now)
+            self._close_expired(now)
+            self._close_surplus(now)
             self._release_memory(now)
+            self._release_threads(now)
 
     def _advance_drain(self) -> None:
         """Close the listening socket once it is not needed, and end when no connection is left.
@@ -237,24 +249,31 @@
             elif channel.is_idle:
                 channel.close_unless_unread(CloseReason.LEAVING)
 
-    def _close_stale(self, now: float) -> None:
-        channels = list(self.active_channels.values())
-        surplus = len(channels) - self.max_connections
-        if surplus > 0:
-            idle = sorted((each for each in channels if each.is_idle), key=_last_used_ms)
-            for channel in idle:
-                surplus -= channel.close_unless_unread(CloseReason.SURPLUS)
-                if not surplus:
-                    break
-        for channel in channels:
-            if channel.has_dropped_rest(now):
-                channel.handle_close()
-            if channel.requests or channel.is_dropping or not channel.connected:
+    def _close_expired(self, now: float) -> None:
+        for channel in list(self.active_channels.values()):
+            if not channel.has_expired(now):
                 continue
-            timeout_ms = self.idle_timeout_ms if channel.request is None else self.header_timeout_ms
-            if now - channel.last_used_ms > timeout_ms:
+            is_overdue = channel.has_expired(now, timeouts=_MAX_TIMEOUTS)
+            if channel.is_dropping or (is_overdue and not channel.is_idle):
+                channel.give_up(CloseReason.TIMED_OUT)
+            else:
                 channel.close_unless_unread(CloseReason.TIMED_OUT)
 
+    def _close_surplus(self, now: float) -> None:
+        """Close connections beyond the maximum: those of slow callers first, then idle ones."""
+        channels = list(self.active_channels.values())
+        surplus = len(channels) - self.max_connections
+        if surplus <= 0:
+            return
+        for channel in slow_callers(channels, now)[:surplus]:
+            channel.give_up(CloseReason.SURPLUS)
+            surplus -= 1
+        idle = sorted((each for each in channels if each.is_idle), key=_last_used_ms)
+        for channel in idle:
+            if not surplus:
+                break
+            surplus -= channel.close_unless_unread(CloseReason.SURPLUS)
+
     def _release_memory(self, now: float) -> None:
         """Close connections of slow callers while more memory is in use than there should be."""
         for channel in slow_callers(list(self.active_channels.values()), now):
@@ -263,6 +282,13 @@
             if channel.slow_bytes:
                 channel.give_up(CloseReason.MEMORY)
 
+    def _release_threads(self, now: float) -> None:
+        """Cut off responses that are read slowly while other requests wait for their threads."""
+        waiting = self.task_dispatcher.count_waiting(_MAX_THREAD_WAIT_MS)
+        running = [each for each in list(self.active_channels.values()) if each.requests]
+        for channel in slow_callers(running, now)[:waiting]:
+            channel.give_up(CloseReason.THREADS)
+
     def _serve(self) -> None:
         while not self._closing.is_set():
             self._close_connections()
--- a/src/aspengate/serving/_request_parser.py
+++ b/src/aspengate/serving/_request_parser.py
@@ -29,15 +29,21 @@
 
     Ambiguous framing would allow request smuggling. All memory that the request occupies is
     reserved first, and ``close`` releases it.
+
+    ``due_from_ms`` is the monotonic time from which the timeout counts: the start of the request
+    and then of its body, whose bytes advance it at ``min_body_rate``, in bytes per second. Thus a
+    body is in time as long as it arrives at this rate at least.
     """
 
     clock: Clock = SystemClock()
     body_rcv: BodyReceiver | None
+    min_body_rate = 1_000.0
 
     def __init__(self, adjustments: Any, reservation: Reservation | None = None) -> None:
         super().__init__(adjustments)
         self.reservation = reservation or unlimited_reservation()
         self.received_ms = self.clock.monotonic_ms()
+        self.due_from_ms = self.received_ms
         self.header_pairs: tuple[tuple[str, str], ...] = ()
         self.body = b""
         self._buffer = BodyBuffer(self.reservation)
@@ -94,6 +100,7 @@
         """Reserve memory for the parsed head and a body of known length; return if there is any."""
         if self.error is not None or self.empty:
             return True
+        self.due_from_ms = self.clock.monotonic_ms()
         head_bytes = _REQUEST_BYTES + _HEAD_COPIES * self.header_bytes_received
         lines_bytes = _HEADER_LINE_BYTES * len(self.header_pairs)
         if not self.reservation.grow(head_bytes + lines_bytes):
@@ -108,7 +115,10 @@
         return True
 
     def _receive_body(self, receiver: BodyReceiver, data: bytes) -> int:
+        before = len(receiver)
         consumed = receiver.received(data)
+        paid_ms = (len(receiver) - before) / self.min_body_rate * 1_000
+        self.due_from_ms = min(self.clock.monotonic_ms(), self.due_from_ms + paid_ms)
         if receiver.error is not None:
             self._fail(receiver.error)
         elif receiver.completed:
--- a/src/aspengate/serving/_slow_callers.py
+++ b/src/aspengate/serving/_slow_callers.py
@@ -1,4 +1,4 @@
-"""Chooses the callers that give way when memory runs short."""
+"""Chooses the callers that give way when memory, threads or connections run short."""
 
 from collections.abc import Iterable
 from typing import Protocol, TypeVar
