Give memory that large requests have freed back to the operating system

The resident memory of a gateway stayed high after a crowd had left: 55 MB after 64 clients that sent bodies of 4 MB, 59 after as many that did not read long responses, 34 at the start.

Cause: the C library keeps what each thread has freed, up to some hundred KB for each of them.

Once a second the gateway looks whether a quarter of the budget was in use and is free again, and then has the library give back what it can (malloc_trim; libraries without it are left alone).

The scenario tests when memory is given back; there was no such code before.

--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -30,6 +30,8 @@
 from aspengate.gateway._progress import Progress
 from aspengate.gateway._request_log import RequestLog
 from aspengate.replicas import SegmentTracker
+from aspengate.serving import FreeMemory
+from aspengate.serving._memory_budget import MemoryBudget, Reservation
 from aspengate.streams import StreamKey, StreamOrigin, StreamOrigins
 from aspengate.telemetry import NullCounters
 from gateway_world import in_background, metrics_page, start_gateways
@@ -350,6 +352,29 @@
     assert figure(context.router, "buffer_capacity_bytes") > LARGE_BODY_BYTES
 
 
+@given("a budget of {capacity:d} MB, of which requests use {used:d} MB")
+def used_budget(context, capacity, used):
+    budget = MemoryBudget(capacity * MB)
+    context.trims = []
+    context.free_memory = FreeMemory(budget, lambda: context.trims.append(budget.used_bytes))
+    context.reservation = Reservation(budget)
+    assert context.reservation.grow(used * MB)
+    context.free_memory.give_back()
+    assert not context.trims
+
+
+@when("the requests release it, and free memory is looked for twice")
+def release_budget(context):
+    context.reservation.release()
+    context.free_memory.give_back()
+    context.free_memory.give_back()
+
+
+@then("free memory is given back to the operating system once")
+def given_back_once(context):
+    assert context.trims == [0], context.trims
+
+
 def long_id(number):
     return f"{number:x}".rjust(LONG_ID_CHARS, "0")
 
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -41,6 +41,11 @@
       | broke off answers   | end early        |
       | answered in garbage | garbage          |
 
+  Scenario: Memory that requests had freed stayed with the process
+    Given a budget of 64 MB, of which requests use 20 MB
+    When the requests release it, and free memory is looked for twice
+    Then free memory is given back to the operating system once
+
   Scenario: Long ids that callers chose stayed in memory
     When 100 streams and prompts with ids of 15000 characters are recorded
     Then less than 200 KB are kept of them, and they are found by their ids
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -51,7 +51,7 @@
 )
 from aspengate.retries import RetryPolicy, SharedRetryBudget
 from aspengate.rollouts import RolloutPolicy
-from aspengate.serving import RelayServer, WsgiServer
+from aspengate.serving import FreeMemory, RelayServer, WsgiServer
 from aspengate.store import number_of
 from aspengate.telemetry import Counters, log_change, supervised_thread
 
@@ -64,13 +64,13 @@
 # Interval in s at which deferrable documents are written together. It suffices to refill a reserve
 # of ten seconds of demand, and limits the router that draws for all to one call per interval.
 _TICK_INTERVAL_S = 1.0
-# The budget for requests and responses in progress is no less than this many of the largest bodies:
-# one request may use three quarters of it, and a body takes an eighth more while it is read.
-_BODIES_IN_BUFFER = 2
 # Load balancers send no bodies and few headers.
 _MAX_READY_BODY_BYTES = 4 * 1024
 _MAX_READY_HEADER_BYTES = 8 * 1024
 _MAX_READY_CONNECTIONS = 64
+# The budget for requests and responses in progress is no less than this many of the largest bodies:
+# one request may use three quarters of it, and a body takes an eighth more while it is read.
+_BODIES_IN_BUFFER = 2
 
 _RELOADABLE_SETTINGS = frozenset(
     {
@@ -162,6 +162,7 @@
         self.application = self._make_application()
         self.close_log = CloseLog(counters)
         self.server = self._make_server()
+        self.free_memory = FreeMemory(self.server.memory)
         self.ready_server = WsgiServer(
             ReadyApplication(self._is_ready),
             settings.ready_listen,
@@ -332,6 +333,7 @@
             self._suspension.poll()
             self.tokens.tick()
             self.pool.close_expired()
+            self.free_memory.give_back()
             self.report.log_if_due()
 
     def _make_rollouts(self) -> Rollouts | None:
