--- a/src/aspengate/serving/_server.py
+++ b/src/aspengate/serving/_server.py
@@ -24,7 +24,10 @@
 
 
 class _LimitedServer(AcceptingServer):
-    """Closes the oldest connections without a request when there are too many."""
+    """Closes the oldest connections without a request when there are too many.
+
+    Those with a response that is not read yet come last.
+    """
 
     max_connections = _MAX_CONNECTIONS
 
@@ -33,10 +36,14 @@
         super().handle_accept()
         waiting = [each for each in list(self.active_channels.values()) if not each.requests]
         surplus = max(0, len(self.active_channels) - self.max_connections)
-        for channel in sorted(waiting, key=lambda each: each.creation_time)[:surplus]:
+        for channel in sorted(waiting, key=_closing_order)[:surplus]:
             channel.handle_close()
 
 
+def _closing_order(channel: Any) -> tuple[bool, float]:
+    return bool(channel.total_outbufs_len), channel.creation_time
+
+
 class WsgiServer:
     """A waitress server in its own thread; ``address`` is its ``host:port``.
 
