--- a/features/upgrades.feature
+++ b/features/upgrades.feature
@@ -18,6 +18,7 @@
       | eee42fe |
       | 643df23 |
       | 7d4449f |
+      | 6122224 |
 
   Scenario: The build that landed last reads what the current build writes
     Given the build that landed last, from the history
