--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -22,7 +22,7 @@
     chunks,
 )
 from platform_standins.fleet import ask, eventually
-from platform_standins.replica import behaviour, chunk, event, is_stream
+from platform_standins.replica import behaviour, chunk, is_stream
 
 from aspengate.clock import ManualClock, SystemClock
 from aspengate.errors import AspengateError, ErrorKind
@@ -41,8 +41,9 @@
 # The state of a listening socket in /proc/net/tcp, whose queues are connections.
 LISTENING = "0A"
 ROUTE_TIMEOUT_MS = 60_000
-LONG_ANSWER_BYTES = 16 * MB
-PIECE_BYTES = 16 * 1024
+# Long answers have 16 MB.
+PIECE = b"x" * 16 * 1024
+PIECES = 1_024
 # Just below the size at which a router takes an event for endless.
 PART_OF_EVENT_BYTES = 1_000_000
 LONG_ID_CHARS = 15_000
@@ -52,52 +53,53 @@
 
 @behaviour("long for a crowd")
 def answer_crowd(replica, connection, request):
-    """Take a while for large requests, and send long answers to those that ask for them."""
-    if request.target.endswith("/1"):
-        return answer(replica, connection, request, replica.body(request))
+    """Answer as the last part of the path asks for; most requests take a while."""
     replica.run(request)
-    if request.target.endswith("/part"):
-        replica.send(connection, replica.head(request, stream=True), request)
-        replica.send(connection, chunk(b"id: 1\ndata: " + b"x" * PART_OF_EVENT_BYTES), request)
-        replica.wait(connection, request, ROUTE_TIMEOUT_MS / 1_000)
-        return False
-    piece = b"x" * PIECE_BYTES
-    count = LONG_ANSWER_BYTES // PIECE_BYTES
-    if is_stream(request):
-        replica.send(connection, replica.head(request, stream=True), request)
-        for number in range(1, count + 1):
-            data = b"id: %d\ndata: %s\n\n" % (number, piece)
-            replica.send(connection, chunk(data), request)
-        replica.send(connection, b"0\r\n\r\n", request)
-        return True
-    if request.target.endswith("/long"):
-        replica.send(connection, replica.head(request, length=LONG_ANSWER_BYTES), request)
-        for _ in range(count):
-            replica.send(connection, piece, request)
-        return True
-    if request.target.endswith("/long-chunked"):
-        extra = ["Transfer-Encoding: chunked"]
-        replica.send(connection, replica.head(request, extra=extra), request)
-        for _ in range(count):
-            replica.send(connection, chunk(piece), request)
-        replica.send(connection, b"0\r\n\r\n", request)
-        return True
-    replica.wait(connection, request, WORK_S)
-    return answer(replica, connection, request, b"done")
-
-
-def answer(replica, connection, request, body):
-    if request.target.endswith("/1"):
-        replica.run(request)
-        if is_stream(request):
-            replica.send(connection, replica.head(request, stream=True), request)
-            data = chunk(event(replica, request, 1)) + b"0\r\n\r\n"
-            replica.send(connection, data, request)
-            return True
+    name = request.target.rpartition("/")[2]
+    if name in LONG_ANSWERS:
+        return LONG_ANSWERS[name](replica, connection, request)
+    if name != "1":
+        replica.wait(connection, request, WORK_S)
+    body = replica.body(request)
     replica.send(connection, replica.head(request, length=len(body)) + body, request)
     return True
 
 
+def send_part_of_event(replica, connection, request):
+    replica.send(connection, replica.head(request, stream=True), request)
+    replica.send(connection, chunk(b"id: 1\ndata: " + b"x" * PART_OF_EVENT_BYTES), request)
+    replica.wait(connection, request, ROUTE_TIMEOUT_MS / 1_000)
+    return False
+
+
+def send_long(replica, connection, request):
+    if is_stream(request):
+        head, event = replica.head(request, stream=True), b"id: %d\ndata: %s\n\n"
+        return send_pieces(replica, connection, request, head, lambda n: chunk(event % (n, PIECE)))
+    head = replica.head(request, length=PIECES * len(PIECE))
+    return send_pieces(replica, connection, request, head, lambda _: PIECE, end=b"")
+
+
+def send_long_chunked(replica, connection, request):
+    head = replica.head(request, extra=["Transfer-Encoding: chunked"])
+    return send_pieces(replica, connection, request, head, lambda _: chunk(PIECE))
+
+
+def send_pieces(replica, connection, request, head, piece, end=b"0\r\n\r\n"):
+    replica.send(connection, head, request)
+    for number in range(1, PIECES + 1):
+        replica.send(connection, piece(number), request)
+    replica.send(connection, end, request)
+    return True
+
+
+LONG_ANSWERS = {
+    "part": send_part_of_event,
+    "long": send_long,
+    "long-chunked": send_long_chunked,
+}
+
+
 def start(context, *, max_body_bytes=LARGE_BODY_BYTES, **limits):
     def configure(configuration):
         configuration["limits"]["maxBodyBytes"] = max_body_bytes
