Refuse bodies with broken framing at once, with the request's id and a log line

Callers whose chunked body had an overlong size line, overlong trailers or a chunk that did not end got a bare 400 or 431: without the request's id, only once a thread was free, and nothing in the log or the metrics told why.

Cause: errors of the framing took the library's path for unreadable heads, though the head had been read. They now take the path of bodies that are too large: refused on the reading thread, logged as `bad_request` or `fields_too_large` (new, 431), counted by outcome. The limit on the line of a chunk's size has a setting, `[limits] chunk_line_bytes`, 1,024 as before.

--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -418,3 +418,56 @@
 def line_is_short(context):
     sizes = [len(json.dumps(line, default=str)) for line in context.lines]
     assert sizes and max(sizes) < 8_000, sizes
+
+
+@given("a gateway with lines of at most {limit:d} bytes around chunks")
+def gateway_with_chunk_lines(context, limit):
+    start(context, chunk_line_bytes=limit)
+
+
+def framed_part(part):
+    """Return the bytes after the head of a request that has a part."""
+    if part == "a chunk without an end":
+        return b"1\r\nxxxx\r\n"
+    size = int(part.split()[-2])
+    if part.startswith("a chunk size"):
+        return b"1;" + b"x" * (size - 2) + b"\r\nx\r\n0\r\n\r\n"
+    line = b"X-More: and more\r\n"
+    return b"0\r\n" + line * (size // len(line)) + b"\r\n"
+
+
+@when("a request is sent that has {part}")
+def send_part(context, part):
+    with contextlib.closing(Caller(context.router.address, 30.0)) as caller:
+        chunked = ["Transfer-Encoding: chunked"]
+        context.identity = caller.send("PUT", "/receipt/1", headers=chunked, deadline_ms=30_000)
+        caller.raw(framed_part(part))
+        context.answer = caller.read()
+
+
+@then("it is answered with status {status:d}")
+def answered_with(context, status):
+    assert context.answer.status == status, (context.answer.status, context.answer.body)
+    assert context.answer.whole
+
+
+@then("it is refused with status {status:d}, and has not run")
+def refused_with(context, status):
+    answered_with(context, status)
+    assert not context.fleet.runs(context.identity)
+
+
+@then('the refusal names its request, and its line in the log the outcome "{outcome}"')
+def framing_refusal_is_explained(context, outcome):
+    assert context.answer.header("X-Request-Id") == context.identity, context.answer.headers
+    line = eventually(
+        lambda: context.router.find("request.ended", request_id=context.identity), 5.0
+    )
+    assert line, context.identity
+    assert line["outcome"] == outcome, line
+    assert line["reason"], line
+
+
+@then('the metrics page counts the outcome "{outcome}"')
+def outcome_is_counted(context, outcome):
+    assert figure(context.router, f"request.{outcome}") == 1
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -127,3 +127,22 @@
       | framing                  |
       | with a length            |
       | in chunks of 65536 bytes |
+
+  Scenario Outline: A request refused for its framing could not be found in the log when it had <part>
+    Given a gateway with lines of at most <limit> bytes around chunks
+    When a request is sent that has <part>
+    Then it is refused with status <status>, and has not run
+    And the refusal names its request, and its line in the log the outcome "<outcome>"
+    And the metrics page counts the outcome "<outcome>"
+
+    Examples:
+      | limit | part                          | status | outcome          |
+      | 1024  | a chunk size of 2000 bytes    | 400    | bad_request      |
+      | 100   | a chunk size of 200 bytes     | 400    | bad_request      |
+      | 1024  | a chunk without an end        | 400    | bad_request      |
+      | 1024  | trailers of 100000 bytes      | 431    | fields_too_large |
+
+  Scenario: A chunk size line within the limit is accepted
+    Given a gateway with lines of at most 1024 bytes around chunks
+    When a request is sent that has a chunk size of 1000 bytes
+    Then it is answered with status 200
--- a/src/aspengate/cli/_pages.py
+++ b/src/aspengate/cli/_pages.py
@@ -65,6 +65,7 @@
     ErrorKind.FORBIDDEN: "the operator may read but not edit",
     ErrorKind.NOT_FOUND: "no such service, budget or page",
     ErrorKind.TOO_LARGE: "the body or the table is larger than its limit",
+    ErrorKind.FIELDS_TOO_LARGE: "the trailers after the body are larger than the limit of a head",
     ErrorKind.CONFLICT: "someone else changed the row or table first",
     ErrorKind.RATE_LIMITED: "above the account's or the service's limit in the table",
     ErrorKind.BUDGET_EXHAUSTED: "the budget does not cover the upper bound of the request's cost",
--- a/src/aspengate/errors/_kinds.py
+++ b/src/aspengate/errors/_kinds.py
@@ -20,6 +20,7 @@
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
     TOO_LARGE = "too_large"
+    FIELDS_TOO_LARGE = "fields_too_large"
     CONFLICT = "conflict"
     RATE_LIMITED = "rate_limited"
     BUDGET_EXHAUSTED = "budget_exhausted"
@@ -66,6 +67,7 @@
     ErrorKind.FORBIDDEN: ErrorResponse(403, RunState.NOT_RUN),
     ErrorKind.NOT_FOUND: ErrorResponse(404, RunState.NOT_RUN),
     ErrorKind.TOO_LARGE: ErrorResponse(413, RunState.NOT_RUN),
+    ErrorKind.FIELDS_TOO_LARGE: ErrorResponse(431, RunState.NOT_RUN),
     ErrorKind.CONFLICT: ErrorResponse(412, RunState.NOT_RUN),
     ErrorKind.RATE_LIMITED: ErrorResponse(429, RunState.NOT_RUN, retry_after_s=1),
     ErrorKind.BUDGET_EXHAUSTED: ErrorResponse(402, RunState.NOT_RUN),
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -466,6 +466,7 @@
             max_body_bytes=limits.max_body_bytes,
             buffer_bytes=_buffer_bytes(self.settings, limits),
             min_body_rate=self.settings.min_body_rate,
+            max_chunk_line_bytes=self.settings.chunk_line_bytes,
             on_refused=self.application.refuse,
             on_close=self.close_log,
             counters=self.counters,
--- a/src/aspengate/gateway/_settings.py
+++ b/src/aspengate/gateway/_settings.py
@@ -133,6 +133,14 @@
         unit="bytes/s",
         default=1_000.0,
     )
+    chunk_line_bytes: int = setting(
+        "limits",
+        whole_number(16, 2**20),
+        "maximum length of a line with the size of a chunk; longer ones are refused",
+        accepts="16 to 1048576",
+        unit="bytes",
+        default=1_024,
+    )
     threads: int = setting(
         "limits",
         whole_number(1, 4_000),
--- a/src/aspengate/serving/_relay_channel.py
+++ b/src/aspengate/serving/_relay_channel.py
@@ -13,7 +13,7 @@
 from aspengate.serving._memory_budget import Reservation
 from aspengate.serving._relay_task import RESET_ON_CLOSE, CallerConnection, RelayTask
 from aspengate.serving._request_body import OutOfMemoryError
-from aspengate.serving._request_parser import StrictRequestParser, is_refused_for_size
+from aspengate.serving._request_parser import StrictRequestParser, refused_kind
 from aspengate.serving._response_buffer import ResponseBuffer
 
 # What a connection occupies apart from its requests and responses.
@@ -229,6 +229,7 @@
         reservation = Reservation(self.server.memory, self._make_room)
         request = self.parser_class(self.adj, reservation)
         request.min_body_rate = self.server.min_body_rate
+        request.max_chunk_line_bytes = self.server.max_chunk_line_bytes
         return request
 
     def _make_room(self, missing: int) -> None:
@@ -243,7 +244,7 @@
         """Queue a request that was read, or refuse it."""
         if request.empty:
             request.close()
-        elif is_refused_for_size(request.error) and request.headers_finished:
+        elif refused_kind(request.error) and request.headers_finished:
             self._refuse(request)
         else:
             self._drops_rest = request.error is not None
@@ -268,9 +269,7 @@
 
 
 def _refusal(request: StrictRequestParser) -> AspengateError:
-    error = request.error
-    if isinstance(error, OutOfMemoryError):
-        return AspengateError(ErrorKind.OUT_OF_MEMORY, str(error.body))
-    return AspengateError(
-        ErrorKind.TOO_LARGE, f"the body has more than {request.max_body_bytes} bytes"
-    )
+    kind = refused_kind(request.error) or ErrorKind.BAD_REQUEST
+    if kind is ErrorKind.TOO_LARGE:
+        return AspengateError(kind, f"the body has more than {request.max_body_bytes} bytes")
+    return AspengateError(kind, str(request.error.body))
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -55,7 +55,8 @@
 
     Requests and responses together occupy at most ``buffer_bytes``, which ``memory`` counts. A
     request beyond it is passed to ``on_refused``, on the reading thread, which sends the refusal.
-    A body that arrives at less than ``min_body_rate`` bytes per second times out. When memory,
+    A body that arrives at less than ``min_body_rate`` bytes per second times out, and one with a
+    chunk whose size takes a line of over ``max_chunk_line_bytes`` is refused. When memory,
     threads or connections run short, callers that send or read slowly give way.
     """
 
@@ -72,6 +73,7 @@
         max_body_bytes: int,
         buffer_bytes: int = _DEFAULT_BUFFER_BYTES,
         min_body_rate: float = 1_000.0,
+        max_chunk_line_bytes: int = 1_024,
         on_refused: RefusalHandler = lambda caller, error: _respond_briefly(caller, error),
         on_close: CloseObserver = lambda _report: None,
         counters: Counters | None = None,
@@ -79,6 +81,7 @@
         logging.getLogger("waitress").setLevel(logging.CRITICAL)
         self.memory = MemoryBudget(buffer_bytes)
         self.min_body_rate = min_body_rate
+        self.max_chunk_line_bytes = max_chunk_line_bytes
         self.handler = handler
         self.on_refused = on_refused
         self.on_close = on_close
--- a/src/aspengate/serving/_request_body.py
+++ b/src/aspengate/serving/_request_body.py
@@ -9,7 +9,6 @@
 from aspengate.serving._memory_budget import Reservation
 
 _LINE_END = b"\r\n"
-_MAX_SIZE_LINE_BYTES = 1_024
 # Chunked bodies reserve memory in steps of this size.
 _RESERVED_STEP_BYTES = 16 * 1024
 
@@ -21,6 +20,14 @@
     reason = "Service Unavailable"
 
 
+class FramingError(BadRequest):  # type: ignore[misc]
+    """The error of a body whose chunks can't be read."""
+
+
+class TrailersTooLargeError(RequestHeaderFieldsTooLarge):  # type: ignore[misc]
+    """The error of a body that is followed by too many trailers."""
+
+
 class BodyBuffer:
     """Collects a body in memory that is reserved before.
 
@@ -117,13 +124,16 @@
 class ChunkedBodyReceiver(_Receiver):
     """Receives a body in chunks, of at most ``max_bytes`` without the framing.
 
-    Lines of chunk sizes and of trailers are dropped once they are read. The trailers may have
-    ``max_trailer_bytes``.
+    Lines of chunk sizes and of trailers are dropped once they are read. The former may have
+    ``max_line_bytes`` each, the latter ``max_trailer_bytes`` together.
     """
 
-    def __init__(self, buffer: BodyBuffer, max_bytes: int, max_trailer_bytes: int) -> None:
+    def __init__(
+        self, buffer: BodyBuffer, *, max_bytes: int, max_line_bytes: int, max_trailer_bytes: int
+    ) -> None:
         super().__init__(buffer)
         self.max_bytes = max_bytes
+        self.max_line_bytes = max_line_bytes
         self.max_trailer_bytes = max_trailer_bytes
         self.chunk_remaining = 0
         self._line = b""
@@ -139,14 +149,14 @@
 
     def _read_size(self, data: bytes, position: int) -> int:
         """Read a line with the size of a chunk; return the position after what was read."""
-        line, position = self._read_line(data, position, _MAX_SIZE_LINE_BYTES)
+        line, position = self._read_line(data, position, self.max_line_bytes)
         if line is None:
             return position
         size, _, extension = line.partition(b";")
         if extension and not CHUNK_EXT_RE.match(b";" + extension):
-            self.error = BadRequest("Invalid chunk extension")
+            self.error = FramingError("the extension of a chunk is invalid")
         elif not ONLY_HEXDIG_RE.match(size):
-            self.error = BadRequest("Invalid chunk size")
+            self.error = FramingError("the size of a chunk is invalid")
         else:
             self._begin_chunk(int(size, 16))
         return position
@@ -176,17 +186,19 @@
     def _read_end(self, data: bytes, position: int) -> int:
         """Read the end of the line after a chunk's data."""
         line, position = self._read_line(data, position, len(_LINE_END))
-        if line is not None:
+        if line or self.error is not None:
+            self.error = FramingError("a chunk is longer than its size")
+        elif line is not None:
             self._step = self._read_size
-            if line:
-                self.error = BadRequest("Chunk not properly terminated")
         return position
 
     def _read_trailer(self, data: bytes, position: int) -> int:
         line, after = self._read_line(data, position, self.max_trailer_bytes)
         self._trailer_bytes += after - position
         if self._trailer_bytes > self.max_trailer_bytes:
-            self.error = RequestHeaderFieldsTooLarge("the trailers are too long")
+            self.error = TrailersTooLargeError(
+                f"the trailers have more than {self.max_trailer_bytes} bytes"
+            )
         self.completed = line == b""
         return after
 
@@ -203,7 +215,9 @@
         after = len(data) if end < 0 else end + len(_LINE_END)
         self._line += data[position : len(data) if end < 0 else end]
         if len(self._line) > limit:
-            self.error = BadRequest("A line of the body's framing is too long")
+            self.error = FramingError(
+                f"a line between the chunks of the body has more than {limit} bytes"
+            )
         if end < 0:
             return None, after
         line, self._line = self._line, b""
--- a/src/aspengate/serving/_request_parser.py
+++ b/src/aspengate/serving/_request_parser.py
@@ -6,14 +6,17 @@
 from waitress.utilities import RequestEntityTooLarge
 
 from aspengate.clock import Clock, SystemClock
+from aspengate.errors import ErrorKind
 from aspengate.serving._memory_budget import Reservation, unlimited_reservation
 from aspengate.serving._relay_task import ReceivedRequest
 from aspengate.serving._request_body import (
     BodyBuffer,
     BodyReceiver,
     ChunkedBodyReceiver,
+    FramingError,
     OutOfMemoryError,
     SizedBodyReceiver,
+    TrailersTooLargeError,
 )
 
 _VERSIONS = frozenset({"1.0", "1.1"})
@@ -22,6 +25,12 @@
 _HEADER_LINE_BYTES = 512
 # Copies of the head that are held at the same time, parsed and not parsed.
 _HEAD_COPIES = 3
+_REFUSED_KINDS = {
+    OutOfMemoryError: ErrorKind.OUT_OF_MEMORY,
+    RequestEntityTooLarge: ErrorKind.TOO_LARGE,
+    FramingError: ErrorKind.BAD_REQUEST,
+    TrailersTooLargeError: ErrorKind.FIELDS_TOO_LARGE,
+}
 
 
 class StrictRequestParser(HTTPRequestParser):  # type: ignore[misc]
@@ -38,6 +47,7 @@
     clock: Clock = SystemClock()
     body_rcv: BodyReceiver | None
     min_body_rate = 1_000.0
+    max_chunk_line_bytes = 1_024
 
     def __init__(self, adjustments: Any, reservation: Reservation | None = None) -> None:
         super().__init__(adjustments)
@@ -107,7 +117,10 @@
             return False
         if self.chunked:
             self.body_rcv = ChunkedBodyReceiver(
-                self._buffer, self.max_body_bytes, self.adj.max_request_header_size
+                self._buffer,
+                max_bytes=self.max_body_bytes,
+                max_line_bytes=self.max_chunk_line_bytes,
+                max_trailer_bytes=self.adj.max_request_header_size,
             )
         elif self.content_length:
             self.body_rcv = SizedBodyReceiver(self.content_length, self._buffer)
@@ -133,9 +146,10 @@
         self._buffer.close()
 
 
-def is_refused_for_size(error: Any) -> bool:
-    """Return whether a request is valid and was refused for its size alone."""
-    return isinstance(error, RequestEntityTooLarge | OutOfMemoryError)
+def refused_kind(error: Any) -> ErrorKind | None:
+    """Return the kind of a refusal after a valid head; None for other errors."""
+    kinds = (kind for each, kind in _REFUSED_KINDS.items() if isinstance(error, each))
+    return next(kinds, None)
 
 
 def _header_pairs(block: bytes) -> tuple[tuple[str, str], ...]:
