Give the limits of the readiness, metrics and peer addresses settings, counters and log lines

An operator whose load balancer or other routers got no answer at these addresses could not find out why: connections beyond a fixed number were closed, and long heads refused, without a trace, and the numbers could only be changed in the code.

The limits now come from `[limits] ready_connections` (64), `metrics_connections` (16), `peer_connections` (512), as before, and `listener_head_bytes` (8 KB; 4 KB before at the metrics address). What a server closes or refuses is reported to an observer, which counts `listeners.closed.*` and `listeners.refused.*`; closed connections on which a part of a request had arrived, and refused requests, have a line with the caller's address.

--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -215,6 +215,60 @@
     arrive(context, address_of(context.router, place), crowd, did)
 
 
+# The names of a gateway's addresses in settings, metrics and the log.
+LISTENERS = {"readiness": "ready", "metrics": "metrics", "peer": "peer"}
+
+
+@given("a gateway that accepts {count:d} connections at its {place} address")
+def gateway_with_few_connections(context, count, place):
+    start(context, **{f"{LISTENERS[place]}_connections": count})
+
+
+@given("a gateway that accepts heads of {size:d} bytes at its other addresses")
+def gateway_with_short_heads(context, size):
+    start(context, listener_head_bytes=size)
+
+
+def send_head(address, size):
+    """Send a request whose head has a size; return the caller's address and the response."""
+    start_line, end = f"GET /mirrors HTTP/1.1\r\nHost: {address}\r\nX-More: ", "\r\n\r\n"
+    with contextlib.closing(Caller(address, 10.0)) as caller:
+        host, port = caller.socket.getsockname()
+        caller.raw((start_line.ljust(size - len(end), "x") + end).encode())
+        return f"{host}:{port}", caller.read()
+
+
+@when("heads of {first:d} and {second:d} bytes are sent to its {place} address")
+def send_heads(context, first, second, place):
+    context.listener = LISTENERS[place]
+    address = address_of(context.router, place)
+    context.heads = [send_head(address, size) for size in (first, second)]
+
+
+@then("the second is refused with status {status:d}, counted, and in the log")
+def head_is_refused(context, status):
+    (_, first), (caller, second) = context.heads
+    assert (first.status != status, second.status) == (True, status)
+    assert eventually(
+        lambda: figure(context.router, f"listeners.refused.{context.listener}") == 1, 5.0
+    )
+    lines = eventually(
+        lambda: context.router.find_all("listener.request_refused", listener=context.listener), 5.0
+    )
+    assert [(line["caller"], line["status"]) for line in lines] == [(caller, status)], lines
+
+
+@then("at least {count:d} connections closed at its {place} address are counted, and in the log")
+def closed_connections_are_counted(context, count, place):
+    name = LISTENERS[place]
+    assert (figure(context.router, f"listeners.closed.{name}") or 0) >= count
+    found = eventually(
+        lambda: len(context.router.find_all("listener.connection_closed", listener=name)) >= count,
+        5.0,
+    )
+    assert found, context.router.find_all("listener.connection_closed")
+
+
 @then("its {place} address responds while the clients stay")
 def address_responds(context, place):
     address = address_of(context.router, place)
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -146,3 +146,26 @@
     Given a gateway with lines of at most 1024 bytes around chunks
     When a request is sent that has a chunk size of 1000 bytes
     Then it is answered with status 200
+
+  Scenario Outline: Connections closed at the <place> address could not be found in the log
+    Given a gateway that accepts 8 connections at its <place> address
+    When its <place> address is called by 20 clients that send a head in drops
+    Then its <place> address responds while the clients stay
+    And at least 12 connections closed at its <place> address are counted, and in the log
+
+    Examples:
+      | place     |
+      | readiness |
+      | metrics   |
+      | peer      |
+
+  Scenario Outline: Heads refused at the <place> address could not be found in the log
+    Given a gateway that accepts heads of 2000 bytes at its other addresses
+    When heads of 1900 and 2100 bytes are sent to its <place> address
+    Then the second is refused with status 431, counted, and in the log
+
+    Examples:
+      | place     |
+      | readiness |
+      | metrics   |
+      | peer      |
--- a/src/aspengate/deployed.py
+++ b/src/aspengate/deployed.py
@@ -8,7 +8,7 @@
 
 from aspengate.clock import SystemClock
 from aspengate.errors import AspengateError
-from aspengate.gateway import Gateway, GatewaySettings
+from aspengate.gateway import Gateway, GatewaySettings, ListenerLog
 from aspengate.platform import PlatformDeployment
 from aspengate.serving import WsgiServer
 from aspengate.settings import load_settings
@@ -23,8 +23,7 @@
 # What remains of the time of a stop for the last log lines and the exit.
 _EXIT_MARGIN_S = 0.3
 _METRICS_THREADS = 1
-_MAX_METRICS_REQUEST_BYTES = 4 * 1024
-_MAX_METRICS_CONNECTIONS = 16
+_MAX_METRICS_BODY_BYTES = 4 * 1024
 
 
 def read_build(build_file: Path) -> str:
@@ -101,9 +100,9 @@
         MetricsApplication(counters),
         settings.metrics_listen,
         _METRICS_THREADS,
-        _MAX_METRICS_REQUEST_BYTES,
-        max_header_bytes=_MAX_METRICS_REQUEST_BYTES,
-        max_connections=_MAX_METRICS_CONNECTIONS,
+        _MAX_METRICS_BODY_BYTES,
+        limits=settings.listener_limits("metrics"),
+        observer=ListenerLog("metrics", counters),
     )
     server.start()
     log_change("metrics.serving", address=server.address)
--- a/src/aspengate/gateway/__init__.py
+++ b/src/aspengate/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from aspengate.gateway._daemon import Gateway
 from aspengate.gateway._exchange import Exchange, Filter, Outcome
+from aspengate.gateway._listener_log import ListenerLog
 from aspengate.gateway._ports import HeaderCodec
 from aspengate.gateway._request import CallerRequest, PromptSegment, TokenBounds
 from aspengate.gateway._settings import GatewaySettings
@@ -13,6 +14,7 @@
     "Gateway",
     "GatewaySettings",
     "HeaderCodec",
+    "ListenerLog",
     "Outcome",
     "PromptSegment",
     "TokenBounds",
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -14,6 +14,7 @@
 from aspengate.gateway._close_log import CloseLog
 from aspengate.gateway._crash_guard import CrashGuard
 from aspengate.gateway._dispatcher import Dispatcher
+from aspengate.gateway._listener_log import ListenerLog
 from aspengate.gateway._peer_services import GatewayPeerServices
 from aspengate.gateway._peering import Peering, Reply
 from aspengate.gateway._permit_client import PermitClient
@@ -64,10 +65,8 @@
 # Interval in s at which deferrable documents are written together. It suffices to refill a reserve
 # of ten seconds of demand, and limits the router that draws for all to one call per interval.
 _TICK_INTERVAL_S = 1.0
-# Load balancers send no bodies and few headers.
+# Load balancers send no bodies.
 _MAX_READY_BODY_BYTES = 4 * 1024
-_MAX_READY_HEADER_BYTES = 8 * 1024
-_MAX_READY_CONNECTIONS = 64
 # The budget for requests and responses in progress is no less than this many of the largest bodies:
 # one request may use three quarters of it, and a body takes an eighth more while it is read.
 _BODIES_IN_BUFFER = 2
@@ -168,8 +167,8 @@
             settings.ready_listen,
             _READY_THREADS,
             _MAX_READY_BODY_BYTES,
-            max_header_bytes=_MAX_READY_HEADER_BYTES,
-            max_connections=_MAX_READY_CONNECTIONS,
+            limits=settings.listener_limits("ready"),
+            observer=ListenerLog("ready", counters),
         )
         self.holder.on_change(self._apply_configuration)
         self._suspension = SuspensionDetector(clock, counters, deployment.store.abort_watches)
@@ -388,6 +387,7 @@
             ),
             registry=self.registry,
             on_count=self._on_router_count,
+            limits=self.settings.listener_limits("peer"),
         )
 
     def _stream_peers(self) -> StreamPeers:
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -10,6 +10,7 @@
 from aspengate.clock import Clock
 from aspengate.errors import AspengateError
 from aspengate.gateway._heartbeat_receivers import HeartbeatReceivers
+from aspengate.gateway._listener_log import ListenerLog
 from aspengate.gateway._mirror_sharing import MirrorSharing
 from aspengate.gateway._store_probe import StoreProbe
 from aspengate.peers import (
@@ -52,7 +53,7 @@
 )
 from aspengate.replicas import ReplicaRegistry
 from aspengate.rollouts import DOCUMENT_PREFIX
-from aspengate.serving import WsgiServer
+from aspengate.serving import ListenerLimits, WsgiServer
 from aspengate.store import (
     KeyValueStore,
     MirrorMode,
@@ -72,8 +73,6 @@
 _FETCH_TIMEOUT_MS = 500.0
 _SERVER_THREADS = 2
 _SMALL_BODY = 4 * 1024
-_MAX_HEADER_BYTES = 8 * 1024
-_MAX_PEER_CONNECTIONS = 512
 _LIST_INTERVAL_MS = 30_000.0
 _LIST_INTERVAL_ALONE_MS = 3_000.0
 # Number of replica ids that fit into a heartbeat datagram.
@@ -129,6 +128,7 @@
         services: PeerServices,
         registry: ReplicaRegistry,
         on_count: Callable[[int], None],
+        limits: ListenerLimits,
     ) -> None:
         self.mirrors = mirrors
         self.services = services
@@ -142,8 +142,8 @@
             address,
             _SERVER_THREADS,
             _SMALL_BODY,
-            max_header_bytes=_MAX_HEADER_BYTES,
-            max_connections=_MAX_PEER_CONNECTIONS,
+            limits=limits,
+            observer=ListenerLog("peer", counters),
         )
         self.session = session_name(name, uuid.uuid4().hex[:8])
         self.members = MemberList(
--- a/src/aspengate/gateway/_settings.py
+++ b/src/aspengate/gateway/_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from aspengate.errors import AspengateError, ErrorKind
+from aspengate.serving import ListenerLimits
 from aspengate.settings import address, names, number, setting, whole_number
 from aspengate.topology import Topology, parse_regions
 
@@ -35,6 +36,17 @@
     return parsed
 
 
+def _connections(place: str, default: int) -> int:
+    parsed: int = setting(
+        "limits",
+        whole_number(1, 2**20),
+        f"maximum connections to the {place}; the oldest without a request are closed",
+        accepts="1 to 1048576",
+        default=default,
+    )
+    return parsed
+
+
 def port_range(text: str) -> range:
     """Parse a port range ``FIRST-LAST``; raises ValueError if it is empty or invalid."""
     first, _, last = text.partition("-")
@@ -141,6 +153,17 @@
         unit="bytes",
         default=1_024,
     )
+    ready_connections: int = _connections("readiness address", 64)
+    metrics_connections: int = _connections("metrics address", 16)
+    peer_connections: int = _connections("address for other routers", 512)
+    listener_head_bytes: int = setting(
+        "limits",
+        whole_number(512, 2**20),
+        "maximum length of a request's head at these three addresses",
+        accepts="512 to 1048576",
+        unit="bytes",
+        default=8_192,
+    )
     threads: int = setting(
         "limits",
         whole_number(1, 4_000),
@@ -244,6 +267,15 @@
         """The maximum memory of requests and responses in progress, in bytes."""
         return int((self.buffer_mb or self.memory_mb / _BUFFER_FRACTION) * 2**20)
 
+    def listener_limits(self, listener: str) -> ListenerLimits:
+        """Return the limits at the address ``listener``: ``ready``, ``metrics`` or ``peer``."""
+        connections = {
+            "ready": self.ready_connections,
+            "metrics": self.metrics_connections,
+            "peer": self.peer_connections,
+        }
+        return ListenerLimits(connections[listener], self.listener_head_bytes)
+
     @property
     def topology(self) -> Topology:
         """The regions of the failure domains, as seen from this process."""
--- a/src/aspengate/serving/_server.py
+++ b/src/aspengate/serving/_server.py
@@ -4,13 +4,17 @@
 import logging
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterable
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, Protocol
 
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
+from waitress.task import ErrorTask
 
 from aspengate.serving._accepting_server import AcceptingServer
+from aspengate.serving._close_report import CloseReason, ConnectionReport, has_unread_data
 from aspengate.telemetry import NullCounters, supervised_thread
 
 WsgiEnvironment = dict[str, Any]
@@ -18,18 +22,53 @@
 WsgiApplication = Callable[[WsgiEnvironment, StartResponse], Iterable[bytes]]
 
 _CHANNEL_TIMEOUT_S = 120
-_MAX_CONNECTIONS = 2_000
-_MAX_HEADER_BYTES = 256 * 1024
 _STOP_TIMEOUT_S = 1
 
 
+@dataclass(frozen=True)
+class ListenerLimits:
+    """Limits what the callers of an address may hold of the process."""
+
+    max_connections: int = 2_000
+    max_header_bytes: int = 256 * 1024
+
+
+_DEFAULT_LIMITS = ListenerLimits()
+
+
+class ListenerObserver(Protocol):
+    """Is told of connections and requests that a server ends by itself."""
+
+    def handle_close(self, report: ConnectionReport) -> None:
+        """Handle the close of a connection."""
+
+    def handle_refusal(self, caller: str, status: int) -> None:
+        """Handle a request that got ``status`` in place of the application's response."""
+
+
+class _ReportedErrorTask(ErrorTask):  # type: ignore[misc]
+    """Sends the response to a request that the application did not answer, and reports it."""
+
+    def execute(self) -> None:
+        super().execute()
+        observer = self.channel.server.observer
+        if observer is not None:
+            observer.handle_refusal(_caller(self.channel), int(self.request.error.code))
+
+
+class _LimitedChannel(HTTPChannel):  # type: ignore[misc]
+    error_task_class = _ReportedErrorTask
+
+
 class _LimitedServer(AcceptingServer):
     """Closes the oldest connections without a request when there are too many.
 
     Those with a response that is not read yet come last.
     """
 
-    max_connections = _MAX_CONNECTIONS
+    channel_class = _LimitedChannel
+    max_connections = ListenerLimits.max_connections
+    observer: ListenerObserver | None = None
 
     def handle_accept(self) -> None:
         """Accept a connection, in place of another one if need be."""
@@ -37,9 +76,25 @@
         waiting = [each for each in list(self.active_channels.values()) if not each.requests]
         surplus = max(0, len(self.active_channels) - self.max_connections)
         for channel in sorted(waiting, key=_closing_order)[:surplus]:
+            if self.observer is not None:
+                self.observer.handle_close(_report_close(channel))
             channel.handle_close()
 
 
+def _caller(channel: Any) -> str:
+    return f"{channel.addr[0]}:{channel.addr[1]}"
+
+
+def _report_close(channel: Any) -> ConnectionReport:
+    return ConnectionReport(
+        CloseReason.SURPLUS,
+        _caller(channel),
+        requests=len(channel.requests),
+        is_unread=channel.request is not None or has_unread_data(channel.socket),
+        idle_ms=(time.time() - channel.last_activity) * 1_000,
+    )
+
+
 def _closing_order(channel: Any) -> tuple[bool, float]:
     return bool(channel.total_outbufs_len), channel.creation_time
 
@@ -47,7 +102,8 @@
 class WsgiServer:
     """A waitress server in its own thread; ``address`` is its ``host:port``.
 
-    The oldest connections beyond ``max_connections`` are closed if they have no request.
+    The oldest connections beyond ``limits`` are closed if they have no request. ``observer`` is
+    told of them, and of requests that are refused.
 
     The thread is supervised: an exception on it is logged, and it continues.
     """
@@ -59,8 +115,8 @@
         threads: int,
         max_body_bytes: int,
         *,
-        max_header_bytes: int = _MAX_HEADER_BYTES,
-        max_connections: int = _MAX_CONNECTIONS,
+        limits: ListenerLimits = _DEFAULT_LIMITS,
+        observer: ListenerObserver | None = None,
     ) -> None:
         # The only way to abort a response after its headers is to raise. Such responses are
         # counted, so that the traceback in the log is not needed.
@@ -71,16 +127,17 @@
             host=host,
             port=int(port),
             threads=threads,
-            connection_limit=max_connections * 2,
+            connection_limit=limits.max_connections * 2,
             channel_timeout=_CHANNEL_TIMEOUT_S,
-            max_request_header_size=max_header_bytes,
+            max_request_header_size=limits.max_header_bytes,
             max_request_body_size=max_body_bytes,
             ident="aspengate",
             asyncore_use_poll=True,
             clear_untrusted_proxy_headers=True,
         )
         self._server = _LimitedServer(application, map=self._map, adj=adjustments)
-        self._server.max_connections = max_connections
+        self._server.max_connections = limits.max_connections
+        self._server.observer = observer
         self.address = f"{host}:{self._server.effective_port}"
         self._closing = threading.Event()
         self._thread = supervised_thread(self._run, "http", NullCounters())
