Make the size of the kernel's buffers for callers a setting

The 32 KB that the kernel may hold of each caller's connection, either way, could only be changed in the code. `[limits] socket_buffer_kb` sets it, 32 by default. Nobody is refused or closed for this limit, so that it has no counter of its own: what does not fit counts as unread data.

Both rows pass with it.

--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -479,6 +479,17 @@
     start(context, chunk_line_bytes=limit)
 
 
+@given("a gateway with socket buffers of {size:d} KB")
+def gateway_with_socket_buffers(context, size):
+    start(context, socket_buffer_kb=size)
+
+
+@then("the kernel holds {relation} than {bound:d} KB of the response")
+def kernel_holds(context, relation, bound):
+    is_less = context.queued_bytes < bound * 1024
+    assert is_less == (relation == "less"), context.queued_bytes
+
+
 def framed_part(part):
     """Return the bytes after the head of a request that has a part."""
     if part == "a chunk without an end":
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -169,3 +169,14 @@
       | readiness |
       | metrics   |
       | peer      |
+
+  # The kernel doubles the size that is set, for its own overhead.
+  Scenario Outline: What the kernel holds of an unread response could not be set to <size> KB
+    Given a gateway with socket buffers of <size> KB
+    When 1 clients never read a long answer with a length
+    Then the kernel holds <relation> than <bound> KB of the response
+
+    Examples:
+      | size | relation | bound |
+      | 16   | less     | 64    |
+      | 256  | more     | 128   |
--- a/src/aspengate/gateway/_daemon.py
+++ b/src/aspengate/gateway/_daemon.py
@@ -467,6 +467,7 @@
             buffer_bytes=_buffer_bytes(self.settings, limits),
             min_body_rate=self.settings.min_body_rate,
             max_chunk_line_bytes=self.settings.chunk_line_bytes,
+            socket_buffer_bytes=self.settings.socket_buffer_kb * 1024,
             on_refused=self.application.refuse,
             on_close=self.close_log,
             counters=self.counters,
--- a/src/aspengate/gateway/_settings.py
+++ b/src/aspengate/gateway/_settings.py
@@ -153,6 +153,14 @@
         unit="bytes",
         default=1_024,
     )
+    socket_buffer_kb: int = setting(
+        "limits",
+        whole_number(4, 2**14),
+        "size of the kernel's buffers for a caller's connection, in either direction",
+        accepts="4 to 16384",
+        unit="KB",
+        default=32,
+    )
     ready_connections: int = _connections("readiness address", 64)
     metrics_connections: int = _connections("metrics address", 16)
     peer_connections: int = _connections("address for other routers", 512)
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -32,7 +32,7 @@
 # Threads that handle the requests which wait or arrive during a drain.
 _DRAIN_THREADS = 8
 _DEFAULT_BUFFER_BYTES = 64 * 1024 * 1024
-_KERNEL_BUFFER_BYTES = 32 * 1024
+_DEFAULT_SOCKET_BUFFER_BYTES = 32 * 1024
 # Up to this part of the maximum of connections more are accepted before others are closed.
 _SURPLUS_DIVISOR = 4
 # A request that has waited this long for a thread gets one from a caller that reads slowly.
@@ -57,7 +57,8 @@
     request beyond it is passed to ``on_refused``, on the reading thread, which sends the refusal.
     A body that arrives at less than ``min_body_rate`` bytes per second times out, and one with a
     chunk whose size takes a line of over ``max_chunk_line_bytes`` is refused. When memory,
-    threads or connections run short, callers that send or read slowly give way.
+    threads or connections run short, callers that send or read slowly give way. The kernel buffers
+    about ``socket_buffer_bytes`` of each connection in either direction.
     """
 
     channel_class = RelayChannel
@@ -74,6 +75,7 @@
         buffer_bytes: int = _DEFAULT_BUFFER_BYTES,
         min_body_rate: float = 1_000.0,
         max_chunk_line_bytes: int = 1_024,
+        socket_buffer_bytes: int = _DEFAULT_SOCKET_BUFFER_BYTES,
         on_refused: RefusalHandler = lambda caller, error: _respond_briefly(caller, error),
         on_close: CloseObserver = lambda _report: None,
         counters: Counters | None = None,
@@ -118,7 +120,7 @@
             counters=counters,
         )
         self.next_channel_cleanup = _NEVER
-        _limit_kernel_buffers(self.socket)
+        _limit_kernel_buffers(self.socket, socket_buffer_bytes)
         self._thread = supervised_thread(self._serve, "callers", counters)
 
     @property
@@ -303,10 +305,10 @@
             self._pending.popleft().parse_pending()
 
 
-def _limit_kernel_buffers(listening: socket.socket) -> None:
+def _limit_kernel_buffers(listening: socket.socket, size: int) -> None:
     """Keep the kernel from growing the buffers of accepted connections to several MB each."""
     for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-        listening.setsockopt(socket.SOL_SOCKET, option, _KERNEL_BUFFER_BYTES)
+        listening.setsockopt(socket.SOL_SOCKET, option, size)
 
 
 def _respond_briefly(caller: CallerConnection, error: AspengateError) -> None:
