Test crowds of all kinds at once: at a fleet with changes of settings, and at a planned stop

Each crowd was tested alone. Now 6 clients of each of the 19 kinds arrive at each of two gateways, whose settings are reloaded and whose configuration changes five times; the gateways have to stay within their limits, keep hearing each other, and answer. And a gateway with such crowds is stopped.

--- a/features/platform_standins/crowd.py
+++ b/features/platform_standins/crowd.py
@@ -24,17 +24,18 @@
 
 
 class Crowd:
-    """Runs ``size`` clients of a kind, each in a thread, until ``leave``.
+    """Runs ``size`` clients of each kind, each in a thread, until ``leave``.
 
     A client is settled once it has sent what it sends, or has failed to.
     """
 
-    def __init__(self, address, kind, size):
+    def __init__(self, address, kinds, size):
         self.address = address
         self.leaving = threading.Event()
         self._settled = threading.Semaphore(0)
         self._threads = [
             threading.Thread(target=self._run, args=(CLIENTS[kind],), daemon=True)
+            for kind in kinds
             for _ in range(size)
         ]
         for thread in self._threads:
--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -4,6 +4,7 @@
 import gc
 import json
 import select
+import signal
 import socket
 import time
 import tracemalloc
@@ -175,7 +176,7 @@
 
 def arrive(context, address, crowd, did):
     """Let a crowd do what it does at an address, and stay."""
-    context.crowd = Crowd(address, did, crowd)
+    context.crowd = Crowd(address, [did], crowd)
     context.cleanup.callback(context.crowd.leave)
     time.sleep(HOLD_S)
     context.descriptors = descriptor_count(context.router)
@@ -536,3 +537,72 @@
 @then('the metrics page counts the outcome "{outcome}"')
 def outcome_is_counted(context, outcome):
     assert figure(context.router, f"request.{outcome}") == 1
+
+
+@given("a fleet of {count:d} gateways with {memory_mb:d} MB of memory and {threads:d} threads")
+def fleet_with_memory(context, count, memory_mb, threads):
+    start(context, memory_mb=memory_mb, threads=threads)
+    for _ in range(1, count):
+        context.fleet.add_router(seeds=context.router.peer_address, limits=context.limits)
+
+
+@when("crowds of all kinds, with {size:d} clients each, arrive at each gateway")
+def crowds_of_all_kinds_arrive(context, size):
+    context.crowds = [Crowd(router.address, CLIENTS, size) for router in context.fleet.routers]
+    for crowd in context.crowds:
+        context.cleanup.callback(crowd.leave)
+    time.sleep(HOLD_S)
+
+
+@when("the settings are reloaded and the configuration is changed {count:d} times")
+def settings_and_configuration_change(context, count):
+    for number in range(count):
+        for router in context.fleet.routers:
+            router.process.send_signal(signal.SIGHUP)
+        context.fleet.operator.change(
+            lambda configuration: configuration["limits"].update(idleTimeoutMs=15_000 + number)  # noqa: B023
+        )
+    version = context.fleet.operator.configuration["configVersion"]
+    for router in context.fleet.routers:
+        assert eventually(lambda: figure(router, "configuration_version") == version)  # noqa: B023
+
+
+@then("each gateway runs, within its memory and descriptors, and has heard the others")
+def each_runs_within_limits(context):
+    for router in context.fleet.routers:
+        context.router = router
+        context.queued_bytes = queued_bytes(router.address)
+        context.descriptors = descriptor_count(router)
+        runs_within_limits(context)
+        heard = figure(router, "routers_build_unnamed")
+        assert heard == len(context.fleet.routers), heard
+
+
+@then("each gateway answers an ordinary request while the clients stay")
+def each_answers(context):
+    for router in context.fleet.routers:
+        assert eventually(lambda: ask_ordinary(router), ORDINARY_TIMEOUT_S)  # noqa: B023
+    assert not any(crowd.leaving.is_set() for crowd in context.crowds)
+
+
+@then("each gateway gives its memory back when the clients have left")
+def each_gives_memory_back(context):
+    for crowd in context.crowds:
+        crowd.leave()
+    for router in context.fleet.routers:
+        context.router = router
+        assert eventually(lambda: ask_ordinary(router), ORDINARY_TIMEOUT_S)  # noqa: B023
+        memory_given_back(context)
+
+
+@when("the gateway is told to stop")
+def tell_to_stop(context):
+    context.router.terminate()
+
+
+@then("it ends by itself, within the time of a stop")
+def ends_by_itself(context):
+    assert eventually(lambda: context.router.has_ended, ORDINARY_TIMEOUT_S)
+    assert context.router.process.returncode == 0, context.router.process.returncode
+    assert context.router.find("gateway.stopped")
+    assert not context.router.find("gateway.stop_incomplete")
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -180,3 +180,17 @@
       | size | relation | bound |
       | 16   | less     | 64    |
       | 256  | more     | 128   |
+
+  Scenario: Clients of all kinds at once kept others out of a fleet
+    Given a fleet of 2 gateways with 96 MB of memory and 256 threads
+    When crowds of all kinds, with 6 clients each, arrive at each gateway
+    And the settings are reloaded and the configuration is changed 5 times
+    Then each gateway runs, within its memory and descriptors, and has heard the others
+    And each gateway answers an ordinary request while the clients stay
+    And each gateway gives its memory back when the clients have left
+
+  Scenario: A planned stop ends while clients of all kinds hold on
+    Given a gateway with 96 MB of memory and 256 threads
+    When crowds of all kinds, with 6 clients each, arrive at each gateway
+    And the gateway is told to stop
+    Then it ends by itself, within the time of a stop
