Search the connections for memory at most every 50 ms while there is none

Each request that found no memory had the reading thread go through all connections for slow callers, so that a flood of refused requests slowed it down for everybody else.

Cause: a search that failed was repeated for the next request, though callers become slow only after a second. After a search that found too little, none looks for as much or more for 50 ms.

The scenario allows 10 searches for 1,000 requests within 100 ms; before, there was one for each.

--- a/features/steps/untrusted_clients_steps.py
+++ b/features/steps/untrusted_clients_steps.py
@@ -8,6 +8,7 @@
 import socket
 import time
 import tracemalloc
+from dataclasses import dataclass
 from pathlib import Path
 
 import eliot
@@ -33,6 +34,7 @@
 from aspengate.replicas import SegmentTracker
 from aspengate.serving import FreeMemory
 from aspengate.serving._memory_budget import MemoryBudget, Reservation
+from aspengate.serving._slow_callers import MemorySearch
 from aspengate.streams import StreamKey, StreamOrigin, StreamOrigins
 from aspengate.telemetry import NullCounters
 from gateway_world import in_background, metrics_page, start_gateways
@@ -539,6 +541,50 @@
     assert figure(context.router, f"request.{outcome}") == 1
 
 
+@dataclass
+class HeldConnection:
+    """A connection whose caller has been sending since ``slow_since_ms``; counts its reads."""
+
+    since_ms: float
+    slow_bytes: int
+    reads: int = 0
+
+    @property
+    def slow_since_ms(self):
+        self.reads += 1
+        return self.since_ms
+
+
+@given("{count:d} connections, none of a slow caller")
+def quick_connections(context, count):
+    context.held = [HeldConnection(0.0, 0) for _ in range(count)]
+    context.search = MemorySearch()
+
+
+@when("{count:d} requests within {duration:d} ms look for memory on them")
+def look_for_memory(context, count, duration):
+    for number in range(count):
+        assert not context.search.find(context.held, 10 * 1024, number * duration / count)
+
+
+@then("the connections are searched at most {count:d} times")
+def searched_rarely(context, count):
+    reads = [each.reads for each in context.held]
+    assert max(reads) <= count, reads
+
+
+@when("{passed:d} ms have passed, and one of them holds on to {size:d} KB")
+def one_holds_on(context, passed, size):
+    context.now_ms = passed
+    context.held[0].slow_bytes = size * 1024
+
+
+@then("a request that lacks {size:d} KB finds it, though one that lacks {more:d} KB does not")
+def memory_is_found(context, size, more):
+    assert context.search.find(context.held, more * 1024, context.now_ms) == []
+    assert context.search.find(context.held, size * 1024, context.now_ms) == context.held[:1]
+
+
 @given("a fleet of {count:d} gateways with {memory_mb:d} MB of memory and {threads:d} threads")
 def fleet_with_memory(context, count, memory_mb, threads):
     start(context, memory_mb=memory_mb, threads=threads)
--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -194,3 +194,10 @@
     When crowds of all kinds, with 6 clients each, arrive at each gateway
     And the gateway is told to stop
     Then it ends by itself, within the time of a stop
+
+  Scenario: Each refused request searched all connections for memory
+    Given 20 connections, none of a slow caller
+    When 1000 requests within 100 ms look for memory on them
+    Then the connections are searched at most 10 times
+    When 1000 ms have passed, and one of them holds on to 10 KB
+    Then a request that lacks 10 KB finds it, though one that lacks 20 KB does not
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -17,7 +17,7 @@
 from aspengate.serving._pool_dispatcher import PoolDispatcher
 from aspengate.serving._relay_channel import RelayChannel
 from aspengate.serving._relay_task import CallerConnection, reason_phrase
-from aspengate.serving._slow_callers import slow_callers, slow_callers_holding
+from aspengate.serving._slow_callers import MemorySearch, slow_callers
 from aspengate.telemetry import Counters, NullCounters, supervised_thread
 
 RelayHandler = Callable[[CallerConnection], None]
@@ -92,6 +92,7 @@
         self.header_timeout_ms = 3_000.0
         self.max_connections = max_connections
         self._last_check_ms = 0.0
+        self._memory_search = MemorySearch()
         self._closing = threading.Event()
         self._must_close_idle = threading.Event()
         self._must_drain = threading.Event()
@@ -189,8 +190,8 @@
 
     def make_room(self, missing_bytes: int, needing: RelayChannel) -> None:
         """Release memory for the request on a connection, if slow callers hold enough of it."""
-        others = [each for each in list(self.active_channels.values()) if each is not needing]
-        for channel in slow_callers_holding(others, missing_bytes, _CLOCK.monotonic_ms()):
+        others = (each for each in list(self.active_channels.values()) if each is not needing)
+        for channel in self._memory_search.find(others, missing_bytes, _CLOCK.monotonic_ms()):
             channel.give_up(CloseReason.MEMORY)
 
     def report_close(self, channel: RelayChannel, reason: CloseReason) -> None:
--- a/src/aspengate/serving/_slow_callers.py
+++ b/src/aspengate/serving/_slow_callers.py
@@ -5,6 +5,8 @@
 
 # A caller gives way to others only after this time, in ms, for one request or response.
 SLOW_AFTER_MS = 1_000.0
+# A search that found too little memory is not repeated within this time, in ms.
+_SEARCH_INTERVAL_MS = 50.0
 
 
 class SlowConnection(Protocol):
@@ -45,3 +47,30 @@
             chosen.append(each)
             missing_bytes -= each.slow_bytes
     return chosen if missing_bytes <= 0 else []
+
+
+class MemorySearch:
+    """Searches connections for slow callers that hold enough memory.
+
+    After a search that found too little, no other one looks for as much or more for a while, so
+    that many refused requests do not each go through all connections.
+    """
+
+    def __init__(self) -> None:
+        self.failed_bytes = 0
+        self.failed_ms = float("-inf")
+
+    def find(
+        self, connections: Iterable[Connection], missing_bytes: int, now_ms: float
+    ) -> list[Connection]:
+        """Return the slowest callers that hold ``missing_bytes`` together, none if there are none.
+
+        ``now_ms`` is a monotonic time.
+        """
+        has_just_failed = now_ms < self.failed_ms + _SEARCH_INTERVAL_MS
+        if has_just_failed and missing_bytes >= self.failed_bytes:
+            return []
+        found = slow_callers_holding(connections, missing_bytes, now_ms)
+        if not found:
+            self.failed_bytes, self.failed_ms = missing_bytes, now_ms
+        return found
