Answer a request whose rest arrived while the router was held up for two timeouts

A caller whose request was being read while the router was suspended, or its reading thread held up, for more than twice `headerTimeoutMs`, got a reset although all of the request had arrived.

Cause: a request that is still incomplete after two timeouts is cut off even if data waits to be read, since one sent in drops always has some waiting. After a pause, the data had not had its turn. Now the cut needs a previous check within a timeout: by then the request had expired once, and what had arrived was read in between. The rows on requests in drops still find them closed.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -17,6 +17,11 @@
     When idle connections are closed while a request on that connection is being read
     Then the request is answered completely
 
+  Scenario: A request whose rest arrived while the reading thread was held up is answered
+    Given a relay server with a kept connection
+    When its reading thread is held up for over two timeouts, and the rest of a request arrives
+    Then the request is answered completely
+
   Scenario: Requests that arrive together are answered in their order
     Given a relay server with a kept connection
     When three requests arrive together on that connection, the last one in two parts
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -19,6 +19,7 @@
 
 # Longer than a server waits between two checks for stale connections.
 BUSY_S = 0.8
+HELD_UP_S = 1.5
 SHORT_IDLE_TIMEOUT_MS = 100.0
 DRAIN_S = 5.0
 # More than the socket buffers hold, so that most of it waits in the server.
@@ -132,6 +133,17 @@
     context.clock.free.set()
 
 
+@when("its reading thread is held up for over two timeouts, and the rest of a request arrives")
+def rest_while_held_up(context):
+    context.server.header_timeout_ms = HELD_UP_S * 1_000 / 2.5
+    context.caller.raw(b"GET /second HTTP/1.1\r\n")
+    assert eventually(lambda: not context.server.is_idle, 5.0)
+    make_reading_thread_busy(context)
+    context.caller.raw(b"Host: relay\r\n\r\n")
+    time.sleep(HELD_UP_S)
+    context.clock.free.set()
+
+
 @when("idle connections are closed while a request on that connection is being read")
 def close_while_reading(context):
     context.clock.free.clear()
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -216,9 +216,10 @@
         now = _CLOCK.monotonic_ms()
         if self.in_connection_overflow:
             self._close_surplus(now)
-        if now - self._last_check_ms >= _IDLE_CHECK_MS:
+        since_check_ms = now - self._last_check_ms
+        if since_check_ms >= _IDLE_CHECK_MS:
             self._last_check_ms = now
-            self._close_expired(now)
+            self._close_expired(now, since_check_ms)
             self._close_surplus(now)
             self._release_memory(now)
             self._release_threads(now)
@@ -255,11 +256,13 @@
             elif channel.is_idle:
                 channel.close_unless_unread(CloseReason.LEAVING)
 
-    def _close_expired(self, now: float) -> None:
+    def _close_expired(self, now: float, since_check_ms: float) -> None:
+        # If this thread was held up or suspended, what arrived meanwhile is read first.
+        is_prompt = since_check_ms <= max(self.header_timeout_ms, 2 * _IDLE_CHECK_MS)
         for channel in list(self.active_channels.values()):
             if not channel.has_expired(now):
                 continue
-            is_overdue = channel.has_expired(now, timeouts=_MAX_TIMEOUTS)
+            is_overdue = is_prompt and channel.has_expired(now, timeouts=_MAX_TIMEOUTS)
             if channel.is_dropping or (is_overdue and not channel.is_idle):
                 channel.give_up(CloseReason.TIMED_OUT)
             else:
