--- a/features/rollout_takeover.feature
+++ b/features/rollout_takeover.feature
@@ -32,17 +32,6 @@
       | starts again                                        |
       | still sends status messages 1.1 s after that        |
 
-  # The new decider had the evidence for the next step; the returning one had to collect it again, and
-  # a good version was rolled back at its deadline.
-  Scenario: A router that starts again does not take a rollout over from the one that decides
-    Given a fleet of three routers of which one decides
-    When its process is found to have ended
-    And another router has taken over
-    And the first one starts again
-    Then the other router still decides
-    When the other router does not lead any more
-    Then the first one decides again
-
   Scenario: A leader whose process has ended is replaced at once
     Given 12 routers in 3 failure domains that start together
     And they have exchanged status messages for 2 seconds
--- a/features/steps/rollout_controller_steps.py
+++ b/features/steps/rollout_controller_steps.py
@@ -37,7 +37,7 @@
 
     session = "me"
 
-    def rollout_decider(self, _service, _current):
+    def rollout_decider(self, _service):
         return Member("me", "127.0.0.1:1", "me")
 
     def rollout_sessions(self):
--- a/src/aspengate/gateway/_peering.py
+++ b/src/aspengate/gateway/_peering.py
@@ -254,13 +254,10 @@
         keepers = [member.address for member in self.members.backup_peers(grant.account)]
         self._datagrams.send(GrantNotice([grant]), *keepers)
 
-    def rollout_decider(self, service: str, current: str) -> Member:
-        """Return the router that decides on a service's rollout, possibly this one.
-
-        ``current`` is the session that decided last, "" if there is none.
-        """
+    def rollout_decider(self, service: str) -> Member:
+        """Return the router that decides on a service's rollout, possibly this one."""
         return self.members.decider(
-            f"rollout/{service}", DOCUMENT_PREFIX, own_reaches=self.reaches_store, current=current
+            f"rollout/{service}", DOCUMENT_PREFIX, own_reaches=self.reaches_store
         )
 
     def may_decide_next(self, service: str) -> bool:
--- a/src/aspengate/gateway/rollouts/_rollouts.py
+++ b/src/aspengate/gateway/rollouts/_rollouts.py
@@ -28,11 +28,8 @@
     def session(self) -> str:
         """The name of this router's session."""
 
-    def rollout_decider(self, service: str, current: str) -> Member:
-        """Return the router that decides on a service, possibly this one.
-
-        ``current`` is the session that decided last, "" if there is none.
-        """
+    def rollout_decider(self, service: str) -> Member:
+        """Return the router that decides on a service, possibly this one."""
 
     def may_decide_next(self, service: str) -> bool:
         """Return whether this router is among those that may become the decider on a service."""
@@ -101,7 +98,7 @@
             counters,
             is_loaded=is_loaded,
             session=lambda: fleet().session,
-            decides=lambda each: self._decider(each).session == fleet().session,
+            decides=lambda each: fleet().rollout_decider(each).session == fleet().session,
             rewrites_lost=rewrites_lost,
             reporting=lambda: fleet().rollout_sessions(),
             cold_start_ms=cold_start_ms,
@@ -112,7 +109,7 @@
             clock,
             counters,
             running=self._running,
-            decider=self._decider,
+            decider=lambda each: fleet().rollout_decider(each),
             session=lambda: fleet().session,
             send=lambda report, address: fleet().send_rollout_report(report, address),
             on_report=self.controller.handle_report,
@@ -209,17 +206,10 @@
         found = {service: self.gate.generation(service) for service in services}
         return {service: generation for service, generation in found.items() if generation}
 
-    def _decider(self, service: str) -> Member:
-        """Return the router that decides on a service: the last one, as long as it is able to."""
-        known = self.documents.get(service)
-        if known is None or known.document.has_ended:
-            return self._fleet().rollout_decider(service, "")
-        return self._fleet().rollout_decider(service, known.document.decider)
-
     def _watched_deciders(self) -> list[Member] | None:
         """Return the deciders of running attempts that this router may follow, None without any."""
         running = self._running()
-        deciders = {service: self._decider(service) for service in running}
+        deciders = {service: self._fleet().rollout_decider(service) for service in running}
         sessions = {service: member.session for service, member in deciders.items()}
         if sessions != self._deciders:
             # A new decider raises no share before it has the reports of most routers.
--- a/src/aspengate/peers/_members.py
+++ b/src/aspengate/peers/_members.py
@@ -287,12 +287,11 @@
         found = self._responsible(statuses, own_reaches=own_reaches)
         return _first(found, account)
 
-    def decider(self, subject: str, prefix: str, *, own_reaches: bool, current: str = "") -> Member:
+    def decider(self, subject: str, prefix: str, *, own_reaches: bool) -> Member:
         """Return the router that decides on a subject for all regions, possibly this one.
 
         It is chosen as ``primary`` is, but alike in all regions, and among the routers that receive
-        changes below ``prefix`` of the store. The decider with the session ``current`` remains as
-        long as it is among those to choose from: a new one has to learn first what it knows.
+        changes below ``prefix`` of the store.
         """
         now = self._clock.monotonic_ms()
         statuses = [
@@ -300,9 +299,7 @@
             for status in self._following_statuses(prefix)
             if not status.leads or now - status.received_ms <= self._leader_alive_ms(status.member)
         ]
-        found = self._responsible(statuses, own_reaches=own_reaches)
-        remaining = [member for member in found if member.session == current]
-        return _first(remaining or found, subject)
+        return _first(self._responsible(statuses, own_reaches=own_reaches), subject)
 
     def may_decide_next(self, subject: str, prefix: str) -> bool:
         """Return whether this router is among those that may become the decider on a subject."""
