Stop the server only once the request has begun in the scenario on sockets after a stop

The scenario failed once, after 60 s, in a run beside nothing else. It looked for the request while its handler slept for 100 ms, and could miss it; and it took a request that waits for a thread for one that runs, though a stop drops such a request.

The step now holds the request in its handler until the sockets are open. What is checked is the same.

--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -55,8 +55,9 @@
         return self.clock.monotonic_ms()
 
 
-# Requests with this target take until the event is set.
+# Requests with this target take until ``released`` is set; they set ``begun``.
 HELD_TARGET = "/held"
+begun = threading.Event()
 released = threading.Event()
 
 
@@ -66,6 +67,7 @@
         return
     time.sleep(LONG_WORK_S if caller.request.target == "/long" else WORK_S)
     if caller.request.target == HELD_TARGET:
+        begun.set()
         released.wait(10)
     caller.respond(200, "OK", [], caller.request.target.encode())
 
@@ -332,8 +334,10 @@
 
 @when("the server is stopped during a request, other sockets are opened, and the request ends")
 def end_after_stop(context):
-    context.caller.send("GET", "/second")
-    assert eventually(lambda: context.server.in_progress)
+    begun.clear()
+    released.clear()
+    context.caller.send("GET", HELD_TARGET)
+    assert begun.wait(10)
     channel = next(iter(context.server.active_channels.values()))
     context.server.stop()
     # They get the descriptors that the server has closed.
@@ -341,6 +345,7 @@
     for each in itertools.chain.from_iterable(context.pairs):
         context.cleanup.callback(each.close)
         each.setblocking(False)
+    released.set()
     assert eventually(lambda: not channel.requests)
     time.sleep(WORK_S)
 
