--- a/src/aspengate/serving/_server.py
+++ b/src/aspengate/serving/_server.py
@@ -4,7 +4,6 @@
 import logging
 import socket
 import threading
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -13,6 +12,7 @@
 from waitress.channel import HTTPChannel
 from waitress.task import ErrorTask
 
+from aspengate.clock import SystemClock
 from aspengate.serving._accepting_server import AcceptingServer
 from aspengate.serving._close_report import CloseReason, ConnectionReport, has_unread_data
 from aspengate.telemetry import NullCounters, supervised_thread
@@ -23,6 +23,7 @@
 
 _CHANNEL_TIMEOUT_S = 120
 _STOP_TIMEOUT_S = 1
+_CLOCK = SystemClock()
 
 
 @dataclass(frozen=True)
@@ -91,7 +92,8 @@
         _caller(channel),
         requests=len(channel.requests),
         is_unread=channel.request is not None or has_unread_data(channel.socket),
-        idle_ms=(time.time() - channel.last_activity) * 1_000,
+        # The library notes the time of day.
+        idle_ms=_CLOCK.now_ms() - channel.last_activity * 1_000,
     )
 
 
