Leave a connection that was just accepted open in a stop, so that its request gets an answer

Cause: in the last part of a stop, each turn of the reading thread closes the connections that are idle, also one that was accepted a moment ago, whose request is on its way.

A connection without any request is now left open for 200 ms after it was accepted; its request then gets the same 503 as others. A stop that waits for it ends at most that much later, within its deadline.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -32,6 +32,13 @@
     When its reading thread is busy, a request arrives on a new connection, and the server is drained
     Then the request is answered completely
 
+  Scenario: A connection that was accepted during a drain was closed before its request arrived
+    Given a relay server with a kept connection
+    When a connection is opened during a drain, and its request follows after 30 ms
+    Then the request is answered completely
+    When the other request ends, and connections that send nothing are open
+    Then the drain ends in time, with all requests answered
+
   Scenario: The response to a request in progress announces the close when the server leaves
     Given a relay server with a kept connection
     When the server begins to leave while a request is in progress
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -167,6 +167,32 @@
     context.clock.free.set()
 
 
+@when("a connection is opened during a drain, and its request follows after {pause_ms:d} ms")
+def open_during_drain(context, pause_ms):
+    begun.clear()
+    released.clear()
+    context.held_caller = context.caller
+    context.held_caller.send("GET", HELD_TARGET)
+    assert begun.wait(10)
+    drain_server(context)
+    assert eventually(lambda: context.server.leaving, 5.0)
+    context.caller = Caller(context.server.address)
+    time.sleep(pause_ms / 1_000)
+    context.caller.send("GET", "/second")
+
+
+@when("the other request ends, and connections that send nothing are open")
+def other_request_ends(context):
+    context.silent = [Caller(context.server.address) for _ in range(3)]
+    released.set()
+    assert context.held_caller.read().whole
+
+
+@then("the drain ends in time, with all requests answered")
+def drain_ends(context):
+    assert context.draining() is True
+
+
 def refuse_to_start(_thread):
     raise RuntimeError("can't start new thread")
 
--- a/src/aspengate/serving/_relay_channel.py
+++ b/src/aspengate/serving/_relay_channel.py
@@ -18,6 +18,8 @@
 
 # What a connection occupies apart from its requests and responses.
 _CONNECTION_BYTES = 4 * 1024
+# A caller sends its first request within this time after it has connected, in ms.
+_FIRST_REQUEST_MS = 200.0
 _NEVER = float("inf")
 _CLOCK = SystemClock()
 
@@ -38,6 +40,8 @@
     request: StrictRequestParser | None
     unsent_since_ms = _NEVER
     close_reason: CloseReason | None = None
+    # Whether no request was read from the connection yet.
+    is_unused = True
     # Bytes that arrived after a complete request, which are parsed after its response.
     _unparsed = b""
     # Whether a request is refused, and what its caller still sends is dropped. From the time at
@@ -127,6 +131,10 @@
         is_reading = self.request is not None or bool(self._unparsed)
         return not (self.requests or is_reading or self.total_outbufs_len or self.is_dropping)
 
+    def awaits_first_request(self, now_ms: float) -> bool:
+        """Return whether the connection is so new that its first request may be on its way."""
+        return self.is_unused and now_ms - self.last_used_ms < _FIRST_REQUEST_MS
+
     @property
     def is_dropping(self) -> bool:
         """Whether a refusal was sent, and what the caller still sends is dropped."""
@@ -242,6 +250,7 @@
 
     def _accept(self, request: StrictRequestParser) -> None:
         """Queue a request that was read, or refuse it."""
+        self.is_unused = False
         if request.empty:
             request.close()
         elif refused_kind(request.error) and request.headers_finished:
--- a/src/aspengate/serving/_relay_server.py
+++ b/src/aspengate/serving/_relay_server.py
@@ -250,10 +250,11 @@
             self.handle_accept()
 
     def _close_idle(self) -> None:
+        now = _CLOCK.monotonic_ms()
         for channel in list(self.active_channels.values()):
             if channel.is_dropping:
                 channel.handle_close()
-            elif channel.is_idle:
+            elif channel.is_idle and not channel.awaits_first_request(now):
                 channel.close_unless_unread(CloseReason.LEAVING)
 
     def _close_expired(self, now: float, since_check_ms: float) -> None:
