Read one request at a time at the readiness, metrics and peer addresses

450 clients that sent 444 requests at once and read no response took a gateway of 96 MB to 129 MB at its peer address, and kept everybody else from its readiness address.

Cause: the library parses all requests of a read before it answers the first, and connections with requests are not closed in favour of new ones. The server is that of `aspengate router` and the stand-ins too.

--- a/features/untrusted_clients.feature
+++ b/features/untrusted_clients.feature
@@ -87,12 +87,15 @@
     And an ordinary request is answered while the clients stay
 
     Examples:
-      | resource    | did                             | place     |
-      | memory      | stop one byte short of any head | readiness |
-      | memory      | stop one byte short of any head | metrics   |
-      | memory      | stop one byte short of any head | peer      |
-      | descriptors | send nothing                    | readiness |
-      | descriptors | send nothing                    | metrics   |
+      | resource    | did                               | place     |
+      | memory      | stop one byte short of any head   | readiness |
+      | memory      | stop one byte short of any head   | metrics   |
+      | memory      | stop one byte short of any head   | peer      |
+      | descriptors | send nothing                      | readiness |
+      | descriptors | send nothing                      | metrics   |
+      | memory      | send hundreds of requests at once | readiness |
+      | memory      | send hundreds of requests at once | metrics   |
+      | memory      | send hundreds of requests at once | peer      |
 
   Scenario Outline: A body of the largest size was refused when it came <framing>
     Given a gateway with 96 MB of memory that accepts bodies of <limit> bytes
--- a/src/aspengate/serving/_server.py
+++ b/src/aspengate/serving/_server.py
@@ -58,7 +58,40 @@
 
 
 class _LimitedChannel(HTTPChannel):  # type: ignore[misc]
+    """Reads one request at a time.
+
+    What follows a request before its response is dropped, and the response closes the connection.
+    """
+
     error_task_class = _ReportedErrorTask
+    request: Any
+
+    def received(self, data: bytes) -> bool:
+        """Handle data from the caller."""
+        with self.requests_lock:
+            if not data or self.will_close or self.close_when_flushed or self.requests:
+                return False
+            while data and not self.requests:
+                data = data[self._parse(data) :]
+            if data:
+                self.requests[0].headers["CONNECTION"] = "close"
+            if self.requests:
+                self.server.add_task(self)
+        return True
+
+    def _parse(self, data: bytes) -> int:
+        """Parse up to the end of a request; return how many bytes were used."""
+        request = self.request or self.parser_class(self.adj)
+        self.request = request
+        used = int(request.received(data))
+        if request.expect_continue and request.headers_finished and not request.completed:
+            self.send_continue()
+        if request.completed:
+            self.request = None
+            self.sent_continue = False
+            if not request.empty:
+                self.requests.append(request)
+        return used
 
 
 class _LimitedServer(AcceptingServer):
