--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import ctypes
 import json
 import os
 import re
@@ -51,6 +52,16 @@
 }
 
 
+# A case ends by itself after this time, in seconds; it may take 120.
+_LONGEST_S = 110
+_PR_SET_PDEATHSIG = 1
+
+
+def _end_with_parent():
+    """Have the kernel end this process once the one that started it has ended."""
+    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CannotRunError(Exception):
     """Raised if the case can't be played here, which says nothing about the rule."""
 
@@ -149,7 +160,12 @@
             "ASPENGATE_BOOT": str(self.settings),
         }
         self.process = subprocess.Popen(
-            role["run"].split(), cwd=ROOT, env=environment, stdout=self.log, stderr=self.log
+            role["run"].split(),
+            cwd=ROOT,
+            env=environment,
+            stdout=self.log,
+            stderr=self.log,
+            preexec_fn=_end_with_parent,
         )
 
     def is_ready(self):
@@ -183,7 +199,8 @@
         return router
 
     def start_process(self, *arguments, **options):
-        process = subprocess.Popen([sys.executable, *map(str, arguments)], **options)
+        command = [sys.executable, *map(str, arguments)]
+        process = subprocess.Popen(command, preexec_fn=_end_with_parent, **options)
         self.cleanup.callback(self.stop, process)
         return process
 
@@ -268,8 +285,15 @@
 def play(folder, case):
     """Run ``case(bench, record)``, which returns whether the rule held; exit as asked."""
     record = Record(folder)
-    bench = Bench(record)
+
+    def stop(number, _frame):
+        raise CannotRunError(f"ended by signal {number}")
+
+    for each in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(each, stop)
+    signal.alarm(_LONGEST_S)
     try:
+        bench = Bench(record)
         with bench.cleanup:
             held = case(bench, record)
     except Exception as error:
