--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,8 @@
-"""All open connections to the store go silent; five seconds later a route is dropped."""
+"""A replica breaks off some answers that come early and have no length, with a reset."""
 
+import json
+import queue
+import subprocess
 import sys
 import threading
 import time
@@ -7,51 +10,96 @@
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins-2"))
+sys.path.insert(0, str(HERE))
 
-from kit import CALLER_LIMITS, TROUBLE, ZONES, Caller, CannotRunError, SilencingProxy, play  # noqa: E402
-from platform_standins.operator import HOST, KEY, Operator, route  # noqa: E402
-from platform_standins.replica import ReplicaStandIn  # noqa: E402
+from kit import CALLER_LIMITS, TROUBLE, ZONES, Caller, CannotRunError, play  # noqa: E402
+from platform_standins.operator import KEY, Operator, route  # noqa: E402
 from platform_standins.store import StoreStandIn  # noqa: E402
-
-CONFIG_APPLY_S = 2.0
-CONTACT_S = 3.0
-# The change comes this long after the silence, so that all machines are in touch again.
-CHANGE_AFTER_S = CONTACT_S + 2.0
-WATCHED_S = 24.0
-PAUSE_S = 0.1
-
-
-class Traffic:
-    """A client of one router, which asks for the dropped route ten times a second."""
-
-    def __init__(self, router, record):
-        self.router = router
-        self.record = record
-        self.sent = {}
-        self.closing = threading.Event()
-        self.thread = threading.Thread(target=self._run, daemon=True)
-        self.thread.start()
-
-    def _run(self):
-        caller = None
-        number = 0
-        while not self.closing.wait(PAUSE_S):
-            number += 1
-            identity = f"{self.router.name}-{number:04d}"
-            try:
-                caller = caller or Caller(self.router.address, 5.0)
-                at_s = time.monotonic()
-                self.sent[identity] = at_s
-                self.record.line(f"sent {identity}")
-                caller.send("POST", "/dropped/1", identity=identity, body=b"work", deadline_ms=1500)
-                answer = caller.read()
-                self.record.line(f"answered {identity} {answer.status}")
-                if answer.header("Connection") == "close":
-                    caller.close()
-                    caller = None
-            except OSError as error:
-                self.record.line(f"failed {identity} {error!r}")
-                caller = None
+from replica import body_of  # noqa: E402
+
+# The dose of the site's days: `garble`, `how = "unframed"`, x = 0.05, for 5 s. Its share is half of
+# the replicas if none is given; here it is one of three, the one with the most requests so far. It
+# strikes three times.
+BROKEN_ONE_IN = 20
+BREAKS_S = 5.0
+STRIKES = 3
+PAUSE_S = 1.0
+PLAYED_S = PAUSE_S + STRIKES * (BREAKS_S + PAUSE_S)
+BODY = b"x" * 100_000  # The longest request of the sheet.
+CLIENTS = 3
+
+
+class ReplicaProcess:
+    """A replica in a process of its own; ``runs`` says of each request whether it was broken."""
+
+    def __init__(self, bench, store, name, zone, runs, record):
+        self.process = bench.start_process(
+            HERE / "replica.py",
+            name,
+            BROKEN_ONE_IN,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.name = name
+        self.run_count = 0
+        self.early_count = 0
+        address = json.loads(self.process.stdout.readline())["address"]
+        threading.Thread(target=self._read, args=(runs, record), daemon=True).start()
+        store.put(
+            f"servers/{name}",
+            {
+                "service": "fonts",
+                "address": address,
+                "zone": zone,
+                "configVersion": "v1",
+                "slots": 6,
+                "state": "ready",
+                "coldRemainingMs": 0,
+                "seq": 1,
+            },
+        )
+
+    def _read(self, runs, record):
+        for line in self.process.stdout:
+            told = json.loads(line)
+            runs[told["run"]] = told["broken"]
+            self.run_count += 1
+            self.early_count += told["early"]
+            when = "answers early and without a length" if told["early"] else "answers"
+            end = ", and resets the connection half-way" if told["broken"] else ""
+            record.line(f"run {told['run']} at {told['replica']}: {when}{end}")
+
+    def break_off(self, seconds, breaks):
+        self.process.stdin.write(f"{seconds} {int(breaks)}\n")
+        self.process.stdin.flush()
+
+
+def send(router, identity, answers, record):
+    """Send one request and judge its answer."""
+    try:
+        caller = Caller(router.address, 5.0)
+        record.line(f"sent {identity} to {router.name}, {len(BODY)} bytes")
+        caller.send("POST", "/fonts/1", identity=identity, body=BODY, deadline_ms=1500)
+        answer = caller.read()
+        caller.close()
+    except OSError as error:
+        record.line(f"failed {identity}: {error!r}")
+        answers[identity] = "no answer"
+        return
+    is_success = 200 <= answer.status < 300 and answer.whole
+    if not is_success:
+        verdict = f"{answer.status}, {'whole' if answer.whole else 'cut'}"
+    elif answer.body == body_of(identity):
+        verdict = "200 with the whole body"
+    else:
+        verdict = "200 with a part of the body"
+    answers[identity] = verdict
+    record.line(
+        f"answered {identity}: {answer.status}, Content-Length "
+        f"{answer.header('Content-Length') or 'none'}, {len(answer.body)} of "
+        f"{len(body_of(identity))} bytes, stamp {answer.header('X-Server-Stamp') or 'none'}"
+    )
 
 
 def case(bench, record):
@@ -61,66 +109,60 @@
     operator.configuration = {
         "configVersion": 1,
         "routes": [
-            route("/dropped/", "portal", "non_idempotent", maxAttempts=1, timeoutMs=1500),
-            route("/kept/", "portal", "non_idempotent", maxAttempts=1, timeoutMs=1500),
+            route("/fonts/", "fonts", "non_idempotent", maxAttempts=1, timeoutMs=1500),
         ],
-        "services": [{"name": "portal", "healthPath": "/health", "maxConns": 110}],
+        "services": [{"name": "fonts", "healthPath": "/health", "maxConns": 110}],
         "limits": CALLER_LIMITS,
         "tenants": [{"name": "board", "apiKeys": [KEY], "priority": 1, "prepaid": 1_000_000}],
     }
     operator.write()
-    replicas = [ReplicaStandIn(store, "portal", domain=zone, work_s=0.01) for zone in ZONES]
-    for replica in replicas:
-        bench.cleanup.callback(replica.close)
-        replica.list()
-    proxies = []
-    for zone in ZONES:
-        proxies.append(SilencingProxy(store.open_endpoint().address))
-        bench.start_router(zone, proxies[-1].address)
+    runs, answers = {}, {}
+    replicas = [
+        ReplicaProcess(bench, store, f"i-{number:08x}", zone, runs, record)
+        for number, zone in enumerate(ZONES, 1)
+    ]
+    for zone in ZONES[:2]:
+        bench.start_router(zone, store.open_endpoint().address)
     bench.await_ready()
-    traffic = [Traffic(router, record) for router in bench.routers]
-    time.sleep(4.0)
-
-    if TROUBLE:
-        for router, proxy in zip(bench.routers, proxies, strict=True):
-            record.say(f"{proxy.silence()} connections of {router.name} to the store go silent")
-    time.sleep(CHANGE_AFTER_S)
-
-    def drop(configuration):
-        configuration["routes"] = [
-            each for each in configuration["routes"] if each["pathPrefix"] != "/dropped/"
-        ]
-
-    version = operator.change(drop)
-    acked_s = time.monotonic()
-    record.say(f"the store has acknowledged version {version}, which drops the route /dropped/")
-    time.sleep(WATCHED_S)
-    for each in traffic:
-        each.closing.set()
-        each.thread.join(6.0)
-
-    sent = {identity: at_s for each in traffic for identity, at_s in each.sent.items()}
-    runs = {request.identity: request.at_s for replica in replicas for request in replica.requests}
-    for identity, at_s in sorted(runs.items(), key=lambda each: each[1]):
-        record.line(f"run {identity}, sent {sent[identity] - acked_s:+.3f} s after the version")
-    if not any(at_s < acked_s for at_s in runs.values()):
-        raise CannotRunError("no request ran before the change")
-    late = [
-        sent[identity] - acked_s for identity in runs if sent[identity] > acked_s + CONFIG_APPLY_S
+    due = queue.SimpleQueue()
+    ends_s = time.monotonic() + PLAYED_S
+
+    def work(number):
+        count = 0
+        while time.monotonic() < ends_s:
+            count += 1
+            router = bench.routers[(number + count) % len(bench.routers)]
+            send(router, f"{number:02d}{count:014x}", answers, record)
+            time.sleep(0.02)
+        due.put(number)
+
+    clients = [
+        threading.Thread(target=work, args=(number,), daemon=True) for number in range(CLIENTS)
     ]
-    for router in bench.routers:
-        own = [
-            sent[identity] - acked_s
-            for identity in runs
-            if identity.startswith(router.name) and sent[identity] > acked_s
-        ]
-        last = f"{max(own):.1f} s after the version" if own else "before the version"
-        record.say(f"{router.name}: the last request that ran on the dropped route was sent {last}")
-    record.say(
-        f"{len(late)} requests that were sent later than {CONFIG_APPLY_S:.0f} s after the "
-        "acknowledgement ran on the dropped route"
-    )
-    return not late
+    for client in clients:
+        client.start()
+    for _ in range(STRIKES):
+        time.sleep(PAUSE_S)
+        busiest = max(replicas, key=lambda each: each.run_count)
+        how = "breaks off" if TROUBLE else "sends early and without a length, but whole,"
+        record.say(f"{busiest.name} {how} 1 in {BROKEN_ONE_IN} of its answers for 5 s")
+        busiest.break_off(BREAKS_S, TROUBLE)
+        time.sleep(BREAKS_S)
+    for client in clients:
+        client.join(PLAYED_S + 10.0)
+    time.sleep(0.2)
+
+    broken = [identity for identity, is_broken in runs.items() if is_broken]
+    if not answers or (TROUBLE and not broken):
+        raise CannotRunError("no answer was broken off")
+    wrong = [each for each, verdict in answers.items() if verdict == "200 with a part of the body"]
+    counts = {verdict: list(answers.values()).count(verdict) for verdict in set(answers.values())}
+    record.say(f"{len(answers)} requests: {counts}")
+    record.say(f"{sum(each.early_count for each in replicas)} answers came early, without a length")
+    record.say(f"{len(broken)} answers were broken off by a reset, of {len(runs)} that were run")
+    for identity in wrong:
+        record.say(f"MIXED: {identity} got a success with half of the replica's body")
+    return not wrong
 
 
 play(HERE, case)
--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -11,6 +11,7 @@
 import select
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -240,6 +241,16 @@
             self._silent |= self._open
             return len(self._silent)
 
+    def end_silent(self):
+        """Reset the connections that went silent."""
+        with self._lock:
+            silent = list(self._silent)
+        for each in (side for pair in silent for side in pair):
+            with contextlib.suppress(OSError):
+                each.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                each.shutdown(socket.SHUT_RDWR)
+                each.close()
+
     def close(self):
         self._listener.close()
 
