Take a response as broken if the reset of its connection was reported to a write

What callers saw: a replica answered a long upload at once, without a length, sent a part of the body and reset the connection. The caller got status 200 with the replica's signature, a Content-Length made from the part, and the part. A stream was ended as complete after two events of five.

Cause: the kernel reports the error of a connection to one call only. While the router still sent the request, that call was the write: `_send_piece` dropped ECONNRESET, and the next reads returned what had arrived and then an end like that of an orderly close. Without a length this is the end of the response, and the replica listened, so that `UnframedEnds` accepted it.

Change: the connection keeps the error of a failed write, and raises it when it reads the end of the connection. What arrived before is still read, so that an early response with a length stays whole. EPIPE is not kept: it says that the replica had sent its FIN before the reset.

--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -12,6 +12,9 @@
 LONG_BYTES = 100_000
 # More than routers hold back of a response that is not complete.
 LONG_UNFRAMED_BYTES = 600_000
+# Those of a link with Ethernet frames; on loopback, an upload fits into the sockets' buffers.
+_SEGMENT_BYTES = 1_448
+_WINDOW_BYTES = 4_096
 _numbers = itertools.count(1)
 
 
@@ -60,6 +63,9 @@
     record, and ``fault`` replaces the behaviour of some requests, as in a bad version. The
     behaviours "slow first" and "slow pauses" take ``slow_factor`` times as long as usual.
 
+    ``choose_early`` returns the behaviour for a request that gets its response once its head was
+    read, without its body; empty for any other request.
+
     While ``suspended`` is set it handles no new connection, although the kernel accepts it.
     Unframed responses that are held end once ``may_end`` is set.
 
@@ -115,6 +121,7 @@
         self.sent_events = Counter()
         self.early = False
         self.early_bodies = []
+        self.choose_early = lambda request: ""
         self.requests = []
         self.runs = Counter()
         self.cancelled = Counter()
@@ -183,6 +190,11 @@
     def close(self):
         self.crash()
 
+    def narrow_connections(self):
+        """Give later connections the segments and the small window of a network link."""
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, _SEGMENT_BYTES)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _WINDOW_BYTES)
+
     def reset(self, connection):
         try:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
@@ -216,12 +228,14 @@
                     read_body(reader, request)
                     self.early_bodies.append(request.body)
                     continue
-                read_body(reader, request)
+                early = self.choose_early(request)
+                if not early:
+                    read_body(reader, request)
                 request.connection = connection_number
                 with self._lock:
                     self.requests.append(request)
                     number = len(self.requests)
-                name = self.behaviours.get(number, self.behaviour)
+                name = early or self.behaviours.get(number, self.behaviour)
                 if number * self.refused_fraction % 1 + self.refused_fraction > 1:
                     name = "refuse"
                 if self._crashes_on(request):
--- a/src/aspengate/connections/_connection.py
+++ b/src/aspengate/connections/_connection.py
@@ -51,6 +51,7 @@
         self.method = ""
         # Whether a part of the last request was sent.
         self._has_sent = False
+        self._send_error: OSError | None = None
         self._protocol = h11.Connection(h11.CLIENT)
         host, _, port = address.rpartition(":")
         try:
@@ -69,11 +70,13 @@
         """Send a request; stop if the replica responds before it has read all of it.
 
         Raises NO_UPSTREAM if the connection breaks before the first byte was sent. A later break
-        sets ``responded_early``, and ``receive`` reports the failure.
+        sets ``responded_early``, and ``receive`` reports the failure once it has returned what
+        arrived before.
         """
         self.requests += 1
         self.method = head.method
         self._has_sent = False
+        self._send_error = None
         for data in self._render(head, body):
             self._send_piece(data, waiter)
             if self.responded_early:
@@ -158,6 +161,7 @@
                     raise AspengateError(
                         ErrorKind.NO_UPSTREAM, repr(error), where=self.address
                     ) from error
+                self._send_error = error.with_traceback(None)
                 self.responded_early = True
                 return
 
@@ -183,8 +187,21 @@
             return
         except OSError as error:
             raise self._broken(error) from error
+        if not data:
+            self._check_end()
         self._protocol.receive_data(data)
 
+    def _check_end(self) -> None:
+        """Raise UPSTREAM_FAILED if the connection broke, instead of being closed by the replica.
+
+        The kernel reports an error of a connection only once. If that was to a write, reads return
+        the data that arrived before, and then nothing, as after an orderly end. EPIPE is different:
+        it means that the replica had closed its sending side before the connection broke.
+        """
+        error = self._send_error
+        if error is not None and not isinstance(error, BrokenPipeError):
+            raise self._broken(error)
+
     def _check_event(self, event: object) -> h11.Event:
         if isinstance(event, h11.Response | h11.Data | h11.EndOfMessage):
             return event
