Test that malformed heads from replicas never reach callers

The issue asks about a status of 000 and about field names with a blank or a control byte. Five unusual heads that are well-formed are passed on whole.

--- /dev/null
+++ b/features/steps/broken_heads_steps.py
@@ -0,0 +1,72 @@
+"""Steps on responses whose heads are malformed."""
+
+from behave import then, when
+from platform_standins.client import Caller
+from platform_standins.heads import MALFORMED_HEADS, SOUND_HEADS
+
+from gateway_answers_steps import set_behaviour
+from gateway_world import TOKENS
+
+REQUESTS = {
+    "status": ("POST", "/status/{}", {"body": b"candidate"}),
+    "receipt": ("GET", "/receipt/{}", {}),
+    "score": ("POST", "/score/{}", {"body": b"essay", "tokens": TOKENS}),
+    "review": ("POST", "/review/{}", {"body": b"essay", "tokens": TOKENS}),
+}
+
+
+def request_each(context, kind, heads, set_up):
+    method, path, fields = REQUESTS[kind]
+    context.answers = []
+    for number, name in enumerate(heads):
+        set_up(f"head: {name}")
+        caller = Caller(context.router.address)
+        context.answers.append(caller.request(method, path.format(number), **fields))
+        caller.close()
+
+
+def break_first_of_request(context, behaviour):
+    """Have the first response to the next request, from whichever replica, behave so."""
+    before = sum(len(each.requests) for each in context.fleet.replicas)
+
+    class FirstThenWell(dict):
+        def get(self, number, default):
+            asked = sum(len(each.requests) for each in context.fleet.replicas)
+            return behaviour if asked == before + 1 else "well"
+
+    for replica in context.fleet.replicas:
+        replica.behaviours = FirstThenWell()
+
+
+def set_all(context, behaviour):
+    for service in ("portal", "engine"):
+        set_behaviour(context, service, behaviour)
+
+
+@when("a {kind} is requested for each malformed head")
+def each_malformed(context, kind):
+    request_each(context, kind, MALFORMED_HEADS, lambda name: set_all(context, name))
+
+
+@when("a {kind} is requested for each malformed head of a first response")
+def each_malformed_first(context, kind):
+    request_each(context, kind, MALFORMED_HEADS, lambda name: break_first_of_request(context, name))
+    assert sum(context.fleet.runs(each.header("X-Request-Id")) for each in context.answers) == (
+        2 * len(MALFORMED_HEADS)
+    )
+
+
+@when("a {kind} is requested for each unusual head")
+def each_unusual(context, kind):
+    request_each(context, kind, SOUND_HEADS, lambda name: set_all(context, name))
+
+
+@then("each caller receives the replica's whole body with the status and the fields of the head")
+def unusual_passed_on(context):
+    replica = context.fleet.of("portal")[0]
+    for name, answer, request in zip(SOUND_HEADS, context.answers, replica.requests, strict=True):
+        assert answer.whole and answer.body == replica.body(request), (name, answer.status)
+        assert answer.status == (418 if name == "status 418" else 200), (name, answer.status)
+    fields = [field for answer in context.answers for field in answer.headers]
+    assert ("x-odd", "\xe9") in fields, fields
+    assert ("x!#$%&'*+-.^_`|~09azaz", "a") in fields, fields
