Reject malformed response heads from the store, peers, upstreams and instances

What was seen: calls to the store, to other routers, to the instance list and, in agents, to upstreams accepted responses with malformed heads. A status of "+200" or "2_00" was read as 200. At a field name with a blank or a control byte, or a line without a colon, all fields behind it were lost: without its Content-Length a body lasts to the end of the connection, and without its Store-Era a response of the store counts as one of era 0. A running gateway with such a store dropped its view as outdated (store.history_lost, once for each mirror and several times). An agent's caller gets such a response.

Cause: these calls read responses with http.client, whose parser of fields is that of mail: it ends the head at a line that it doesn't know and records this in an attribute that nothing reads.

Change: `StrictHTTPConnection` reads the bytes of the head, has h11 parse them, as connections to replicas do, and hands http.client only the head that h11 renders. A malformed, truncated or too long head is an HTTPException, as callers expect for other broken responses: a write to the store ends as OUTCOME_UNKNOWN, any other call as STORE_UNAVAILABLE or UPSTREAM_FAILED. Interim responses other than 100 are skipped now, too.

Evidence: features/broken_heads.feature.

Handled before: these calls never took a response that was reset as complete; http.client reports the error of a write at once.

--- a/features/broken_heads.feature
+++ b/features/broken_heads.feature
@@ -24,3 +24,31 @@
     Given a gateway with one replica per service
     When a status is requested for each unusual head
     Then each caller receives the replica's whole body with the status and the fields of the head
+
+  # The parser of the library dropped all fields behind a malformed line: a length, or the era of
+  # the store.
+  Scenario Outline: A malformed head of the response to a call is an error of the call
+    Given a server that answers a <call>
+    When the call is made for each malformed and each unusual head
+    Then each malformed head is an error of kind <kind>, and the others are accepted
+
+    Examples:
+      | call                             | kind              |
+      | read of the store                | store_unavailable |
+      | list of the store                | store_unavailable |
+      | watch of the store               | store_unavailable |
+      | write to the store               | outcome_unknown   |
+      | fetch of another router's mirror | store_unavailable |
+      | close of a witnessed session     | store_unavailable |
+      | read of an etcd store            | store_unavailable |
+      | watch of an etcd store           | store_unavailable |
+      | write to an etcd store           | outcome_unknown   |
+      | list of the instances            | store_unavailable |
+      | run at a plain upstream          | upstream_failed   |
+      | run at an engine                 | upstream_failed   |
+
+  # A gateway that lost the store's era took the store as restored from a copy once it saw the era.
+  Scenario: Malformed heads from the store count as an outage, not as answers
+    Given a gateway with one replica per service
+    When the store's heads have a "blank in a name" for a while, and a gateway starts meanwhile
+    Then no gateway takes the store as restored, and a new route is in force at each
--- a/features/framing.feature
+++ b/features/framing.feature
@@ -50,3 +50,7 @@
   Scenario: Events of a stream are split correctly in whatever pieces it arrives
     When any streams of events arrive in any pieces
     Then the events are those that were sent, and the remainder is an incomplete event
+
+  Scenario: The head of a response is read alike by all clients
+    When the head of a response has any lines
+    Then the strict client reads the same fields as a connection to a replica, or both fail
--- a/features/platform_standins/store.py
+++ b/features/platform_standins/store.py
@@ -23,7 +23,8 @@
 
     Both ``silent`` and ``mute`` leave calls unanswered: the former ends pending watches, the
     latter keeps them open without events. The next ``lose_writes`` writes are executed, after
-    ``late_s``, but not answered.
+    ``late_s``, but not answered. ``rewrite_head`` is applied to the heads of responses, after which
+    the connection is closed; None leaves them as they are.
     """
 
     def __init__(self, store, host="127.0.0.1"):
@@ -32,6 +33,7 @@
         self.slow_s = 0.0
         self.lose_writes = 0
         self.late_s = 0.0
+        self.rewrite_head = None
         self.calls = Counter()
         endpoint = self
 
@@ -73,7 +75,11 @@
         if self.store.era is not None:
             head += f"Store-Era: {self.store.era}\r\n"
         head += f"Content-Length: {len(data)}\r\n\r\n"
-        handler.wfile.write(head.encode() + data)
+        encoded = head.encode()
+        if self.rewrite_head is not None:
+            encoded = self.rewrite_head(encoded)
+            handler.close_connection = True
+        handler.wfile.write(encoded + data)
 
     def _lose(self, handler, body):
         """Execute a write now or later, without ever responding on its connection."""
@@ -107,6 +113,7 @@
     def clear_faults(self):
         """End all faults of this endpoint."""
         self.fault, self.slow_s, self.lose_writes = "", 0.0, 0
+        self.rewrite_head = None
 
     def close(self):
         self.server.shutdown()
--- a/features/steps/broken_heads_steps.py
+++ b/features/steps/broken_heads_steps.py
@@ -1,12 +1,18 @@
 """Steps on responses whose heads are malformed."""
 
+import time
+
 from behave import then, when
 from platform_standins.client import Caller
+from platform_standins.fleet import eventually
 from platform_standins.heads import MALFORMED_HEADS, SOUND_HEADS
+from platform_standins.operator import route
 
 from gateway_answers_steps import set_behaviour
 from gateway_world import TOKENS
 
+# Long enough for several watches and lists of a gateway.
+STORE_TROUBLE_S = 2.0
 REQUESTS = {
     "status": ("POST", "/status/{}", {"body": b"candidate"}),
     "receipt": ("GET", "/receipt/{}", {}),
@@ -70,3 +76,27 @@
     fields = [field for answer in context.answers for field in answer.headers]
     assert ("x-odd", "\xe9") in fields, fields
     assert ("x!#$%&'*+-.^_`|~09azaz", "a") in fields, fields
+
+
+@when('the store\'s heads have a "{name}" for a while, and a gateway starts meanwhile')
+def malformed_store_heads(context, name):
+    fleet = context.fleet
+    endpoints = [fleet.store.open_endpoint(), *fleet.store.endpoints]
+    for endpoint in endpoints:
+        endpoint.rewrite_head = MALFORMED_HEADS[name]
+    starting = fleet.add_router(ready=False, endpoint=endpoints[0])
+    time.sleep(STORE_TROUBLE_S)
+    for endpoint in endpoints:
+        endpoint.clear_faults()
+    assert eventually(starting.is_ready), starting.lines
+
+
+@then("no gateway takes the store as restored, and a new route is in force at each")
+def store_is_not_restored(context):
+    fleet = context.fleet
+    fleet.operator.add_route(route("/later/", "portal"))
+    for router in fleet.routers:
+        asked = router.call
+        assert eventually(lambda: asked().request("GET", "/later/1").status == 200)  # noqa: B023
+        lines = router.find_all("store.restored") + router.find_all("store.history_lost")
+        assert not lines, lines
--- a/features/steps/framing_steps.py
+++ b/features/steps/framing_steps.py
@@ -1,5 +1,7 @@
 """Property tests of the request parser, the replica connection and the event splitter."""
 
+import http.client
+import io
 import itertools
 import socket
 import struct
@@ -12,7 +14,13 @@
 from waitress.adjustments import Adjustments
 
 from aspengate.clock import SystemClock
-from aspengate.connections import ReplicaConnection, ReplicaResponse, RequestHead, Waiter
+from aspengate.connections import (
+    ReplicaConnection,
+    ReplicaResponse,
+    RequestHead,
+    StrictHTTPConnection,
+    Waiter,
+)
 from aspengate.errors import AspengateError
 from aspengate.gateway._events import EventSplitter
 from aspengate.platform import PlatformHeaderCodec
@@ -345,3 +353,61 @@
             assert each.event_id == sent.split(b"id: ")[1].split()[0].decode()
 
     check()
+
+
+LINE = st.one_of(
+    st.tuples(NAME, VALUE).map(lambda field: f"{field[0]}: {field[1]}".encode()),
+    st.binary(max_size=20),
+    st.sampled_from([b"Content-Length: 3", b"Content-Length: 3, 3", b"Transfer-Encoding: chunked"]),
+)
+
+
+class _ReadOnlySocket:
+    """A socket that has received some bytes."""
+
+    def __init__(self, data):
+        self.data = data
+
+    def makefile(self, mode):
+        return io.BytesIO(self.data)
+
+
+def _read_strictly(data):
+    """Return the head of the data as the strict client reads it; None if it fails."""
+    response = StrictHTTPConnection.response_class(_ReadOnlySocket(data))
+    try:
+        response.begin()
+    except (http.client.HTTPException, ConnectionError):
+        return None
+    return response.status, [(name.lower(), value) for name, value in response.getheaders()]
+
+
+def _read_as_replica(data):
+    """Return the head of the data as connections to replicas read it; None if they fail."""
+    client = h11.Connection(h11.CLIENT)
+    client.send(h11.Request(method="GET", target="/", headers=[("Host", "h")]))
+    client.send(h11.EndOfMessage())
+    client.receive_data(data)
+    try:
+        event = client.next_event()
+    except h11.RemoteProtocolError:
+        return None
+    assert isinstance(event, h11.Response), event
+    headers = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in event.headers]
+    return event.status_code, headers
+
+
+@when("the head of a response has any lines")
+def any_head(context):
+    pass
+
+
+@then("the strict client reads the same fields as a connection to a replica, or both fail")
+def heads_are_read_equally(context):
+    @settings(max_examples=1_000)
+    @given_any(st.lists(LINE, max_size=4))
+    def check(lines):
+        data = b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"", b"", b"abc"])
+        assert _read_strictly(data) == _read_as_replica(data), data
+
+    check()
--- /dev/null
+++ b/features/steps/strict_client_steps.py
@@ -0,0 +1,101 @@
+"""Steps on the clients of the store, of other routers and of upstreams."""
+
+import msgspec
+from behave import given, then, when
+from platform_standins.heads import MALFORMED_HEADS, SOUND_HEADS
+from platform_standins.one_response import OneResponseServer
+
+from aspengate.adapters import EtcdStore, HttpInstanceList, UpstreamRequest, open_upstream
+from aspengate.clock import SystemClock
+from aspengate.errors import AspengateError
+from aspengate.peers import PeerClient
+from aspengate.platform import PlatformStore
+from aspengate.store import Put
+
+TIMEOUT_MS = 2_000.0
+PUT = (Put("aspengate/a", b"v"),)
+ETCD_WRITTEN = b'{"succeeded": true, "header": {"revision": "4"}}'
+MIRROR = msgspec.msgpack.encode([[], 3, 3])
+
+
+def platform_store(address):
+    return PlatformStore(address, TIMEOUT_MS, SystemClock())
+
+
+def read_upstream(protocol, address):
+    request = UpstreamRequest("GET", "/", (), b"", 1, TIMEOUT_MS)
+    return b"".join(open_upstream(protocol, address).send(request).chunks)
+
+
+# For each call, the body of a sound response and a function that makes the call.
+CALLS = {
+    "read of the store": (
+        b'{"key": "a", "value": "dg==", "revision": 3}',
+        lambda address: platform_store(address).get("a"),
+    ),
+    "list of the store": (
+        b'{"items": [], "at": 3}',
+        lambda address: platform_store(address).list_items("a/"),
+    ),
+    "watch of the store": (
+        b'{"events": [], "at": 3}',
+        lambda address: platform_store(address).changes("a/", 3, 100),
+    ),
+    "write to the store": (
+        b'{"revision": 4}',
+        lambda address: platform_store(address).transact({}, PUT),
+    ),
+    "fetch of another router's mirror": (
+        MIRROR,
+        lambda address: PeerClient(TIMEOUT_MS).fetch_mirror(address, "a/"),
+    ),
+    "close of a witnessed session": (
+        msgspec.msgpack.encode([{}]),
+        lambda address: PeerClient(TIMEOUT_MS).close_witnessed(address, "s"),
+    ),
+    "read of an etcd store": (b"{}", lambda address: EtcdStore(address).get("a")),
+    "watch of an etcd store": (
+        b'{"result": {"events": [{"kv": {"value": "dg==", "mod_revision": "4"}}]}}\n',
+        lambda address: EtcdStore(address).watch("a", 3, TIMEOUT_MS),
+    ),
+    "write to an etcd store": (
+        ETCD_WRITTEN,
+        lambda address: EtcdStore(address).compare_and_swap("a", 3, b"v"),
+    ),
+    "list of the instances": (b"[]", lambda address: HttpInstanceList(address).instances()),
+    "run at a plain upstream": (b"body", lambda address: read_upstream("plain", address)),
+    "run at an engine": (b'{"usage": {}}', lambda address: read_upstream("completion", address)),
+}
+
+
+@given("a server that answers a {call}")
+def answering_server(context, call):
+    body, context.call = CALLS[call]
+    context.server = OneResponseServer(body)
+    context.cleanup.callback(context.server.close)
+
+
+def failure_of(context):
+    """Make the call; return the kind of its error, None if it succeeds."""
+    try:
+        context.call(context.server.address)
+    except AspengateError as error:
+        return error.kind.value
+    return None
+
+
+@when("the call is made for each malformed and each unusual head")
+def call_with_each_head(context):
+    context.failures = {}
+    for name, rewrite in {**MALFORMED_HEADS, **SOUND_HEADS}.items():
+        context.server.rewrite = rewrite
+        context.failures[name] = failure_of(context)
+
+
+@then("each malformed head is an error of kind {kind}, and the others are accepted")
+def malformed_are_errors(context, kind):
+    expected = {name: kind for name in MALFORMED_HEADS}
+    # A status that a call does not define is an error of its own.
+    expected.update({name: None for name in SOUND_HEADS if name != "status 418"})
+    found = {name: context.failures[name] for name in expected}
+    assert found == expected, {n: k for n, k in found.items() if k != expected[n]}
--- a/src/aspengate/adapters/_engine.py
+++ b/src/aspengate/adapters/_engine.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from aspengate.connections import StrictHTTPConnection
 from aspengate.errors import AspengateError, ErrorKind
 
 _READ_BYTES = 64 * 1024
@@ -154,7 +155,7 @@
 def _request(
     address: str, request: UpstreamRequest
 ) -> tuple[http.client.HTTPConnection, http.client.HTTPResponse]:
-    connection = http.client.HTTPConnection(address, timeout=request.timeout_ms / 1_000)
+    connection = StrictHTTPConnection(address, timeout=request.timeout_ms / 1_000)
     try:
         connection.connect()
     except OSError as error:
--- a/src/aspengate/adapters/_etcd.py
+++ b/src/aspengate/adapters/_etcd.py
@@ -8,6 +8,7 @@
 
 from aspengate.adapters._store import Entry
 from aspengate.clock import SystemClock
+from aspengate.connections import StrictHTTPConnection
 from aspengate.errors import AspengateError, ErrorKind
 
 _CALL_TIMEOUT_S = 3.0
@@ -66,7 +67,7 @@
                 "start_revision": str(after_revision + 1),
             }
         }
-        connection = http.client.HTTPConnection(self.address, timeout=timeout_ms / 1_000)
+        connection = StrictHTTPConnection(self.address, timeout=timeout_ms / 1_000)
         deadline_ms = _CLOCK.monotonic_ms() + timeout_ms
         try:
             connection.request("POST", "/v3/watch", json.dumps(body))
@@ -84,7 +85,7 @@
             connection.close()
 
     def _call(self, path: str, body: dict[str, Any], *, writes: bool = False) -> dict[str, Any]:
-        connection = http.client.HTTPConnection(self.address, timeout=self.call_timeout_s)
+        connection = StrictHTTPConnection(self.address, timeout=self.call_timeout_s)
         sent = False
         try:
             connection.connect()
--- a/src/aspengate/adapters/_instances.py
+++ b/src/aspengate/adapters/_instances.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from aspengate.connections import StrictHTTPConnection
 from aspengate.errors import AspengateError, ErrorKind
 
 _CALL_TIMEOUT_S = 3.0
@@ -51,7 +52,7 @@
 
     def instances(self) -> tuple[Instance, ...]:
         """Return all listed instances."""
-        connection = http.client.HTTPConnection(self.address, timeout=_CALL_TIMEOUT_S)
+        connection = StrictHTTPConnection(self.address, timeout=_CALL_TIMEOUT_S)
         try:
             connection.request("GET", "/instances")
             response = connection.getresponse()
--- a/src/aspengate/connections/__init__.py
+++ b/src/aspengate/connections/__init__.py
@@ -21,6 +21,7 @@
 from aspengate.connections._listener_probe import ListenerProbe, ListenerState
 from aspengate.connections._pool import ConnectionPool
 from aspengate.connections._response import ReplicaResponse
+from aspengate.connections._strict_client import MalformedHeadError, StrictHTTPConnection
 from aspengate.connections._waiter import CallerGoneError, Waiter
 
 __all__ = [
@@ -33,9 +34,11 @@
     "Headers",
     "ListenerProbe",
     "ListenerState",
+    "MalformedHeadError",
     "ReplicaConnection",
     "ReplicaResponse",
     "RequestHead",
+    "StrictHTTPConnection",
     "Waiter",
     "connection_options",
     "detect_dead_peer",
--- a/src/aspengate/peers/_exchange.py
+++ b/src/aspengate/peers/_exchange.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from aspengate.connections import StrictHTTPConnection
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.peers._messages import (
     CeilingNotice,
@@ -296,7 +297,7 @@
             raise _unavailable(address, error) from error
 
     def _request(self, address: str, target: str, method: str = "GET") -> bytes:
-        connection = http.client.HTTPConnection(address, timeout=self.timeout_ms / 1_000)
+        connection = StrictHTTPConnection(address, timeout=self.timeout_ms / 1_000)
         try:
             connection.connect()
             with _time_limit(connection.sock, self.timeout_ms * _MAX_TIMEOUTS):
--- a/src/aspengate/store/_connections.py
+++ b/src/aspengate/store/_connections.py
@@ -1,11 +1,10 @@
 """A pool of HTTP connections to the store."""
 
 import contextlib
-import http.client
 import socket
 import threading
 
-from aspengate.connections import detect_dead_peer
+from aspengate.connections import StrictHTTPConnection, detect_dead_peer
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.store._unanswered import UnansweredCallCounter
 
@@ -23,12 +22,12 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
-        self._idle: list[http.client.HTTPConnection] = []
+        self._idle: list[StrictHTTPConnection] = []
         self._unanswered = UnansweredCallCounter()
-        self._watches: set[http.client.HTTPConnection] = set()
+        self._watches: set[StrictHTTPConnection] = set()
         self._lock = threading.Lock()
 
-    def acquire(self, *, is_watch: bool) -> http.client.HTTPConnection:
+    def acquire(self, *, is_watch: bool) -> StrictHTTPConnection:
         """Return a connection for one call.
 
         Raises AspengateError of kind STORE_UNAVAILABLE if none can be established.
@@ -41,7 +40,7 @@
                 self._watches.add(connection)
         return connection
 
-    def release(self, connection: http.client.HTTPConnection) -> None:
+    def release(self, connection: StrictHTTPConnection) -> None:
         """Return an answered call's connection to the pool, or close it if the pool is full."""
         with self._lock:
             self._unanswered.record_answer()
@@ -51,7 +50,7 @@
                 return
         connection.close()
 
-    def discard(self, connection: http.client.HTTPConnection, *, is_watch: bool) -> None:
+    def discard(self, connection: StrictHTTPConnection, *, is_watch: bool) -> None:
         """Close the connection of a failed call and all idle connections.
 
         The idle ones have probably failed for the same reason.
@@ -80,8 +79,8 @@
         with self._lock:
             return [connection.sock for connection in self._idle]
 
-    def _open(self) -> http.client.HTTPConnection:
-        connection = http.client.HTTPConnection(self.address, timeout=_CONNECT_TIMEOUT_S)
+    def _open(self) -> StrictHTTPConnection:
+        connection = StrictHTTPConnection(self.address, timeout=_CONNECT_TIMEOUT_S)
         try:
             connection.connect()
             detect_dead_peer(connection.sock)
