Report a malformed response to `aspengate table status` as an error

What was seen: for a response with status 000, or any other that http.client rejects, the command ended with a traceback of some 60 lines; for one with a malformed field it printed the body as if it were sound.

Change: the command reads with the strict client, and ends with the error no_upstream on one line for these, and for a body that is no text.

--- a/features/broken_heads.feature
+++ b/features/broken_heads.feature
@@ -52,3 +52,8 @@
     Given a gateway with one replica per service
     When the store's heads have a "blank in a name" for a while, and a gateway starts meanwhile
     Then no gateway takes the store as restored, and a new route is in force at each
+
+  Scenario: A malformed head is a clear error of the command line
+    Given a server that answers the command line
+    When the status is printed for each malformed head
+    Then each command ends with an error of one line, and prints no body
--- a/features/steps/strict_client_steps.py
+++ b/features/steps/strict_client_steps.py
@@ -1,5 +1,8 @@
 """Steps on the clients of the store, of other routers and of upstreams."""
 
+import subprocess
+import sys
+
 import msgspec
 from behave import given, then, when
 from platform_standins.heads import MALFORMED_HEADS, SOUND_HEADS
@@ -99,3 +102,31 @@
     expected.update({name: None for name in SOUND_HEADS if name != "status 418"})
     found = {name: context.failures[name] for name in expected}
     assert found == expected, {n: k for n, k in found.items() if k != expected[n]}
+
+
+@given("a server that answers the command line")
+def server_for_commands(context):
+    context.server = OneResponseServer(b'{"routers": []}')
+    context.cleanup.callback(context.server.close)
+
+
+@when("the status is printed for each malformed head")
+def print_status(context):
+    context.results = {}
+    command = [sys.executable, "-m", "aspengate", "table", "status"]
+    for name, rewrite in MALFORMED_HEADS.items():
+        context.server.rewrite = rewrite
+        context.results[name] = subprocess.run(
+            [*command, "--router", context.server.address, "--key", "k"],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+
+
+@then("each command ends with an error of one line, and prints no body")
+def commands_fail(context):
+    for name, result in context.results.items():
+        assert result.returncode != 0 and not result.stdout, (name, result)
+        assert result.stderr.startswith("aspengate: no_upstream: "), (name, result.stderr)
+        assert len(result.stderr.splitlines()) == 1, (name, result.stderr)
--- a/src/aspengate/cli/_table.py
+++ b/src/aspengate/cli/_table.py
@@ -5,6 +5,7 @@
 """
 
 import getpass
+import http.client
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -15,6 +16,7 @@
 
 from aspengate.adapters import EtcdStore
 from aspengate.clock import SystemClock
+from aspengate.connections import StrictHTTPConnection
 from aspengate.errors import AspengateError, ErrorKind
 from aspengate.router import TableEditor
 from aspengate.settings import address
@@ -190,13 +192,11 @@
 
     def __call__(self) -> None:
         """Print the status."""
-        import http.client
-
-        connection = http.client.HTTPConnection(self.router, timeout=5)
+        connection = StrictHTTPConnection(self.router, timeout=5)
         try:
             connection.request("GET", "/status", headers={"Authorization": f"Bearer {self.key}"})
             sys.stdout.write(connection.getresponse().read().decode() + "\n")
-        except OSError as error:
+        except (OSError, http.client.HTTPException, UnicodeError) as error:
             raise AspengateError(ErrorKind.NO_UPSTREAM, repr(error), where=self.router) from error
         finally:
             connection.close()
