Test that responses without a length that are reset fail every call

Handled before, so that nothing else changes: calls of the store, of other routers, of the instance list and of upstreams, each 20 times, also with a request that is still being sent.

--- a/features/broken_heads.feature
+++ b/features/broken_heads.feature
@@ -47,6 +47,28 @@
       | run at a plain upstream          | upstream_failed   |
       | run at an engine                 | upstream_failed   |
 
+  Scenario Outline: A response without a length that is reset is an error of the call
+    Given a server that answers a <call>
+    When the response to the call has no length and is reset 20 times
+    Then each call is an error of kind <kind>
+
+    Examples:
+      | call                             | kind              |
+      | read of the store                | store_unavailable |
+      | list of the store                | store_unavailable |
+      | watch of the store               | store_unavailable |
+      | write to the store               | outcome_unknown   |
+      | long write to the store          | outcome_unknown   |
+      | fetch of another router's mirror | store_unavailable |
+      | close of a witnessed session     | store_unavailable |
+      | read of an etcd store            | store_unavailable |
+      | watch of an etcd store           | store_unavailable |
+      | write to an etcd store           | outcome_unknown   |
+      | list of the instances            | store_unavailable |
+      | run at a plain upstream          | upstream_failed   |
+      | long run at a plain upstream     | upstream_failed   |
+      | run at an engine                 | upstream_failed   |
+
   # A gateway that lost the store's era took the store as restored from a copy once it saw the era.
   Scenario: Malformed heads from the store count as an outage, not as answers
     Given a gateway with one replica per service
--- a/features/steps/strict_client_steps.py
+++ b/features/steps/strict_client_steps.py
@@ -16,6 +16,8 @@
 from aspengate.store import Put
 
 TIMEOUT_MS = 2_000.0
+# More than the buffers of both sockets hold.
+UPLOAD = b"u" * 8_000_000
 PUT = (Put("aspengate/a", b"v"),)
 ETCD_WRITTEN = b'{"succeeded": true, "header": {"revision": "4"}}'
 MIRROR = msgspec.msgpack.encode([[], 3, 3])
@@ -25,8 +27,8 @@
     return PlatformStore(address, TIMEOUT_MS, SystemClock())
 
 
-def read_upstream(protocol, address):
-    request = UpstreamRequest("GET", "/", (), b"", 1, TIMEOUT_MS)
+def read_upstream(protocol, address, body=b""):
+    request = UpstreamRequest("POST", "/", (), body, 1, TIMEOUT_MS)
     return b"".join(open_upstream(protocol, address).send(request).chunks)
 
 
@@ -68,6 +70,14 @@
     "list of the instances": (b"[]", lambda address: HttpInstanceList(address).instances()),
     "run at a plain upstream": (b"body", lambda address: read_upstream("plain", address)),
     "run at an engine": (b'{"usage": {}}', lambda address: read_upstream("completion", address)),
+    "long run at a plain upstream": (
+        b"body",
+        lambda address: read_upstream("plain", address, UPLOAD),
+    ),
+    "long write to the store": (
+        b'{"revision": 4}',
+        lambda address: platform_store(address).transact({}, (Put("aspengate/a", UPLOAD),)),
+    ),
 }
 
 
@@ -104,6 +114,17 @@
     assert found == expected, {n: k for n, k in found.items() if k != expected[n]}
 
 
+@when("the response to the call has no length and is reset {count:d} times")
+def call_with_reset(context, count):
+    context.server.resets = True
+    context.failures = [failure_of(context) for _ in range(count)]
+
+
+@then("each call is an error of kind {kind}")
+def each_call_fails(context, kind):
+    assert set(context.failures) == {kind}, context.failures
+
+
 @given("a server that answers the command line")
 def server_for_commands(context):
     context.server = OneResponseServer(b'{"routers": []}')
