Report a write as of unknown outcome if the store's response can't be decoded

What was seen: a 200 to a transaction whose body was truncated, empty or no JSON was reported as STORE_UNAVAILABLE, which promises that nothing was written, and `{}` as a write at revision 0. With a store that speaks etcd the same, and a response without a revision raised a KeyError.

Cause: the body of a response was decoded in the same way for reads and for writes, and the revision had a default.

Change: for a write, a body that can't be decoded is OUTCOME_UNKNOWN, as a lost response is, and the revision is required.

Evidence: broken_heads.feature, "A response to a call whose body can't be decoded is an error of the call": the rows of both writes failed before, all 8 rows pass now. The six rows of reads passed before.

--- a/features/broken_heads.feature
+++ b/features/broken_heads.feature
@@ -69,6 +69,23 @@
       | long run at a plain upstream     | upstream_failed   |
       | run at an engine                 | upstream_failed   |
 
+  # A write whose response was lost in this way counted as not made.
+  Scenario Outline: A response to a call whose body can't be decoded is an error of the call
+    Given a server that answers a <call>
+    When the response to the <call> has a body that can't be decoded
+    Then each call is an error of kind <kind>
+
+    Examples:
+      | call                             | kind              |
+      | read of the store                | store_unavailable |
+      | list of the store                | store_unavailable |
+      | watch of the store               | store_unavailable |
+      | write to the store               | outcome_unknown   |
+      | fetch of another router's mirror | store_unavailable |
+      | close of a witnessed session     | store_unavailable |
+      | read of an etcd store            | store_unavailable |
+      | write to an etcd store           | outcome_unknown   |
+
   # A gateway that lost the store's era took the store as restored from a copy once it saw the era.
   Scenario: Malformed heads from the store count as an outage, not as answers
     Given a gateway with one replica per service
--- a/features/steps/strict_client_steps.py
+++ b/features/steps/strict_client_steps.py
@@ -114,6 +114,27 @@
     assert found == expected, {n: k for n, k in found.items() if k != expected[n]}
 
 
+UNREADABLE_BODIES = (b"", b"<html></html>", b'{"revision": 4', b"[4]", b"\xff\xfe")
+# The response to a write that was made names its revision.
+BODIES_WITHOUT_REVISION = {
+    "write to the store": (b"{}", b'{"revision": null}', b'{"revision": "4"}'),
+    "write to an etcd store": (
+        b'{"succeeded": true}',
+        b'{"succeeded": true, "header": {}}',
+        b'{"succeeded": true, "header": {"revision": "x"}}',
+        b'{"succeeded": true, "header": [4]}',
+    ),
+}
+
+
+@when("the response to the {call} has a body that can't be decoded")
+def call_with_unreadable_body(context, call):
+    context.failures = []
+    for body in (*UNREADABLE_BODIES, *BODIES_WITHOUT_REVISION.get(call, ())):
+        context.server.body = body
+        context.failures.append(failure_of(context))
+
+
 @when("the response to the call has no length and is reset {count:d} times")
 def call_with_reset(context, count):
     context.server.resets = True
--- a/src/aspengate/adapters/_etcd.py
+++ b/src/aspengate/adapters/_etcd.py
@@ -57,7 +57,12 @@
         )
         if not reply.get("succeeded", False):
             return None
-        return int(reply["header"]["revision"])
+        try:
+            return int(reply["header"]["revision"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise AspengateError(
+                ErrorKind.OUTCOME_UNKNOWN, "unreadable answer", where=f"store {self.address}"
+            ) from error
 
     def watch(self, key: str, after_revision: int, timeout_ms: float) -> Entry | None:
         """Wait for a revision of ``key`` above ``after_revision``; ``None`` on a timeout."""
@@ -86,6 +91,7 @@
 
     def _call(self, path: str, body: dict[str, Any], *, writes: bool = False) -> dict[str, Any]:
         connection = StrictHTTPConnection(self.address, timeout=self.call_timeout_s)
+        failure = ErrorKind.OUTCOME_UNKNOWN if writes else ErrorKind.STORE_UNAVAILABLE
         sent = False
         try:
             connection.connect()
@@ -96,7 +102,7 @@
             response = connection.getresponse()
             data = response.read()
         except (OSError, http.client.HTTPException) as error:
-            kind = ErrorKind.OUTCOME_UNKNOWN if sent and writes else ErrorKind.STORE_UNAVAILABLE
+            kind = failure if sent else ErrorKind.STORE_UNAVAILABLE
             raise AspengateError(kind, repr(error), where=f"store {self.address}") from error
         finally:
             connection.close()
@@ -106,7 +112,7 @@
                 f"answered {response.status}",
                 where=f"store {self.address}",
             )
-        return _decode_reply(data)
+        return _decode_reply(data, failure)
 
 
 def _first_event(response: http.client.HTTPResponse, deadline_ms: float) -> Entry | None:
@@ -121,13 +127,14 @@
     return None
 
 
-def _decode_reply(data: bytes) -> dict[str, Any]:
+def _decode_reply(data: bytes, failure: ErrorKind = ErrorKind.STORE_UNAVAILABLE) -> dict[str, Any]:
+    """Decode a JSON object; raises an error of kind ``failure`` if the data is none."""
     try:
         reply = json.loads(data)
     except ValueError as error:
-        raise AspengateError(ErrorKind.STORE_UNAVAILABLE, "unreadable answer") from error
+        raise AspengateError(failure, "unreadable answer") from error
     if not isinstance(reply, dict):
-        raise AspengateError(ErrorKind.STORE_UNAVAILABLE, "unreadable answer")
+        raise AspengateError(failure, "unreadable answer")
     return reply
 
 
--- a/src/aspengate/platform/_client.py
+++ b/src/aspengate/platform/_client.py
@@ -95,7 +95,7 @@
 
 
 class _Done(msgspec.Struct):
-    revision: int = 0
+    revision: int
 
 
 _Body = TypeVar("_Body")
@@ -195,7 +195,8 @@
             items = [item.to_item(response.era) for item in _decode(response.body, _Page).items]
             raise ConditionFailedError({item.key: item for item in items})
         check_write_era(conditions.values(), response.era)
-        return make_revision(response.era, _decode(response.body, _Done).revision)
+        done = _decode(response.body, _Done, ErrorKind.OUTCOME_UNKNOWN)
+        return make_revision(response.era, done.revision)
 
     def _page(self, query: Mapping[str, Any]) -> tuple[_Page, int]:
         """Return one page of a list and the era of the store that sent it."""
@@ -272,10 +273,10 @@
 )
 
 
-def _decode(body: bytes, kind: type[_Body]) -> _Body:
+def _decode(
+    body: bytes, kind: type[_Body], failure: ErrorKind = ErrorKind.STORE_UNAVAILABLE
+) -> _Body:
     try:
         return msgspec.json.decode(body, type=kind)
     except DECODE_ERRORS as error:
-        raise AspengateError(
-            ErrorKind.STORE_UNAVAILABLE, str(error), where="store response"
-        ) from error
+        raise AspengateError(failure, str(error), where="store response") from error
