Name the tests of broken responses after what they hold

broken_heads.feature also has responses that are reset and bodies that can't be decoded: it is broken_responses.feature now, and its steps on calls are in broken_calls_steps.py.

--- a/features/broken_heads.feature
+++ b/features/broken_responses.feature
@@ -1,4 +1,4 @@
-Feature: A response whose head is malformed is a failure wherever responses are read
+Feature: A broken response is a failure wherever responses are read
 
   Scenario: A malformed head from a replica is an explicit error to a non-retryable call
     Given a gateway with one replica per service
--- a/features/platform_standins/heads.py
+++ b/features/platform_standins/heads.py
@@ -1,4 +1,4 @@
-"""Heads of responses, malformed and sound, that servers send in place of an ordinary one."""
+"""Malformed heads of responses, and unusual ones that are well-formed."""
 
 import re
 
@@ -40,7 +40,7 @@
     "mailbox separator": _with_field(b"From a"),
     "leading blank line of a field": _with_field(b" X-Odd: a"),
 }
-SOUND_HEADS = {
+UNUSUAL_HEADS = {
     "interim response before it": lambda head: b"HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n" + head,
     "status 418": _with_status_line(b"HTTP/1.1 418 Teapot"),
     "no reason": _with_status_line(b"HTTP/1.1 200 "),
@@ -77,5 +77,5 @@
         return True
 
 
-for _name, _rewrite in {**MALFORMED_HEADS, **SOUND_HEADS}.items():
+for _name, _rewrite in {**MALFORMED_HEADS, **UNUSUAL_HEADS}.items():
     _register(_name, _rewrite)
--- a/features/steps/strict_client_steps.py
+++ b/features/steps/broken_calls_steps.py
@@ -1,11 +1,11 @@
-"""Steps on the clients of the store, of other routers and of upstreams."""
+"""Steps on broken responses to calls of the store, other routers, upstreams and a router."""
 
 import subprocess
 import sys
 
 import msgspec
 from behave import given, then, when
-from platform_standins.heads import MALFORMED_HEADS, SOUND_HEADS
+from platform_standins.heads import MALFORMED_HEADS, UNUSUAL_HEADS
 from platform_standins.one_response import OneResponseServer
 
 from aspengate.adapters import EtcdStore, HttpInstanceList, UpstreamRequest, open_upstream
@@ -32,7 +32,7 @@
     return b"".join(open_upstream(protocol, address).send(request).chunks)
 
 
-# For each call, the body of a sound response and a function that makes the call.
+# For each call, the body of a valid response and a function that makes the call.
 CALLS = {
     "read of the store": (
         b'{"key": "a", "value": "dg==", "revision": 3}',
@@ -100,7 +100,7 @@
 @when("the call is made for each malformed and each unusual head")
 def call_with_each_head(context):
     context.failures = {}
-    for name, rewrite in {**MALFORMED_HEADS, **SOUND_HEADS}.items():
+    for name, rewrite in {**MALFORMED_HEADS, **UNUSUAL_HEADS}.items():
         context.server.rewrite = rewrite
         context.failures[name] = failure_of(context)
 
@@ -109,7 +109,7 @@
 def malformed_are_errors(context, kind):
     expected = {name: kind for name in MALFORMED_HEADS}
     # A status that a call does not define is an error of its own.
-    expected.update({name: None for name in SOUND_HEADS if name != "status 418"})
+    expected.update({name: None for name in UNUSUAL_HEADS if name != "status 418"})
     found = {name: context.failures[name] for name in expected}
     assert found == expected, {n: k for n, k in found.items() if k != expected[n]}
 
--- a/features/steps/broken_heads_steps.py
+++ b/features/steps/broken_heads_steps.py
@@ -1,11 +1,11 @@
-"""Steps on responses whose heads are malformed."""
+"""Steps on gateways that receive responses with malformed heads."""
 
 import time
 
 from behave import then, when
 from platform_standins.client import Caller
 from platform_standins.fleet import eventually
-from platform_standins.heads import MALFORMED_HEADS, SOUND_HEADS
+from platform_standins.heads import MALFORMED_HEADS, UNUSUAL_HEADS
 from platform_standins.operator import route
 
 from gateway_answers_steps import set_behaviour
@@ -22,6 +22,7 @@
 
 
 def request_each(context, kind, heads, set_up):
+    """Send a request for each head; ``set_up`` is called before with the behaviour's name."""
     method, path, fields = REQUESTS[kind]
     context.answers = []
     for number, name in enumerate(heads):
@@ -44,14 +45,14 @@
         replica.behaviours = FirstThenWell()
 
 
-def set_all(context, behaviour):
+def set_on_all_replicas(context, behaviour):
     for service in ("portal", "engine"):
         set_behaviour(context, service, behaviour)
 
 
 @when("a {kind} is requested for each malformed head")
 def each_malformed(context, kind):
-    request_each(context, kind, MALFORMED_HEADS, lambda name: set_all(context, name))
+    request_each(context, kind, MALFORMED_HEADS, lambda name: set_on_all_replicas(context, name))
 
 
 @when("a {kind} is requested for each malformed head of a first response")
@@ -64,13 +65,13 @@
 
 @when("a {kind} is requested for each unusual head")
 def each_unusual(context, kind):
-    request_each(context, kind, SOUND_HEADS, lambda name: set_all(context, name))
+    request_each(context, kind, UNUSUAL_HEADS, lambda name: set_on_all_replicas(context, name))
 
 
 @then("each caller receives the replica's whole body with the status and the fields of the head")
 def unusual_passed_on(context):
     replica = context.fleet.of("portal")[0]
-    for name, answer, request in zip(SOUND_HEADS, context.answers, replica.requests, strict=True):
+    for name, answer, request in zip(UNUSUAL_HEADS, context.answers, replica.requests, strict=True):
         assert answer.whole and answer.body == replica.body(request), (name, answer.status)
         assert answer.status == (418 if name == "status 418" else 200), (name, answer.status)
     fields = [field for answer in context.answers for field in answer.headers]
