Let the replicas of the tests accept as many connections at once as a test opens

It waits until 200 requests have reached a replica; 157 did, and the gateway refused 43 as not run.

Cause: the stand-in's, not the gateway's. Connections to it were not established within 1 s, as its listen queue held 128 and it accepted slowly.

Change: the stand-in's queue holds 1,024. No check changes.

--- a/features/platform_standins/replica.py
+++ b/features/platform_standins/replica.py
@@ -15,6 +15,8 @@
 # Those of a link with Ethernet frames; on loopback, an upload fits into the sockets' buffers.
 _SEGMENT_BYTES = 1_448
 _WINDOW_BYTES = 4_096
+# Connections that the kernel accepts while this process is held up, as on a loaded machine.
+_BACKLOG = 1_024
 _numbers = itertools.count(1)
 
 
@@ -127,7 +129,7 @@
         self.cancelled = Counter()
         self.connections = 0
         self._store = store
-        self._socket = socket.create_server(("127.0.0.1", 0))
+        self._socket = socket.create_server(("127.0.0.1", 0), backlog=_BACKLOG)
         self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
         self._open = set()
         self._lock = threading.Lock()
@@ -184,7 +186,7 @@
     def listen_again(self):
         """Accept connections at the same address again, as a process that was started again."""
         host, _, port = self.address.rpartition(":")
-        self._socket = socket.create_server((host, int(port)))
+        self._socket = socket.create_server((host, int(port)), backlog=_BACKLOG)
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self):
