Say what the test of the store's heads shows

On the code before, the gateway logged store.history_lost: it took its own view as outdated, not the store as restored. Only the wording changes.

--- a/features/broken_responses.feature
+++ b/features/broken_responses.feature
@@ -86,11 +86,11 @@
       | read of an etcd store            | store_unavailable |
       | write to an etcd store           | outcome_unknown   |
 
-  # A gateway that lost the store's era took the store as restored from a copy once it saw the era.
+  # A gateway that did not see the store's era took its own view of the store as outdated.
   Scenario: Malformed heads from the store count as an outage, not as answers
     Given a gateway with one replica per service
     When the store's heads have a "blank in a name" for a while, and a gateway starts meanwhile
-    Then no gateway takes the store as restored, and a new route is in force at each
+    Then no gateway takes its view of the store as outdated, and a new route is in force at each
 
   Scenario: A malformed head is a clear error of the command line
     Given a server that answers the command line
--- a/features/steps/broken_heads_steps.py
+++ b/features/steps/broken_heads_steps.py
@@ -92,8 +92,8 @@
     assert eventually(starting.is_ready), starting.lines
 
 
-@then("no gateway takes the store as restored, and a new route is in force at each")
-def store_is_not_restored(context):
+@then("no gateway takes its view of the store as outdated, and a new route is in force at each")
+def store_view_is_current(context):
     fleet = context.fleet
     fleet.operator.add_route(route("/later/", "portal"))
     for router in fleet.routers:
