--- a/features/early_answers.feature
+++ b/features/early_answers.feature
@@ -6,13 +6,15 @@
     Given a gateway with one replica per service that responds "<behaviour>" to uploads
     When 10 statuses are uploaded with <framing>
     Then each caller receives a complete response 502 without a replica's signature
+    And each request was run once
 
     Examples:
-      | behaviour                        | framing  |
-      | early, unframed part, reset      | a length |
-      | early, unframed part, reset      | chunks   |
-      | early, unframed part, closed     | a length |
-      | early, half of its length, reset | a length |
+      | behaviour                              | framing  |
+      | early, unframed part, reset            | a length |
+      | early, unframed part, reset            | chunks   |
+      | early, unframed part, closed           | a length |
+      | early, half of its length, reset       | a length |
+      | early, chunks without their end, reset | a length |
 
   Scenario Outline: A retryable upload whose response is reset is retried at another replica
     Given a gateway with two replicas per service, and a first response "early, unframed part, reset" to uploads
@@ -28,11 +30,13 @@
     Given a gateway with one replica per service that responds "early, unframed and long part, reset" to uploads
     When 10 statuses are uploaded with a length
     Then no caller receives a complete success
+    And each request was run once
 
   Scenario Outline: A reset stream without framing is recognisably incomplete
     Given a gateway with one replica per service that responds "early, unframed events, reset" to uploads
     When 10 reviews are uploaded with <framing>
     Then no caller receives a complete success
+    And each request was run once
 
     Examples:
       | framing  |
@@ -57,4 +61,5 @@
     Examples:
       | behaviour                                |
       | early, its whole length, reset           |
+      | early, whole chunks, reset               |
       | early, unframed whole, ended, then reset |
--- a/features/platform_standins/early.py
+++ b/features/platform_standins/early.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from platform_standins.replica import LONG_UNFRAMED_BYTES, behaviour, event
+from platform_standins.replica import LONG_UNFRAMED_BYTES, behaviour, chunk, event
 
 PART = b"p" * 1_000
 EVENTS_BEFORE_RESET = 2
@@ -50,6 +50,25 @@
     return False
 
 
+def send_chunks_and_reset(replica, connection, request, end):
+    replica.run(request)
+    head = replica.head(request, extra=["Transfer-Encoding: chunked"])
+    connection.sendall(head + chunk(PART) + end)
+    replica.reset(connection)
+
+
+@behaviour("early, chunks without their end, reset")
+def reset_within_chunks(replica, connection, request):
+    send_chunks_and_reset(replica, connection, request, b"")
+    return False
+
+
+@behaviour("early, whole chunks, reset")
+def reset_after_chunks(replica, connection, request):
+    send_chunks_and_reset(replica, connection, request, b"0\r\n\r\n")
+    return False
+
+
 @behaviour("early, unframed whole, ended, then reset")
 def reset_after_end(replica, connection, request):
     """End the response in an orderly way, and reset the connection afterwards."""
--- a/features/platform_standins/heads.py
+++ b/features/platform_standins/heads.py
@@ -38,7 +38,7 @@
     "empty name": _with_field(b": a"),
     "no colon": _with_field(b"X-Odd"),
     "mailbox separator": _with_field(b"From a"),
-    "leading blank line of a field": _with_field(b" X-Odd: a"),
+    "blank before a name": _with_field(b" X-Odd: a"),
 }
 UNUSUAL_HEADS = {
     "interim response before it": lambda head: b"HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n" + head,
--- a/features/steps/early_answers_steps.py
+++ b/features/steps/early_answers_steps.py
@@ -55,11 +55,12 @@
 @when("{count:d} {kind} are uploaded with {framing}")
 def upload(context, count, kind, framing):
     method, path, tokens = UPLOADS[kind]
-    context.answers = []
+    context.answers, context.identities = [], []
     for number in range(count):
         caller = Caller(context.router.address)
         fields = {"body": UPLOAD, "tokens": tokens, "chunked": framing == "chunks"}
-        context.answers.append(caller.request(method, path.format(number), **fields))
+        context.identities.append(caller.send(method, path.format(number), **fields))
+        context.answers.append(caller.read())
         caller.close()
 
 
@@ -70,6 +71,12 @@
         assert not answer.header("X-Server-Stamp"), answer.headers
 
 
+@then("each request was run once")
+def each_ran_once(context):
+    runs = [context.fleet.runs(identity) for identity in context.identities]
+    assert runs == [1] * len(runs), runs
+
+
 @then("each caller receives the other replica's complete response")
 def each_gets_other_response(context):
     identities = [each.identity for each in context.fleet.of("portal")]
