--- a/features/broken_responses.feature
+++ b/features/broken_responses.feature
@@ -86,6 +86,21 @@
       | read of an etcd store            | store_unavailable |
       | write to an etcd store           | outcome_unknown   |
 
+  Scenario: Malformed chunks of a response to a call are an error of the call
+    Given a server that answers a run at a plain upstream
+    When the response to the call has malformed chunks
+    Then each call is an error of kind upstream_failed
+
+  Scenario: A list that the store does not find is not an empty list
+    Given a server that answers a list of the store
+    When the response to the call has status 404 and the body {}
+    Then each call is an error of kind store_unavailable
+
+  Scenario: A write that an etcd store answers with an error may have been made
+    Given a server that answers a write to an etcd store
+    When the response to the call has status 504 and the body {}
+    Then each call is an error of kind outcome_unknown
+
   # A gateway that did not see the store's era took its own view of the store as outdated.
   Scenario: Malformed heads from the store count as an outage, not as answers
     Given a gateway with one replica per service
--- a/features/steps/broken_calls_steps.py
+++ b/features/steps/broken_calls_steps.py
@@ -135,6 +135,24 @@
         context.failures.append(failure_of(context))
 
 
+@when("the response to the call has malformed chunks")
+def call_with_malformed_chunks(context):
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    context.server.rewrite = lambda _: head
+    context.failures = []
+    for body in (b"0x4\r\nbody\r\n0\r\n\r\n", b"4\r\nbodyXX0\r\n\r\n"):
+        context.server.body = body
+        context.failures.append(failure_of(context))
+
+
+@when("the response to the call has status {status:d} and the body {body}")
+def call_with_status(context, status, body):
+    line = b"HTTP/1.1 %d Failed" % status
+    context.server.body = body.encode()
+    context.server.rewrite = lambda head: head.replace(b"HTTP/1.1 200 OK", line)
+    context.failures = [failure_of(context)]
+
+
 @when("the response to the call has no length and is reset {count:d} times")
 def call_with_reset(context, count):
     context.server.resets = True
